--- /dev/null
+++ b/core/metrics.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace bramleystall {
+
+/** Labels of a metric, in the order of their names. */
+using MetricLabels = std::map<std::string, std::string>;
+
+/**
+ * Counters, gauges and duration histograms of one process, printed in the
+ * Prometheus text format. All members are safe to call from any thread.
+ */
+class Metrics
+{
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  /** Adds to a counter, which starts at 0. */
+  void Count(const std::string& aName,
+             const MetricLabels& aLabels = {},
+             std::uint64_t aAmount = 1);
+
+  /** Sets a gauge. */
+  void SetGauge(const std::string& aName,
+                const MetricLabels& aLabels,
+                double aValue);
+
+  /** Records a duration in a histogram from 0.1 ms to 100 s. */
+  void Observe(const std::string& aName,
+               const MetricLabels& aLabels,
+               absl::Duration aDuration);
+
+  /** Value of a counter; 0 when nothing was counted. */
+  std::uint64_t CounterValue(const std::string& aName,
+                             const MetricLabels& aLabels = {}) const;
+
+  /** All metrics in the Prometheus text exposition format 0.0.4. */
+  std::string Render() const;
+
+private:
+  struct Registry;
+  mutable std::mutex m_mutex;
+  std::unique_ptr<Registry> m_registry;
+};
+
+}
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
