Add the target stand-in

Cause: the guarantees on requests need a worker that records what it ran. Change: target_stand_in runs requests for a service time, echoes them, and records runs, concurrency, connections and interrupted requests. Refused connections and reboots close the listening socket, so that a caller sees a real refusal; an optional control port stays open meanwhile.

--- a/tests/stand_ins/stand_in_server.h
+++ b/tests/stand_ins/stand_in_server.h
@@ -5,6 +5,8 @@
 #include <netinet/in.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <cstring>
@@ -27,6 +29,8 @@
   std::map<std::string, std::string> m_query;
   std::map<std::string, std::string> m_headers;
   std::string m_body;
+  /** Number of the connection that carried the request. */
+  std::uint64_t m_connection = 0;
 };
 
 /** Response of a stand-in. */
@@ -50,12 +54,12 @@
 public:
   using Handler =
     std::function<std::optional<StandInReply>(const StandInRequest&)>;
-  /** Called with +1 for each new connection and -1 for each closed one. */
-  using ConnectionHook = std::function<void(int)>;
+  /** Called with the number of each connection that was closed. */
+  using CloseHook = std::function<void(std::uint64_t)>;
 
-  explicit StandInServer(Handler aHandler, ConnectionHook aHook = {})
+  explicit StandInServer(Handler aHandler, CloseHook aHook = {})
     : m_handler(std::move(aHandler))
-    , m_connectionHook(std::move(aHook))
+    , m_closeHook(std::move(aHook))
   {
   }
   ~StandInServer() { Close(); }
@@ -108,7 +112,8 @@
                           const StandInReply& aReply);
 
   Handler m_handler;
-  ConnectionHook m_connectionHook;
+  CloseHook m_closeHook;
+  std::atomic<std::uint64_t> m_lastConnection{ 0 };
   std::vector<MHD_Daemon*> m_daemons;
 };
 
@@ -208,6 +213,12 @@
     auto created = std::make_unique<StandInRequest>();
     created->m_method = aMethod;
     created->m_path = aUrl;
+    const auto* info =
+      MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    if (info != nullptr && info->socket_context != nullptr) {
+      created->m_connection =
+        *static_cast<const std::uint64_t*>(info->socket_context);
+    }
     MHD_get_connection_values(aConnection,
                               MHD_GET_ARGUMENT_KIND,
                               &StandInServer::AddValue,
@@ -289,12 +300,18 @@
 inline void
 StandInServer::NotifyConnection(void* aServer,
                                 MHD_Connection*,
-                                void**,
+                                void** aContext,
                                 MHD_ConnectionNotificationCode aCode)
 {
-  const auto& hook = static_cast<StandInServer*>(aServer)->m_connectionHook;
-  if (hook) {
-    hook(aCode == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1);
+  auto* server = static_cast<StandInServer*>(aServer);
+  if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
+    *aContext = new std::uint64_t(++server->m_lastConnection);
+    return;
+  }
+  const std::unique_ptr<std::uint64_t> number(
+    static_cast<std::uint64_t*>(*aContext));
+  if (server->m_closeHook && number) {
+    server->m_closeHook(*number);
   }
 }
 
--- /dev/null
+++ b/tests/stand_ins/target/main.cpp
@@ -0,0 +1,91 @@
+#include "tests/stand_ins/stand_in_main.h"
+#include "tests/stand_ins/stand_in_server.h"
+#include "tests/stand_ins/target/worker.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+#include <gflags/gflags.h>
+
+#include <ctime>
+
+DEFINE_int32(port, 8080, "TCP port on 127.0.0.1; 0 chooses one");
+DEFINE_int32(control_port,
+             0,
+             "second port for /stand_in/ calls, which stays open while new "
+             "connections are refused and during a reboot; 0 for none");
+DEFINE_string(vm, "", "name of the VM; the address when empty");
+DEFINE_int32(slots, 8, "requests that may run at the same time");
+DEFINE_int32(connections, 64, "connections that may be open");
+DEFINE_int32(service_ms, 10, "time that a request takes");
+
+namespace {
+
+using namespace bramleystall;
+
+/** Closes everything for a time, like a machine that reboots. */
+void
+RunReboot(Worker& aWorker,
+          StandInServer& aServer,
+          std::uint16_t aPort,
+          absl::Duration aTime)
+{
+  // Lets the response to the reboot call leave first.
+  constexpr absl::Duration kReplyTime = absl::Milliseconds(20);
+  absl::SleepFor(kReplyTime);
+  aServer.StopAccepting();
+  aWorker.Interrupt();
+  aServer.Close();
+  absl::SleepFor(aTime);
+  aWorker.Resume();
+  aServer.Open(aPort);
+}
+
+}
+
+int
+main(int aArgumentCount, char** aArguments)
+{
+  gflags::SetUsageMessage("stand-in for a worker that runs requests");
+  gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
+  const sigset_t endSignals = BlockEndSignals();
+  WorkerSettings settings;
+  settings.m_vm = FLAGS_vm.empty() ? absl::StrCat("127.0.0.1:", FLAGS_port)
+                                   : std::string(FLAGS_vm);
+  settings.m_slots = FLAGS_slots;
+  settings.m_connections = FLAGS_connections;
+  settings.m_serviceTime = absl::Milliseconds(FLAGS_service_ms);
+  Worker worker(settings);
+  const auto handler = [&worker](const StandInRequest& aRequest) {
+    return worker.Handle(aRequest);
+  };
+  StandInServer server(handler, [&worker](std::uint64_t aConnection) {
+    worker.ForgetConnection(aConnection);
+  });
+  StandInServer control(handler);
+  const auto port = server.Open(static_cast<std::uint16_t>(FLAGS_port));
+  if (FLAGS_control_port > 0) {
+    control.Open(static_cast<std::uint16_t>(FLAGS_control_port));
+  }
+  PrintPort(port);
+  bool isRefusing = false;
+  constexpr timespec kTick{ 0, 5'000'000 };
+  while (sigtimedwait(&endSignals, nullptr, &kTick) < 0) {
+    if (const auto reboot = worker.TakeReboot()) {
+      RunReboot(worker, server, port, *reboot);
+      isRefusing = false;
+      continue;
+    }
+    if (worker.IsRefusing() == isRefusing) {
+      continue;
+    }
+    isRefusing = !isRefusing;
+    if (isRefusing) {
+      server.StopAccepting();
+    } else {
+      server.Open(port);
+    }
+  }
+  // Requests in progress are not worth joining.
+  std::_Exit(0);
+}
