--- /dev/null
+++ b/core/json_schema.cpp
@@ -0,0 +1,474 @@
+#include "core/json_schema.h"
+
+#include "core/error.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_replace.h>
+#include <nlohmann/json.hpp>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <system_error>
+
+namespace bramleystall {
+
+namespace {
+
+using nlohmann::json;
+
+/** No document needs more; recursion over a deeper one could exhaust the
+ * stack. */
+constexpr std::size_t kMaxDepth = 32;
+constexpr std::size_t kMaxShownValue = 60;
+constexpr std::size_t kMaxShownDetail = 160;
+
+std::string
+EscapePointer(const std::string& aKey)
+{
+  return absl::StrReplaceAll(aKey, { { "~", "~0" }, { "/", "~1" } });
+}
+
+/** Shows a JSON pointer; the empty pointer names the whole document. */
+std::string
+ShowPointer(const std::string& aPointer)
+{
+  return aPointer.empty() ? "/" : OneLine(aPointer, kMaxShownDetail);
+}
+
+std::string
+ShowPosition(const std::string& aText, std::size_t aByte)
+{
+  const std::size_t end = std::min(aByte == 0 ? 0 : aByte - 1, aText.size());
+  const std::string_view before(aText.data(), end);
+  const auto line = 1 + std::ranges::count(before, '\n');
+  const std::size_t lineStart = before.rfind('\n');
+  const std::size_t column =
+    end - (lineStart == std::string_view::npos ? 0 : lineStart + 1) + 1;
+  return absl::StrCat("line ", line, ", column ", column);
+}
+
+/**
+ * Finds what the parser of the library accepts silently: duplicate keys, which
+ * would hide a value, and deep nesting.
+ */
+class StructureCheck : public nlohmann::json_sax<json>
+{
+public:
+  StructureCheck(const std::string& aFile,
+                 const std::string& aText,
+                 std::vector<std::string>& aErrors)
+    : m_file(aFile)
+    , m_text(aText)
+    , m_errors(aErrors)
+  {
+  }
+
+  // The names of these members are those of the library's interface.
+  // NOLINTBEGIN(readability-identifier-naming)
+  bool null() override { return Value(); }
+  bool boolean(bool) override { return Value(); }
+  bool number_integer(number_integer_t) override { return Value(); }
+  bool number_unsigned(number_unsigned_t) override { return Value(); }
+  bool number_float(number_float_t, const string_t&) override
+  {
+    return Value();
+  }
+  bool string(string_t&) override { return Value(); }
+  bool binary(binary_t&) override { return Value(); }
+  bool start_object(std::size_t) override { return Enter(true); }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t) override { return Enter(false); }
+  bool end_array() override { return Leave(); }
+
+  bool key(string_t& aKey) override
+  {
+    Level& level = m_levels.back();
+    level.m_key = aKey;
+    if (!level.m_keys.insert(aKey).second) {
+      m_errors.push_back(
+        absl::StrCat(m_file,
+                     ": ",
+                     ShowPointer(Pointer()),
+                     ": duplicate key, expected each key once"));
+    }
+    return true;
+  }
+
+  bool parse_error(std::size_t aPosition,
+                   const std::string&,
+                   const json::exception& aError) override
+  {
+    const std::string what = aError.what();
+    const bool isUtf8 = what.find("ill-formed UTF-8") != std::string::npos;
+    const std::size_t detail = what.find("; last read");
+    const std::size_t start = what.find(" - ");
+    std::string shown = isUtf8 ? "invalid UTF-8" : "not valid JSON";
+    if (!isUtf8 && start != std::string::npos) {
+      absl::StrAppend(
+        &shown, " (", OneLine(what.substr(start + 3), kMaxShownDetail), ")");
+    } else if (!isUtf8 && detail == std::string::npos) {
+      absl::StrAppend(&shown, " (", OneLine(what, kMaxShownDetail), ")");
+    }
+    m_errors.push_back(
+      absl::StrCat(m_file, ": ", ShowPosition(m_text, aPosition), ": ", shown));
+    return false;
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  struct Level
+  {
+    bool m_isObject = false;
+    std::string m_key;
+    std::size_t m_index = 0;
+    std::set<std::string> m_keys;
+  };
+
+  std::string Pointer() const
+  {
+    std::string pointer;
+    for (const Level& level : m_levels) {
+      absl::StrAppend(&pointer,
+                      "/",
+                      level.m_isObject ? EscapePointer(level.m_key)
+                                       : absl::StrCat(level.m_index));
+    }
+    return pointer;
+  }
+
+  bool Value()
+  {
+    if (!m_levels.empty() && !m_levels.back().m_isObject) {
+      ++m_levels.back().m_index;
+    }
+    return true;
+  }
+
+  bool Enter(bool aIsObject)
+  {
+    if (m_levels.size() >= kMaxDepth) {
+      m_errors.push_back(absl::StrCat(m_file,
+                                      ": ",
+                                      ShowPointer(Pointer()),
+                                      ": nested too deep, expected at most ",
+                                      kMaxDepth,
+                                      " levels"));
+      return false;
+    }
+    m_levels.push_back({ aIsObject, "", 0, {} });
+    return true;
+  }
+
+  bool Leave()
+  {
+    m_levels.pop_back();
+    return Value();
+  }
+
+  const std::string& m_file;
+  const std::string& m_text;
+  std::vector<std::string>& m_errors;
+  std::vector<Level> m_levels;
+};
+
+/** Value and schema at the place of a validation error. */
+struct ErrorPlace
+{
+  std::string m_pointer;
+  const json* m_value = nullptr;
+  const json* m_schema = nullptr;
+};
+
+const json*
+ChildSchema(const json& aSchema, const std::string& aKey)
+{
+  if (aSchema.contains("items")) {
+    return &aSchema["items"];
+  }
+  if (aSchema.contains("properties") && aSchema["properties"].contains(aKey)) {
+    return &aSchema["properties"][aKey];
+  }
+  return &aSchema.at("additionalProperties");
+}
+
+/** Follows the library's context, a list such as "<root>", "[peers]", "[0]". */
+ErrorPlace
+FindPlace(const std::vector<std::string>& aContext,
+          const json& aDocument,
+          const json& aSchema)
+{
+  ErrorPlace place{ "", &aDocument, &aSchema };
+  for (std::size_t i = 1; i < aContext.size(); ++i) {
+    const std::string key = aContext[i].substr(1, aContext[i].size() - 2);
+    absl::StrAppend(&place.m_pointer, "/", EscapePointer(key));
+    place.m_value = place.m_value->is_array()
+                      ? &place.m_value->at(std::stoul(key))
+                      : &place.m_value->at(key);
+    place.m_schema = ChildSchema(*place.m_schema, key);
+  }
+  return place;
+}
+
+std::string
+ShowValue(const json& aValue)
+{
+  if (aValue.is_object()) {
+    return absl::StrCat("an object with ", aValue.size(), " keys");
+  }
+  if (aValue.is_array()) {
+    return absl::StrCat("an array with ", aValue.size(), " items");
+  }
+  return OneLine(aValue.dump(-1, ' ', true), kMaxShownValue);
+}
+
+std::string
+ShowNumberRange(const json& aSchema)
+{
+  std::vector<std::string> parts;
+  const auto add = [&](const char* aKey, const char* aText) {
+    if (aSchema.contains(aKey)) {
+      parts.push_back(absl::StrCat(aText, aSchema[aKey].dump()));
+    }
+  };
+  add("minimum", "at least ");
+  add("exclusiveMinimum", "over ");
+  add("maximum", "at most ");
+  add("exclusiveMaximum", "under ");
+  return parts.empty() ? "" : absl::StrCat(" ", absl::StrJoin(parts, " and "));
+}
+
+std::string
+ShowSizeRange(const json& aSchema, const char* aMin, const char* aMax)
+{
+  return absl::StrCat(" with ",
+                      aSchema.value(aMin, 0),
+                      " to ",
+                      aSchema.value(aMax, 1000),
+                      " entries");
+}
+
+/** What the schema asks for at a place, as the end of "expected ...". */
+std::string
+ShowExpected(const json& aSchema)
+{
+  if (aSchema.contains("enum")) {
+    return absl::StrCat("one of ",
+                        absl::StrJoin(aSchema["enum"],
+                                      ", ",
+                                      [](std::string* aOut, const json& aName) {
+                                        aOut->append(aName.dump());
+                                      }));
+  }
+  const std::string type = aSchema.value("type", "");
+  if (type == "integer") {
+    return absl::StrCat("an integer", ShowNumberRange(aSchema));
+  }
+  if (type == "number") {
+    return absl::StrCat("a number", ShowNumberRange(aSchema));
+  }
+  if (type == "array") {
+    return absl::StrCat("an array",
+                        ShowSizeRange(aSchema, "minItems", "maxItems"));
+  }
+  if (type == "object") {
+    const bool isBounded = aSchema.contains("minProperties");
+    return absl::StrCat(
+      "an object",
+      isBounded ? ShowSizeRange(aSchema, "minProperties", "maxProperties")
+                : "");
+  }
+  if (aSchema.contains("description")) {
+    return absl::StrCat("a string: ",
+                        aSchema["description"].get<std::string>());
+  }
+  return absl::StrCat("a ", type);
+}
+
+std::string
+ShowKnownKeys(const json& aSchema)
+{
+  return absl::StrJoin(
+    aSchema["properties"].items(), ", ", [](std::string* aOut, const auto& aP) {
+      aOut->append(aP.key());
+    });
+}
+
+void
+AddUnknownKeys(const std::string& aFile,
+               const ErrorPlace& aPlace,
+               std::vector<std::string>& aLines)
+{
+  for (const auto& [key, value] : aPlace.m_value->items()) {
+    if (aPlace.m_schema->at("properties").contains(key)) {
+      continue;
+    }
+    const std::string pointer =
+      absl::StrCat(aPlace.m_pointer, "/", EscapePointer(key));
+    aLines.push_back(absl::StrCat(aFile,
+                                  ": ",
+                                  ShowPointer(pointer),
+                                  ": unknown key with value ",
+                                  ShowValue(value),
+                                  ", expected one of: ",
+                                  ShowKnownKeys(*aPlace.m_schema)));
+  }
+}
+
+/** Appends the lines of one error of the validator. */
+void
+AddLines(const std::string& aFile,
+         const valijson::ValidationResults::Error& aError,
+         const json& aDocument,
+         const json& aSchema,
+         std::vector<std::string>& aLines)
+{
+  // Errors that only repeat the error of a child carry no information.
+  const std::string& text = aError.description;
+  if (text.starts_with("Failed to validate")) {
+    return;
+  }
+  const ErrorPlace place = FindPlace(aError.context, aDocument, aSchema);
+  if (text.starts_with("Object contains a property")) {
+    AddUnknownKeys(aFile, place, aLines);
+    return;
+  }
+  if (text.starts_with("Missing required property")) {
+    const std::size_t start = text.find('\'') + 1;
+    const std::string key = text.substr(start, text.rfind('\'') - start);
+    const std::string pointer =
+      absl::StrCat(place.m_pointer, "/", EscapePointer(key));
+    aLines.push_back(
+      absl::StrCat(aFile,
+                   ": ",
+                   ShowPointer(pointer),
+                   ": missing, expected ",
+                   ShowExpected(*ChildSchema(*place.m_schema, key))));
+    return;
+  }
+  aLines.push_back(absl::StrCat(aFile,
+                                ": ",
+                                ShowPointer(place.m_pointer),
+                                ": value ",
+                                ShowValue(*place.m_value),
+                                ", expected ",
+                                ShowExpected(*place.m_schema)));
+}
+
+std::vector<std::string>
+Validate(const std::string& aFile, const json& aDocument, SchemaName aName)
+{
+  const json schemaJson = json::parse(SchemaText(aName));
+  valijson::Schema schema;
+  valijson::SchemaParser parser(valijson::SchemaParser::kDraft7);
+  parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaJson),
+                        schema);
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  validator.validate(
+    schema, valijson::adapters::NlohmannJsonAdapter(aDocument), &results);
+  std::vector<std::string> lines;
+  for (const auto& error : results) {
+    AddLines(aFile, error, aDocument, schemaJson, lines);
+  }
+  // One value can violate several constraints, each with the same line.
+  const std::set<std::string> distinct(lines.begin(), lines.end());
+  return { distinct.begin(), distinct.end() };
+}
+
+/** Reads a file, or returns the fault. */
+std::string
+ReadFile(const std::string& aPath, std::string& aText)
+{
+  std::error_code error;
+  const auto status = std::filesystem::status(aPath, error);
+  if (!std::filesystem::exists(status)) {
+    return "the file does not exist";
+  }
+  if (!std::filesystem::is_regular_file(status)) {
+    return "not a regular file";
+  }
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return "the file cannot be read";
+  }
+  // One byte more than the limit shows that the file is too large, without
+  // reading all of it.
+  aText.resize(kMaxJsonBytes + 1);
+  file.read(aText.data(), static_cast<std::streamsize>(aText.size()));
+  aText.resize(static_cast<std::size_t>(file.gcount()));
+  return file.bad() ? "the file cannot be read" : "";
+}
+
+}
+
+std::string
+OneLine(std::string_view aText, std::size_t aMaxLength)
+{
+  std::string line(aText.substr(0, aMaxLength));
+  std::ranges::replace_if(
+    line, [](char aChar) { return aChar < ' ' || aChar > '~'; }, '?');
+  if (aText.size() > aMaxLength) {
+    line.append("...");
+  }
+  return line;
+}
+
+void
+ThrowIfAny(const std::vector<std::string>& aErrors)
+{
+  if (!aErrors.empty()) {
+    throw Error(ErrorCode::InvalidInput, absl::StrJoin(aErrors, "\n"));
+  }
+}
+
+json
+ParseChecked(SchemaName aSchema,
+             const std::string& aFile,
+             const std::string& aText,
+             std::vector<std::string>& aErrors)
+{
+  if (aText.size() > kMaxJsonBytes) {
+    aErrors.push_back(absl::StrCat(
+      aFile, ": too large, expected at most ", kMaxJsonBytes, " bytes"));
+    return nullptr;
+  }
+  if (aText.find_first_not_of(" \t\r\n") == std::string::npos) {
+    aErrors.push_back(absl::StrCat(aFile, ": empty, expected a JSON object"));
+    return nullptr;
+  }
+  const std::size_t before = aErrors.size();
+  StructureCheck check(aFile, aText, aErrors);
+  json::sax_parse(aText, &check);
+  if (aErrors.size() > before) {
+    return nullptr;
+  }
+  json document = json::parse(aText);
+  const auto lines = Validate(aFile, document, aSchema);
+  aErrors.insert(aErrors.end(), lines.begin(), lines.end());
+  return lines.empty() ? document : json(nullptr);
+}
+
+json
+LoadChecked(SchemaName aSchema,
+            const std::string& aPath,
+            std::vector<std::string>& aErrors)
+{
+  std::string text;
+  const std::string fault = ReadFile(aPath, text);
+  if (!fault.empty()) {
+    aErrors.push_back(absl::StrCat(aPath, ": ", fault));
+    return nullptr;
+  }
+  return ParseChecked(aSchema, aPath, text, aErrors);
+}
+
+}
--- /dev/null
+++ b/core/json_schema.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bramleystall {
+
+/** Schemas of `core/schemas/`, which are compiled into the programs. */
+enum class SchemaName
+{
+  Service,
+  Fleet,
+  DaemonSettings,
+  ToolSettings,
+};
+
+/** Largest file that is read, in bytes; the store holds values up to 1 MB. */
+inline constexpr std::size_t kMaxJsonBytes = 1'000'000;
+
+/** Text of a schema. */
+std::string_view
+SchemaText(SchemaName aName);
+
+/**
+ * Parses JSON text and checks it against a schema. Appends one line to the
+ * errors for each fault, "FILE: POINTER: value VALUE, expected ...", and
+ * returns null when there was any.
+ */
+nlohmann::json
+ParseChecked(SchemaName aSchema,
+             const std::string& aFile,
+             const std::string& aText,
+             std::vector<std::string>& aErrors);
+
+/** Reads a file of at most kMaxJsonBytes and does the same. */
+nlohmann::json
+LoadChecked(SchemaName aSchema,
+            const std::string& aPath,
+            std::vector<std::string>& aErrors);
+
+/** Text with control characters and other non-ASCII bytes replaced by '?' and
+ * cut to a length, so that it fits on one line of a message. */
+std::string
+OneLine(std::string_view aText, std::size_t aMaxLength);
+
+/** Throws Error (InvalidInput) with all lines when there are any. */
+void
+ThrowIfAny(const std::vector<std::string>& aErrors);
+
+}
--- /dev/null
+++ b/tests/support/temporary_folder.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <stdlib.h>
+
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <string>
+
+namespace bramleystall {
+
+/** Folder of a test, removed at its end. */
+class TemporaryFolder
+{
+public:
+  TemporaryFolder()
+  {
+    std::string pattern =
+      (std::filesystem::temp_directory_path() / "bramleystall-XXXXXX").string();
+    if (!mkdtemp(pattern.data())) {
+      throw std::runtime_error("cannot create a temporary folder");
+    }
+    m_path = pattern;
+  }
+
+  ~TemporaryFolder() { std::filesystem::remove_all(m_path); }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+
+  /** Path of a file in the folder; "" gives the folder. */
+  std::string Path(const std::string& aName) const
+  {
+    return aName.empty() ? m_path : m_path + "/" + aName;
+  }
+
+  /** Writes a file and returns its path. */
+  std::string Write(const std::string& aName, const std::string& aText) const
+  {
+    std::ofstream file(Path(aName), std::ios::binary);
+    file << aText;
+    return Path(aName);
+  }
+
+private:
+  std::string m_path;
+};
+
+}
