Move the session id out of the fake store

Cause: the linter reports that constness prevents the move. Change: the local variable is no longer const.

--- a/tests/fakes/fake_platform_store.cpp
+++ b/tests/fakes/fake_platform_store.cpp
@@ -144,7 +144,7 @@
     ThrowDown();
   }
   const bool isLost = TakeLostRequest();
-  const std::string session = absl::StrCat(aName, "-", ++m_lastSession);
+  std::string session = absl::StrCat(aName, "-", ++m_lastSession);
   if (!isLost) {
     m_sessions.insert(session);
   }
