Add the fleet planner

Every change of a VM goes through FleetView, which runs the lifecycle chart, keeps the capacity budgets and records the decision with its inputs. Losses, waves, moves, orders and reports are separate modules. Ruled out: keeping evidence of a reboot in memory, since a new decider would lose it; it is stored as the record's reason instead.

--- /dev/null
+++ b/fleet/buffer_size.cpp
@@ -0,0 +1,52 @@
+#include "fleet/buffer_size.h"
+
+#include "fleet/fleet_view.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+
+namespace bramleystall {
+
+namespace {
+
+/** Failures older than this do not count for the failure rate. */
+constexpr absl::Duration kFailurePeriod = absl::Hours(24);
+
+}
+
+int
+WorstDomainNeed(const FleetView& aView)
+{
+  std::map<std::string, int> needs;
+  int lackingAlready = 0;
+  for (const auto& [pool, budget] : aView.Budgets()) {
+    const int shortage = std::max(0, budget.Promised() - budget.Ready());
+    lackingAlready += shortage;
+    for (const auto& [domain, count] : budget.Domains()) {
+      const int after = budget.Promised() - (budget.Ready() - count);
+      needs[domain] += std::max(0, after) - shortage;
+    }
+  }
+  int worst = 0;
+  for (const auto& [domain, need] : needs) {
+    worst = std::max(worst, need);
+  }
+  return lackingAlready + worst;
+}
+
+int
+ExpectedFailures(FleetView& aView)
+{
+  auto& failures = aView.Memory().m_failures;
+  while (!failures.empty() && aView.Now() - failures.front() > kFailurePeriod) {
+    failures.pop_front();
+  }
+  const double rate = static_cast<double>(failures.size()) /
+                      absl::ToDoubleSeconds(kFailurePeriod);
+  const double repair = absl::ToDoubleSeconds(aView.Spec().m_rebootTimeout);
+  return static_cast<int>(std::lround(rate * repair));
+}
+
+}
--- /dev/null
+++ b/fleet/capacity_budget.cpp
@@ -0,0 +1,48 @@
+#include "fleet/capacity_budget.h"
+
+#include <algorithm>
+
+namespace bramleystall {
+
+CapacityBudget::CapacityBudget(int aWorkers, int aPromised, double aWeight)
+  : m_workers(aWorkers)
+  , m_promised(aPromised)
+  , m_weight(aWeight)
+{
+}
+
+int
+CapacityBudget::Margin() const
+{
+  int margin = 0;
+  for (const auto& [domain, count] : m_domains) {
+    margin = std::max(margin, count);
+  }
+  return margin;
+}
+
+int
+CapacityBudget::ReadyIn(const std::string& aDomain) const
+{
+  const auto found = m_domains.find(aDomain);
+  return found == m_domains.end() ? 0 : found->second;
+}
+
+bool
+CapacityBudget::CanRelease(const std::string& aDomain) const
+{
+  int margin = 0;
+  for (const auto& [domain, count] : m_domains) {
+    margin = std::max(margin, domain == aDomain ? count - 1 : count);
+  }
+  return m_ready - 1 - margin >= m_promised;
+}
+
+void
+CapacityBudget::AddReady(const std::string& aDomain, int aCount)
+{
+  m_ready += aCount;
+  m_domains[aDomain] += aCount;
+}
+
+}
--- /dev/null
+++ b/fleet/capacity_budget.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace bramleystall {
+
+/**
+ * Capacity of one pool: what it promised, what is ready, and how many ready
+ * VMs the largest failure domain holds.
+ */
+class CapacityBudget
+{
+public:
+  CapacityBudget() = default;
+  CapacityBudget(int aWorkers, int aPromised, double aWeight);
+
+  /** Number of VMs that the configuration gives the pool. */
+  int Workers() const { return m_workers; }
+  int Promised() const { return m_promised; }
+  double Weight() const { return m_weight; }
+  /** VMs in state ready that are healthy. */
+  int Ready() const { return m_ready; }
+  /** Largest number of ready VMs in one failure domain. */
+  int Margin() const;
+  /** Ready VMs in a failure domain. */
+  int ReadyIn(const std::string& aDomain) const;
+  const std::map<std::string, int>& Domains() const { return m_domains; }
+
+  /** Whether the promise survives the loss of any one failure domain. */
+  bool IsProtected() const { return m_ready - Margin() >= m_promised; }
+  /** Whether the promise stays protected after a ready VM leaves. */
+  bool CanRelease(const std::string& aDomain) const;
+
+  void AddReady(const std::string& aDomain, int aCount);
+
+  /** VMs that belong to the pool or move to it and are not known as lost. */
+  int m_members = 0;
+  /** Members, and ready VMs that fail their probes for now. */
+  int m_recorded = 0;
+  /** Ready VMs that are healthy or not known to be unhealthy. */
+  int m_presumedReady = 0;
+  /** VMs that drain in order to move to this pool. */
+  int m_incoming = 0;
+
+private:
+  int m_workers = 0;
+  int m_promised = 0;
+  double m_weight = 1;
+  int m_ready = 0;
+  std::map<std::string, int> m_domains;
+};
+
+}
--- /dev/null
+++ b/fleet/planner.cpp
@@ -0,0 +1,96 @@
+#include "fleet/planner.h"
+
+#include "fleet/buffer_size.h"
+#include "fleet/fleet_view.h"
+#include "fleet/move_plan.h"
+#include "fleet/order_plan.h"
+#include "fleet/pool_reports.h"
+#include "fleet/vm_lifecycle.h"
+#include "fleet/wave_plan.h"
+
+#include <vector>
+
+namespace bramleystall {
+
+namespace {
+
+bool
+IsMaintenance(const Order& aOrder)
+{
+  return aOrder.IsOpen() && (aOrder.m_kind == OrderKind::Wave ||
+                             aOrder.m_kind == OrderKind::Drain);
+}
+
+BusyPools
+FindBusyPools(FleetView& aView, OrderDocument& aOrders)
+{
+  BusyPools busy;
+  for (Order& order : aOrders.m_orders) {
+    if (IsMaintenance(order)) {
+      WavePlan(aView, order).AddBusyPools(busy);
+    }
+  }
+  return busy;
+}
+
+/** Advances the maintenance orders; returns the spare VMs they lack. */
+int
+AdvanceMaintenance(FleetView& aView,
+                   OrderDocument& aOrders,
+                   const BusyPools& aBusy)
+{
+  int loansWanted = 0;
+  for (Order& order : aOrders.m_orders) {
+    if (IsMaintenance(order) && aView.Find(order.m_vm) == nullptr &&
+        order.m_kind == OrderKind::Drain) {
+      continue;
+    }
+    if (IsMaintenance(order)) {
+      WavePlan wave(aView, order);
+      wave.Advance(aBusy);
+      loansWanted += wave.LoansWanted();
+    }
+  }
+  return loansWanted;
+}
+
+/** Reboots are requested until the VM has returned; the token makes a repeated
+ * request harmless. */
+void
+CollectReboots(FleetView& aView)
+{
+  for (const auto& [name, vm] : aView.Vms()) {
+    if (vm.m_record.m_state == VmState::Rebooting) {
+      aView.Plan().m_reboots.emplace_back(name, vm.m_record.m_rebootToken);
+    }
+  }
+}
+
+}
+
+FleetPlan
+PlanFleet(const FleetSnapshot& aSnapshot, PlannerMemory& aMemory)
+{
+  FleetPlan plan;
+  FleetView view(aSnapshot, aMemory, plan);
+  OrderDocument orders = aSnapshot.m_orders;
+  AdvanceLifecycles(view);
+  AdoptListedVms(view);
+  ProcessOrders(view, orders);
+  CancelDrains(view);
+  const BusyPools busy = FindBusyPools(view, orders);
+  ReplaceLostVms(view, busy);
+  const int loansWanted = AdvanceMaintenance(view, orders, busy);
+  ReturnSurplus(view, busy);
+  CollectReboots(view);
+  plan.m_pools = ReportPools(view);
+  plan.m_sparesNeeded =
+    WorstDomainNeed(view) + ExpectedFailures(view) + loansWanted;
+  view.Finish();
+  if (orders.Serialize() != aSnapshot.m_orders.Serialize()) {
+    plan.m_changedOrders = std::move(orders);
+  }
+  return plan;
+}
+
+}
--- /dev/null
+++ b/fleet/vm_lifecycle.cpp
@@ -0,0 +1,407 @@
+#include "fleet/vm_lifecycle.h"
+
+#include "fleet/fleet_view.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace bramleystall {
+
+namespace {
+
+/** Successful probes in a row that end joining and probation. */
+constexpr int kPassingProbes = 3;
+
+/** Successful probes in a row that return a VM that was set aside. */
+constexpr int kRestoringProbes = 60;
+
+/** A record of a VM that is gone stays this long for explanations. */
+constexpr absl::Duration kGoneRetention = absl::Minutes(10);
+
+/** Shortest time that a VM is set aside, which slows down a flapping VM. */
+constexpr absl::Duration kSetAsideTime = absl::Minutes(1);
+
+bool
+HasPassed(const VmView& aVm)
+{
+  return aVm.m_health == VmHealth::Healthy &&
+         aVm.m_observation->m_consecutiveProbeSuccesses >= kPassingProbes;
+}
+
+bool
+HasReason(const VmView& aVm, PlanReason aReason)
+{
+  return aVm.m_record.m_reason == NameOf(kPlanReasonNames, aReason);
+}
+
+void
+ClearMaintenance(VmRecord& aRecord)
+{
+  aRecord.m_wave.clear();
+  aRecord.m_targetPool.clear();
+  aRecord.m_rebootToken.clear();
+  aRecord.m_drainRevision = 0;
+}
+
+/** Two independent sources agree: the list and the probes. */
+bool
+IsCertainlyGone(const VmView& aVm)
+{
+  return aVm.m_isAbsent && aVm.m_health == VmHealth::Failed;
+}
+
+void
+RecordFailure(FleetView& aView)
+{
+  aView.Memory().m_failures.push_back(aView.Now());
+}
+
+bool
+AdvanceGone(FleetView& aView, VmView& aVm)
+{
+  if (aVm.m_record.m_state == VmState::Gone) {
+    return true;
+  }
+  const bool mayBeRebooting = aVm.m_record.m_state == VmState::Rebooting &&
+                              aView.Age(aVm) < aView.Spec().m_rebootTimeout;
+  if (mayBeRebooting || !IsCertainlyGone(aVm)) {
+    return false;
+  }
+  RecordFailure(aView);
+  return aView.Apply(aVm,
+                     "vanished",
+                     PlanReason::Vanished,
+                     "the list has lacked the VM and its probes have failed "
+                     "for longer than vm_gone_after_s");
+}
+
+void
+AdvanceJoining(FleetView& aView, VmView& aVm)
+{
+  if (HasPassed(aVm)) {
+    aView.Apply(aVm, "probe_passed", PlanReason::ProbePassed, "probes passed");
+    return;
+  }
+  if (aVm.m_health == VmHealth::Failed &&
+      aView.Age(aVm) >= aView.Spec().m_rebootTimeout) {
+    aView.Apply(aVm,
+                "set_aside",
+                PlanReason::JoinTimedOut,
+                "the VM never passed its probes after it joined");
+  }
+}
+
+/**
+ * Number of VMs of a pool that are set aside. It bounds what false
+ * observations can remove, however many plans they last.
+ */
+int
+CountSetAside(FleetView& aView, const std::string& aPool)
+{
+  return static_cast<int>(
+    std::ranges::count_if(aView.Vms(), [&aPool](const auto& aEntry) {
+      const VmRecord& record = aEntry.second.m_record;
+      return record.m_pool == aPool && record.m_state == VmState::SetAside;
+    }));
+}
+
+void
+AdvanceReady(FleetView& aView, VmView& aVm)
+{
+  const std::string& pool = aVm.m_record.m_pool;
+  const bool hasFailed = aVm.m_health == VmHealth::Failed &&
+                         aView.Now() - aVm.m_observation->m_lastHealthy >=
+                           aView.Spec().m_vmGoneAfter &&
+                         aView.Age(aVm) >= aView.Spec().m_vmGoneAfter;
+  if (!hasFailed || !aView.HasEvictionRoom(pool) ||
+      CountSetAside(aView, pool) >= aView.EvictionLimit(pool)) {
+    return;
+  }
+  RecordFailure(aView);
+  aView.Apply(aVm,
+              "set_aside",
+              PlanReason::HealthFailed,
+              "its probes have failed for longer than vm_gone_after_s");
+}
+
+void
+AdvanceDraining(FleetView& aView, VmView& aVm)
+{
+  const std::string& name = aVm.m_record.m_name;
+  if (aView.Snapshot().m_acknowledgedDrains.contains(name)) {
+    aView.Apply(aVm,
+                "acknowledged",
+                PlanReason::DrainAcknowledged,
+                "every daemon of the data centre has drained the VM");
+  }
+}
+
+void
+FinishMove(FleetView& aView, VmView& aVm)
+{
+  const std::string target = aVm.m_record.m_targetPool;
+  if (aVm.m_health == VmHealth::Failed) {
+    RecordFailure(aView);
+    aView.Apply(aVm,
+                "set_aside",
+                PlanReason::HealthFailed,
+                "the VM failed its probes before its move ended",
+                ClearMaintenance);
+    return;
+  }
+  if (!aView.IsConfigured(target)) {
+    aView.Apply(aVm,
+                "cancel",
+                PlanReason::TargetPoolRemoved,
+                absl::StrCat("no service has pool '", target, "' any more"),
+                ClearMaintenance);
+    return;
+  }
+  aView.Apply(aVm,
+              "reassign",
+              PlanReason::Reassigned,
+              absl::StrCat("drained; it joins pool '", target, "'"),
+              [&target](VmRecord& aRecord) {
+                ClearMaintenance(aRecord);
+                aRecord.m_pool = target;
+              });
+}
+
+void
+AdvanceDrained(FleetView& aView, VmView& aVm)
+{
+  if (!aVm.m_record.m_targetPool.empty()) {
+    FinishMove(aView, aVm);
+    return;
+  }
+  const std::string token =
+    absl::StrCat(aVm.m_record.m_name, "-", aView.NowMillis());
+  aView.Apply(aVm,
+              "reboot",
+              PlanReason::RebootRequested,
+              "drained; the platform is asked to reboot it",
+              [&token](VmRecord& aRecord) { aRecord.m_rebootToken = token; });
+}
+
+void
+AdvanceRebooting(FleetView& aView, VmView& aVm)
+{
+  const bool isDown = aVm.m_health == VmHealth::Failed ||
+                      (aVm.m_observation && !aVm.m_observation->m_isHealthy) ||
+                      (aView.HasList() && !aVm.m_listing);
+  const bool wasDown = HasReason(aVm, PlanReason::RebootObservedDown);
+  if (isDown && !wasDown) {
+    aView.Note(aVm,
+               PlanReason::RebootObservedDown,
+               "the VM went down for its reboot",
+               nullptr);
+  }
+  const bool isListed =
+    aView.HasList() && aVm.m_listing && !aVm.m_listing->m_isLeaving;
+  if (wasDown && !isDown && isListed && aVm.m_health == VmHealth::Healthy) {
+    aView.Apply(aVm,
+                "returned",
+                PlanReason::RebootReturned,
+                "the VM is live again after its reboot");
+    return;
+  }
+  if (aView.Age(aVm) >= aView.Spec().m_rebootTimeout) {
+    RecordFailure(aView);
+    aView.Apply(aVm,
+                "timed_out",
+                PlanReason::RebootTimedOut,
+                "the VM did not return from its reboot in time");
+  }
+}
+
+void
+AdvanceProbation(FleetView& aView, VmView& aVm)
+{
+  if (HasPassed(aVm)) {
+    const bool hasRebooted = !aVm.m_record.m_rebootToken.empty();
+    const std::int64_t now = aView.NowMillis();
+    aView.Apply(aVm,
+                "probe_passed",
+                hasRebooted ? PlanReason::Maintained : PlanReason::ProbePassed,
+                "probes passed after the VM returned",
+                [=](VmRecord& aRecord) {
+                  if (hasRebooted) {
+                    ClearMaintenance(aRecord);
+                    aRecord.m_maintainedMillis = now;
+                  }
+                  // Otherwise the wave stays: it has counted the VM as failed.
+                });
+    return;
+  }
+  const bool isTimeOut = aView.Age(aVm) >= aView.Spec().m_rebootTimeout;
+  if (aVm.m_health == VmHealth::Failed || isTimeOut) {
+    RecordFailure(aView);
+    aView.Apply(aVm,
+                "probe_failed",
+                PlanReason::ProbationFailed,
+                isTimeOut ? "the VM passed no probes in time"
+                          : "the VM failed its probes after it returned");
+  }
+}
+
+void
+AdvanceSetAside(FleetView& aView, VmView& aVm)
+{
+  if (aView.Age(aVm) < kSetAsideTime) {
+    return;
+  }
+  if (aVm.m_health == VmHealth::Healthy &&
+      aVm.m_observation->m_consecutiveProbeSuccesses >= kRestoringProbes) {
+    aView.Apply(aVm,
+                "restore",
+                PlanReason::AutomaticRestore,
+                "its probes have passed again for long enough",
+                [](VmRecord& aRecord) { aRecord.m_rebootToken.clear(); });
+    return;
+  }
+  // One reboot is tried; a VM that fails again waits for the operator.
+  if (aVm.m_health == VmHealth::Failed && aVm.m_record.m_rebootToken.empty()) {
+    const std::string token =
+      absl::StrCat(aVm.m_record.m_name, "-", aView.NowMillis());
+    aView.Apply(aVm,
+                "repair",
+                PlanReason::AutomaticRepair,
+                "a reboot may repair the VM",
+                [&token](VmRecord& aRecord) { aRecord.m_rebootToken = token; });
+  }
+}
+
+void
+AdvanceVm(FleetView& aView, VmView& aVm)
+{
+  if (AdvanceGone(aView, aVm)) {
+    return;
+  }
+  switch (aVm.m_record.m_state) {
+    case VmState::Joining:
+      return AdvanceJoining(aView, aVm);
+    case VmState::Ready:
+      return AdvanceReady(aView, aVm);
+    case VmState::Draining:
+      return AdvanceDraining(aView, aVm);
+    case VmState::Drained:
+      return AdvanceDrained(aView, aVm);
+    case VmState::Rebooting:
+      return AdvanceRebooting(aView, aVm);
+    case VmState::Probation:
+      return AdvanceProbation(aView, aVm);
+    case VmState::SetAside:
+      return AdvanceSetAside(aView, aVm);
+    case VmState::Gone:
+      return;
+  }
+}
+
+void
+UpdateAddress(FleetView& aView, VmView& aVm)
+{
+  const VmListing* const listing = aVm.m_listing;
+  const bool isReplaced = listing && !listing->m_isLeaving &&
+                          aVm.m_health != VmHealth::Healthy &&
+                          listing->m_dataCentre == aVm.m_dataCentre &&
+                          listing->m_address != aVm.m_record.m_address;
+  if (!isReplaced) {
+    return;
+  }
+  const std::string reason = aVm.m_record.m_reason;
+  aView.Note(aVm,
+             PlanReason::AddressChanged,
+             absl::StrCat("the list shows address ", listing->m_address),
+             [&](VmRecord& aRecord) {
+               aRecord.m_address = listing->m_address;
+               aRecord.m_rack = listing->m_rack;
+               aRecord.m_reason = reason;
+             });
+}
+
+void
+ForgetGoneVms(FleetView& aView)
+{
+  std::vector<std::string> expired;
+  for (const auto& [name, vm] : aView.Vms()) {
+    if (vm.m_record.m_state == VmState::Gone &&
+        aView.Age(vm) >= kGoneRetention) {
+      expired.push_back(name);
+    }
+  }
+  std::ranges::for_each(
+    expired, [&aView](const std::string& aVm) { aView.Forget(aVm); });
+}
+
+int
+Lacking(const CapacityBudget& aBudget)
+{
+  return aBudget.Workers() - aBudget.m_recorded;
+}
+
+/** Pool with the worst weighted shortage, or the spare pool. */
+std::string
+FindWorstShortage(const FleetView& aView)
+{
+  std::string best = aView.Spec().m_sparePool;
+  double worst = 0;
+  for (const auto& [pool, budget] : aView.Budgets()) {
+    const int missing = Lacking(budget);
+    if (aView.IsSpare(pool) || missing <= 0) {
+      continue;
+    }
+    const double shortage =
+      budget.Weight() * missing / static_cast<double>(budget.Workers());
+    if (shortage > worst) {
+      worst = shortage;
+      best = pool;
+    }
+  }
+  return best;
+}
+
+}
+
+void
+AdvanceLifecycles(FleetView& aView)
+{
+  ForgetGoneVms(aView);
+  for (auto& [name, vm] : aView.Vms()) {
+    UpdateAddress(aView, vm);
+    AdvanceVm(aView, vm);
+  }
+}
+
+void
+AdoptListedVms(FleetView& aView)
+{
+  // A VM of an unread document would enter a second pool.
+  if (!aView.HasList() || aView.IsPartial()) {
+    return;
+  }
+  std::vector<const VmListing*> others;
+  for (const VmListing& listing : *aView.Snapshot().m_vmList) {
+    if (listing.m_isEntry || listing.m_isLeaving || listing.m_name.empty() ||
+        aView.Find(listing.m_name)) {
+      continue;
+    }
+    const bool fits = aView.IsConfigured(listing.m_pool) &&
+                      Lacking(aView.Budget(listing.m_pool)) > 0;
+    if (fits) {
+      aView.Adopt(listing, listing.m_pool);
+    } else {
+      others.push_back(&listing);
+    }
+  }
+  // They come last, so that none takes the place of a VM whose tag fits.
+  for (const VmListing* const listing : others) {
+    if (!aView.Find(listing->m_name)) {
+      aView.Adopt(*listing, FindWorstShortage(aView));
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/fleet/wave_plan.cpp
@@ -0,0 +1,267 @@
+#include "fleet/wave_plan.h"
+
+#include "core/order_document.h"
+#include "fleet/buffer_size.h"
+#include "fleet/fleet_view.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace bramleystall {
+
+namespace {
+
+/** A single failure may be chance; the wave only sets that VM aside. */
+constexpr int kMinWaveFailures = 2;
+
+/** The limit is not applied to fewer VMs than this. */
+constexpr int kMinWaveSample = 5;
+
+bool
+IsOut(const VmRecord& aRecord)
+{
+  return aRecord.m_state == VmState::Draining ||
+         aRecord.m_state == VmState::Drained ||
+         aRecord.m_state == VmState::Rebooting ||
+         aRecord.m_state == VmState::Probation;
+}
+
+}
+
+WavePlan::WavePlan(FleetView& aView, Order& aOrder)
+  : m_view(aView)
+  , m_order(aOrder)
+{
+  for (auto& [name, vm] : aView.Vms()) {
+    if (IsInScope(vm)) {
+      Classify(vm);
+    }
+  }
+}
+
+bool
+WavePlan::IsInScope(const VmView& aVm) const
+{
+  const VmRecord& record = aVm.m_record;
+  if (m_order.m_kind == OrderKind::Drain) {
+    return record.m_name == m_order.m_vm;
+  }
+  return m_order.m_pool.empty() || record.m_pool == m_order.m_pool ||
+         record.m_wave == m_order.m_id;
+}
+
+void
+WavePlan::Classify(VmView& aVm)
+{
+  const VmRecord& record = aVm.m_record;
+  const bool isTaken = record.m_wave == m_order.m_id;
+  const bool isLost =
+    record.m_state == VmState::SetAside || record.m_state == VmState::Gone ||
+    (record.m_state == VmState::Ready && aVm.m_health == VmHealth::Failed);
+  const bool isMaintained =
+    record.m_maintainedMillis >= m_order.m_createdMillis;
+  if (isTaken && IsOut(record)) {
+    ++m_out;
+  } else if (isLost || isTaken) {
+    // A VM that the wave took and that is ready again without maintenance
+    // did not come back in time; the wave does not try it twice.
+    ++(isTaken || isMaintained ? m_failed : m_skipped);
+  } else if (isMaintained) {
+    ++m_maintained;
+  } else if (FleetView::IsInService(aVm)) {
+    m_remaining.push_back(&aVm);
+  } else if (record.m_state == VmState::Joining ||
+             (aVm.m_isMissing && aVm.m_isAbsent)) {
+    ++m_skipped;
+  } else {
+    ++m_waiting;
+  }
+}
+
+bool
+WavePlan::HasFailed() const
+{
+  const int rebooted = std::max(kMinWaveSample, m_maintained + m_failed);
+  return m_order.m_kind == OrderKind::Wave && m_failed >= kMinWaveFailures &&
+         m_failed > m_view.Spec().m_waveFailureLimit * rebooted;
+}
+
+void
+WavePlan::AddBusyPools(BusyPools& aBusy) const
+{
+  if (HasFailed()) {
+    return;
+  }
+  for (const VmView* const vm : m_remaining) {
+    aBusy.insert(vm->m_record.m_pool);
+  }
+}
+
+bool
+WavePlan::DrainOne(const std::string& aPool)
+{
+  const CapacityBudget& budget = m_view.Budget(aPool);
+  const bool isSpare = m_view.IsSpare(aPool);
+  if (isSpare && m_out > 0 && budget.Ready() <= WorstDomainNeed(m_view)) {
+    return false;
+  }
+  std::map<std::string, int> outInDataCentre;
+  for (const auto& [name, vm] : m_view.Vms()) {
+    outInDataCentre[vm.m_dataCentre] += IsOut(vm.m_record) ? 1 : 0;
+  }
+  const auto rank = [&](const VmView* aVm) {
+    return std::tuple(-budget.ReadyIn(m_view.Domain(*aVm)),
+                      outInDataCentre[aVm->m_dataCentre],
+                      aVm->m_record.m_name);
+  };
+  VmView* best = nullptr;
+  for (VmView* const vm : m_remaining) {
+    if (vm->m_record.m_pool == aPool && FleetView::IsInService(*vm) &&
+        m_view.MayLeave(*vm) && (!best || rank(vm) < rank(best))) {
+      best = vm;
+    }
+  }
+  if (!best ||
+      !m_view.Drain(*best,
+                    "",
+                    m_order.m_id,
+                    PlanReason::Maintenance,
+                    absl::StrCat("maintenance by order ", m_order.m_id))) {
+    return false;
+  }
+  std::erase(m_remaining, best);
+  ++m_out;
+  return true;
+}
+
+void
+WavePlan::DrainPools()
+{
+  BusyPools pools;
+  AddBusyPools(pools);
+  for (const std::string& pool : pools) {
+    while (DrainOne(pool)) {
+    }
+  }
+}
+
+void
+WavePlan::Lend(const BusyPools& aBusy)
+{
+  struct PoolWork
+  {
+    int m_remaining = 0;
+    int m_out = 0;
+  };
+  std::map<std::string, PoolWork> work;
+  for (const VmView* const vm : m_remaining) {
+    ++work[vm->m_record.m_pool].m_remaining;
+  }
+  for (const auto& [name, vm] : m_view.Vms()) {
+    if (vm.m_record.m_wave == m_order.m_id && IsOut(vm.m_record)) {
+      ++work[vm.m_record.m_pool].m_out;
+    }
+  }
+  for (const auto& [pool, count] : work) {
+    m_loans += m_view.IsSpare(pool) ? 0 : m_view.Budget(pool).m_incoming;
+  }
+  const std::string& sparePool = m_view.Spec().m_sparePool;
+  for (const auto& [pool, count] : work) {
+    const CapacityBudget& budget = m_view.Budget(pool);
+    const int capacity = count.m_out + budget.m_incoming;
+    if (m_view.IsSpare(pool) || !m_view.HasEvictionRoom(pool) ||
+        count.m_remaining <= std::max(capacity, budget.m_incoming)) {
+      continue;
+    }
+    ++m_loansWanted;
+    // A wave that makes no progress may use the reserve, one pool at a time.
+    const bool mayUseReserve = m_out == 0 && m_loans == 0;
+    const bool hasLoan =
+      m_view.Budget(sparePool).Ready() > WorstDomainNeed(m_view);
+    if (!hasLoan && !mayUseReserve) {
+      continue;
+    }
+    if (MoveInto(
+          m_view,
+          pool,
+          PlanReason::WaveLoan,
+          absl::StrCat(
+            "lets pool '", pool, "' release VMs to order ", m_order.m_id),
+          aBusy,
+          m_order.m_createdMillis)) {
+      ++m_loans;
+    }
+  }
+}
+
+std::string
+WavePlan::Progress() const
+{
+  return absl::StrCat(m_maintained,
+                      " maintained, ",
+                      m_out,
+                      " out of service, ",
+                      m_remaining.size() + m_waiting,
+                      " to do, ",
+                      m_failed,
+                      " failed, ",
+                      m_skipped,
+                      " skipped");
+}
+
+std::string
+WavePlan::BlockedDetail() const
+{
+  if (m_remaining.empty()) {
+    return m_view.IsPartial()
+             ? "the document of a data centre cannot be read"
+             : absl::StrCat(m_waiting, " VMs have no usable observation");
+  }
+  const std::string& pool = m_remaining.front()->m_record.m_pool;
+  const CapacityBudget& budget = m_view.Budget(pool);
+  return absl::StrCat("pool '",
+                      pool,
+                      "' has ",
+                      budget.Ready(),
+                      " ready VMs, ",
+                      budget.Promised(),
+                      " promised and a margin of ",
+                      budget.Margin(),
+                      "; one more ready VM or a free spare is needed");
+}
+
+void
+WavePlan::SetState()
+{
+  const bool isDone = m_remaining.empty() && m_waiting == 0 && m_out == 0;
+  const bool mayHaveMore =
+    m_view.IsPartial() && m_order.m_kind == OrderKind::Wave;
+  if (isDone && !mayHaveMore) {
+    m_order.m_state = OrderState::Done;
+    m_order.m_detail = Progress();
+    return;
+  }
+  const bool isBlocked = m_out == 0 && m_loans == 0;
+  m_order.m_state = isBlocked ? OrderState::Paused : OrderState::Running;
+  m_order.m_detail = isBlocked
+                       ? absl::StrCat(Progress(), "; paused: ", BlockedDetail())
+                       : Progress();
+}
+
+void
+WavePlan::Advance(const BusyPools& aBusy)
+{
+  if (HasFailed()) {
+    m_order.m_state = OrderState::Done;
+    m_order.m_detail = absl::StrCat("stopped: rebooted VMs fail; ", Progress());
+    return;
+  }
+  DrainPools();
+  Lend(aBusy);
+  SetState();
+}
+
+}
--- /dev/null
+++ b/fleet/wave_plan.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "fleet/move_plan.h"
+
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+class FleetView;
+struct Order;
+struct VmView;
+
+/** Progress of one order that maintains VMs: a wave, or a single drain. */
+class WavePlan
+{
+public:
+  WavePlan(FleetView& aView, Order& aOrder);
+
+  /** Adds the pools that still have VMs to maintain. */
+  void AddBusyPools(BusyPools& aBusy) const;
+  /** Drains as many VMs as the budgets allow and lends spares. */
+  void Advance(const BusyPools& aBusy);
+  /** Spare VMs that would let blocked pools continue. */
+  int LoansWanted() const { return m_loansWanted; }
+
+private:
+  bool IsInScope(const VmView& aVm) const;
+  void Classify(VmView& aVm);
+  bool HasFailed() const;
+  bool DrainOne(const std::string& aPool);
+  void DrainPools();
+  void Lend(const BusyPools& aBusy);
+  void SetState();
+  std::string BlockedDetail() const;
+  std::string Progress() const;
+
+  FleetView& m_view;
+  Order& m_order;
+  /** VMs that can be drained when the budget allows. */
+  std::vector<VmView*> m_remaining;
+  int m_waiting = 0;
+  int m_out = 0;
+  int m_maintained = 0;
+  int m_failed = 0;
+  int m_skipped = 0;
+  int m_loansWanted = 0;
+  int m_loans = 0;
+};
+
+}
