Add the request path of one daemon

Cause: a request needs a way from the caller's connection through queue, claim and slot to a target and back, which the daemon can be wired to.

Change: dispatch/ gets the pure parts (fair queue, target set and health, retry budget, reasons, request attempt with its chart); server/ gets the caller server (libmicrohttpd, suspended connections), a watch for callers that hang up, the target client (libcurl multi) and RequestPath, which joins them around one dispatcher.

Ruled out: detecting hang-ups through libmicrohttpd, since it does not poll suspended connections; trusting libcurl's error codes for "no byte was sent" (the pre-request callback decides, and its second call stops libcurl's own resend); accepting bodies that only the end of the connection delimits, since they cannot be told from truncated ones.

--- /dev/null
+++ b/dispatch/fair_queue.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "core/service_spec.h"
+#include "dispatch/refusal_reason.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bramleystall {
+
+/** A request that waits in a FairQueue or was taken from it. */
+struct QueuedRequest
+{
+  /** Unique within the daemon and growing with the arrival; it is also the
+   * place in the queue of the service. */
+  std::uint64_t m_id = 0;
+  std::string m_service;
+  absl::Time m_arrival;
+  absl::Time m_deadline;
+  /** Slot time that the queue charged for it when it was taken, in seconds. */
+  double m_charged = 0;
+};
+
+/**
+ * Queues of the services that share one pool. Order of service:
+ *
+ * 1. Teams whose requests in flight are below their quota of the slots, the
+ *    least used team first; inside the team strictly by urgency; between
+ *    services of equal urgency by weighted fair shares.
+ * 2. Slots that no team below its quota asks for are lent to any service by
+ *    weighted fair shares, regardless of urgency, so that a flood of urgent
+ *    work does not take all lent slots.
+ *
+ * Fair shares use start-time fair queueing: a service's virtual time grows by
+ * the slot time of its requests divided by its weight, and the service with the
+ * lowest virtual time is next. A service that becomes active starts at the
+ * queue's virtual time, so it gains nothing from idle time.
+ *
+ * Takes the time as an argument and has no clock. Cost of a decision: linear in
+ * the number of services, logarithmic in the number of queued requests.
+ */
+class FairQueue
+{
+public:
+  /**
+   * Sets the services of the pool and the teams' quotas (share of the slots, 0
+   * to 1). A team without a quota only gets lent slots. Returns the queued
+   * requests of services that are gone, in the order of arrival.
+   */
+  std::vector<QueuedRequest> Configure(
+    const std::vector<ServiceSpec>& aServices,
+    const std::map<std::string, double>& aTeamQuotas);
+
+  /** Sets the number of slots that the quotas refer to. */
+  void SetSlots(int aSlots) { m_slots = aSlots; }
+
+  /** Queues a request, or returns why it is refused. */
+  std::optional<RefusalReason> Offer(const std::string& aService,
+                                     std::uint64_t aId,
+                                     absl::Time aNow,
+                                     absl::Time aDeadline);
+
+  /** Takes the request to start next; nothing when the queues are empty. It
+   * counts as in flight until Finish or Return. */
+  std::optional<QueuedRequest> Take();
+
+  /** Undoes Take for a request that did not start. */
+  void Return(QueuedRequest aRequest);
+
+  /** Puts a request back at its place after a finished attempt. Ignores the
+   * limit. False when the service is gone. */
+  bool Requeue(QueuedRequest aRequest);
+
+  /** Ends a request that Take returned, after the given time in its slot. */
+  void Finish(const QueuedRequest& aRequest, absl::Duration aRunTime);
+
+  /** Ends a request that Take returned without a sample of its run time. */
+  void Abandon(const QueuedRequest& aRequest);
+
+  /** Removes a queued request; false when it is not queued. */
+  bool Cancel(std::uint64_t aId);
+
+  /** Removes and returns the queued requests of one service. */
+  std::vector<QueuedRequest> TakeAll(const std::string& aService);
+
+  /** Removes and returns the requests whose deadline has passed. */
+  std::vector<QueuedRequest> TakeExpired(absl::Time aNow);
+
+  /** Expected time until a request that arrives now starts. */
+  absl::Duration ExpectedWait(const std::string& aService) const;
+
+  /** Mean slot time of the service's requests: the declared run time at first,
+   * then an exponentially weighted mean of the observed ones. */
+  absl::Duration MeanRunTime(const std::string& aService) const;
+
+  int Queued() const { return static_cast<int>(m_serviceOf.size()); }
+  int Queued(const std::string& aService) const;
+  int InFlight(const std::string& aService) const;
+  int TeamInFlight(const std::string& aTeam) const;
+
+private:
+  struct ServiceQueue
+  {
+    std::string m_team;
+    Urgency m_urgency = Urgency::Normal;
+    double m_weight = 1;
+    int m_limit = 0;
+    /** Exponentially weighted mean of the slot time, in seconds. */
+    double m_meanRunTime = 1;
+    double m_virtualTime = 0;
+    int m_inFlight = 0;
+    std::map<std::uint64_t, QueuedRequest> m_waiting;
+  };
+  using Queues = std::map<std::string, ServiceQueue>;
+  struct Team
+  {
+    double m_quota = 0;
+    int m_inFlight = 0;
+  };
+
+  void Insert(ServiceQueue& aQueue, QueuedRequest aRequest);
+  QueuedRequest Remove(ServiceQueue& aQueue, std::uint64_t aId);
+  ServiceQueue* Choose();
+  const std::string* LeastUsedTeamBelowQuota() const;
+  bool PrecedesInTeam(const ServiceQueue& aLeft,
+                      const ServiceQueue& aRight) const;
+  double GuaranteedSlots(const ServiceQueue& aQueue) const;
+  void AdvanceVirtualTime();
+  void EndInFlight(const QueuedRequest& aRequest);
+
+  Queues m_queues;
+  std::map<std::string, Team> m_teams;
+  std::unordered_map<std::uint64_t, std::string> m_serviceOf;
+  std::set<std::pair<absl::Time, std::uint64_t>> m_deadlines;
+  double m_virtualTime = 0;
+  int m_slots = 0;
+  int m_inFlight = 0;
+};
+
+}
--- /dev/null
+++ b/dispatch/target_health.cpp
@@ -0,0 +1,108 @@
+#include "dispatch/target_health.h"
+
+#include <algorithm>
+
+namespace bramleystall {
+
+namespace {
+
+// Above the slots of any worker, so a target that returned this far is healthy.
+constexpr int kReturnedLimit = 64;
+
+}
+
+bool
+TargetHealth::ShouldTakeOut() const
+{
+  // A returning target has just proved that it fails; one failure is enough.
+  const int threshold =
+    m_state == HealthState::Returning ? 1 : kFailuresToTakeOut;
+  return m_state != HealthState::Out && m_failures >= threshold;
+}
+
+void
+TargetHealth::OnOutcome(TargetOutcome aOutcome)
+{
+  if (m_state == HealthState::Out) {
+    return;
+  }
+  if (aOutcome != TargetOutcome::Success) {
+    ++m_failures;
+    return;
+  }
+  m_failures = 0;
+  if (m_state != HealthState::Returning) {
+    return;
+  }
+  ++m_returnSuccesses;
+  if (m_returnSuccesses < m_returnLimit) {
+    return;
+  }
+  m_returnSuccesses = 0;
+  m_returnLimit *= 2;
+  if (m_returnLimit >= kReturnedLimit) {
+    m_state = HealthState::Healthy;
+    m_probeDelay = kFirstProbeDelay;
+  }
+}
+
+void
+TargetHealth::TakeOut(absl::Time aNow)
+{
+  if (m_state == HealthState::Returning) {
+    m_probeDelay = std::min(m_probeDelay * 2, kMaxProbeDelay);
+  }
+  m_state = HealthState::Out;
+  m_passedProbes = 0;
+  m_nextProbe = aNow + m_probeDelay;
+}
+
+bool
+TargetHealth::StartProbe(absl::Time aNow)
+{
+  if (m_state != HealthState::Out || m_probing || aNow < m_nextProbe) {
+    return false;
+  }
+  m_probing = true;
+  return true;
+}
+
+void
+TargetHealth::OnProbe(bool aPassed, absl::Time aNow)
+{
+  m_probing = false;
+  if (m_state != HealthState::Out) {
+    return;
+  }
+  if (!aPassed) {
+    m_passedProbes = 0;
+    m_probeDelay = std::min(m_probeDelay * 2, kMaxProbeDelay);
+    m_nextProbe = aNow + m_probeDelay;
+    return;
+  }
+  ++m_passedProbes;
+  m_nextProbe = aNow + kFirstProbeDelay;
+  if (m_passedProbes < kProbesToReturn) {
+    return;
+  }
+  m_state = HealthState::Returning;
+  m_failures = 0;
+  m_returnLimit = 1;
+  m_returnSuccesses = 0;
+}
+
+int
+TargetHealth::InFlightLimit(int aAllowance) const
+{
+  switch (m_state) {
+    case HealthState::Healthy:
+      return aAllowance;
+    case HealthState::Out:
+      return 0;
+    case HealthState::Returning:
+      return std::min(aAllowance, m_returnLimit);
+  }
+  return 0;
+}
+
+}
--- /dev/null
+++ b/server/request_id.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace bramleystall {
+
+/** New version 7 UUID (RFC 9562) of the current wall-clock time. */
+std::string
+NewRequestId();
+
+}
--- /dev/null
+++ b/server/request_job.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "dispatch/fair_queue.h"
+#include "dispatch/request_attempt.h"
+#include "dispatch/unknown_reason.h"
+
+#include <absl/time/time.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+struct Configuration;
+class CallerExchange;
+
+/** An accepted request until its response. */
+struct RequestJob
+{
+  std::shared_ptr<CallerExchange> m_exchange;
+  /** Keeps m_service alive. */
+  std::shared_ptr<const Configuration> m_configuration;
+  const ServiceSpec* m_service = nullptr;
+  std::string m_requestId;
+  bool m_idempotent = false;
+  bool m_hungUp = false;
+  absl::Time m_arrival;
+  absl::Time m_deadline;
+  RequestAttempt m_attempt;
+  /** The pool whose queue holds or held the request. */
+  std::string m_pool;
+  /** Taken from the queue; valid while a slot is held. */
+  QueuedRequest m_ticket;
+  /** VM whose slot is held; empty while queued. */
+  std::string m_vm;
+  std::string m_address;
+  absl::Time m_slotSince;
+  /** VMs at which an attempt failed. */
+  std::vector<std::string> m_tried;
+  int m_attempts = 0;
+  UnknownReason m_lastFailure = UnknownReason::ConnectionClosed;
+};
+
+}
--- /dev/null
+++ b/server/request_path.cpp
@@ -0,0 +1,219 @@
+#include "server/request_path.h"
+
+#include "core/clock.h"
+#include "core/configuration.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "core/state_chart.h"
+#include "server/caller_server.h"
+#include "server/request_dispatcher.h"
+#include "server/target_client.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace bramleystall {
+
+namespace {
+
+// Bounds how late a passed deadline is noticed; 50 wake-ups a second cost less
+// than 0.1% of a core.
+constexpr absl::Duration kTickInterval = absl::Milliseconds(20);
+constexpr absl::Duration kDrainPollInterval = absl::Milliseconds(5);
+
+}
+
+struct RequestPath::Impl
+{
+  RequestPathSettings m_settings;
+  RequestPathHooks m_hooks;
+  Metrics& m_metrics;
+  TargetClient m_client;
+  std::unique_ptr<RequestDispatcher> m_dispatcher;
+  std::unique_ptr<CallerServer> m_server;
+  std::mutex m_mutex;
+  std::condition_variable m_stopSignal;
+  bool m_stopping = false;
+  std::thread m_ticker;
+
+  Impl(RequestPathSettings aSettings,
+       RequestPathHooks aHooks,
+       Metrics& aMetrics);
+  ~Impl();
+
+  RequestDispatcherHooks DispatcherHooks();
+  CallerServerHooks ServerHooks();
+  void RunTicker();
+};
+
+RequestPath::Impl::Impl(RequestPathSettings aSettings,
+                        RequestPathHooks aHooks,
+                        Metrics& aMetrics)
+  : m_settings(std::move(aSettings))
+  , m_hooks(std::move(aHooks))
+  , m_metrics(aMetrics)
+  , m_client(m_settings.m_connectionsPerTarget, m_settings.m_maxResponseBytes)
+{
+  if (!m_hooks.m_claim) {
+    throw Error(ErrorCode::InvalidInput, "server: the claim hook is missing");
+  }
+  m_dispatcher = std::make_unique<RequestDispatcher>(
+    DispatcherHooks(),
+    StateChart::Load(m_settings.m_requestAttemptChart),
+    m_metrics);
+  m_server = std::make_unique<CallerServer>(
+    CallerServerSettings{ m_settings.m_listenAddress,
+                          m_settings.m_listenPort,
+                          m_settings.m_httpThreads,
+                          m_settings.m_maxRequestBytes },
+    ServerHooks());
+}
+
+RequestPath::Impl::~Impl()
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stopping = true;
+  }
+  m_stopSignal.notify_all();
+  if (m_ticker.joinable()) {
+    m_ticker.join();
+  }
+  // The server can stop only when every suspended connection has a response.
+  m_server->StopListening();
+  m_dispatcher->AbortAll();
+  m_client.Stop();
+  m_server->Stop();
+}
+
+RequestDispatcherHooks
+RequestPath::Impl::DispatcherHooks()
+{
+  RequestDispatcherHooks hooks;
+  hooks.m_send = [this](TargetRequest aRequest, TargetClient::Done aDone) {
+    m_client.Send(std::move(aRequest), std::move(aDone));
+  };
+  hooks.m_claim = m_hooks.m_claim;
+  hooks.m_now = MonotonicNow;
+  return hooks;
+}
+
+CallerServerHooks
+RequestPath::Impl::ServerHooks()
+{
+  CallerServerHooks hooks;
+  hooks.m_onRequest = [this](std::shared_ptr<CallerExchange> aExchange) {
+    m_dispatcher->OnRequest(std::move(aExchange));
+  };
+  hooks.m_onHangUp = [this](std::uint64_t aId) {
+    return m_dispatcher->OnHangUp(aId);
+  };
+  hooks.m_makeRejection = [this](const HttpRequest& aRequest,
+                                 int aStatus,
+                                 const std::string& aDetail) {
+    return m_dispatcher->MakeRejection(aRequest, aStatus, aDetail);
+  };
+  return hooks;
+}
+
+void
+RequestPath::Impl::RunTicker()
+{
+  std::unique_lock lock(m_mutex);
+  while (!m_stopping) {
+    lock.unlock();
+    m_dispatcher->Tick();
+    lock.lock();
+    m_stopSignal.wait_for(lock,
+                          absl::ToChronoMilliseconds(kTickInterval),
+                          [this] { return m_stopping; });
+  }
+}
+
+RequestPath::RequestPath(RequestPathSettings aSettings,
+                         RequestPathHooks aHooks,
+                         Metrics& aMetrics)
+  : m_impl(
+      std::make_unique<Impl>(std::move(aSettings), std::move(aHooks), aMetrics))
+{
+}
+
+RequestPath::~RequestPath() = default;
+
+void
+RequestPath::Start()
+{
+  m_impl->m_client.Start();
+  m_impl->m_ticker = std::thread([impl = m_impl.get()] { impl->RunTicker(); });
+  m_impl->m_server->Start();
+  LogInfo(LogPart::Server,
+          absl::StrCat("listening for callers on ",
+                       m_impl->m_settings.m_listenAddress,
+                       ":",
+                       m_impl->m_server->Port()));
+}
+
+int
+RequestPath::Port() const
+{
+  return m_impl->m_server->Port();
+}
+
+void
+RequestPath::ApplyConfiguration(
+  std::shared_ptr<const Configuration> aConfiguration)
+{
+  m_impl->m_dispatcher->ApplyConfiguration(std::move(aConfiguration));
+}
+
+void
+RequestPath::ApplyTargets(const std::vector<TargetInfo>& aTargets)
+{
+  m_impl->m_dispatcher->ApplyTargets(aTargets);
+}
+
+int
+RequestPath::SetSlotAllowance(const std::string& aVm, int aAllowance)
+{
+  return m_impl->m_dispatcher->SetSlotAllowance(aVm, aAllowance);
+}
+
+std::vector<SlotUsage>
+RequestPath::SlotUsages() const
+{
+  return m_impl->m_dispatcher->SlotUsages();
+}
+
+std::map<std::string, int>
+RequestPath::InFlightByVm() const
+{
+  return m_impl->m_dispatcher->InFlightByVm();
+}
+
+RequestPathStatus
+RequestPath::Status() const
+{
+  return m_impl->m_dispatcher->Status();
+}
+
+void
+RequestPath::Drain(absl::Duration aTimeout)
+{
+  const absl::Time end = MonotonicNow() + aTimeout;
+  m_impl->m_dispatcher->StartDraining();
+  const auto isBusy = [this] {
+    return m_impl->m_dispatcher->Unfinished() > 0 ||
+           m_impl->m_server->OpenExchanges() > 0;
+  };
+  while (isBusy() && MonotonicNow() < end) {
+    absl::SleepFor(kDrainPollInterval);
+  }
+  m_impl->m_server->StopListening();
+}
+
+}
--- /dev/null
+++ b/server/request_path.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "core/claim_outcome.h"
+#include "dispatch/slot_usage.h"
+#include "dispatch/target_info.h"
+#include "server/request_path_status.h"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+struct Configuration;
+class Metrics;
+
+struct RequestPathSettings
+{
+  /** Numeric address for callers. */
+  std::string m_listenAddress = "127.0.0.1";
+  /** 0 for any free port. */
+  int m_listenPort = 0;
+  int m_httpThreads = 2;
+  std::size_t m_maxRequestBytes = 1U << 20U;
+  std::size_t m_maxResponseBytes = 8U << 20U;
+  /** Largest number of open connections to a target, idle ones included. */
+  int m_connectionsPerTarget = 8;
+  /** File of the chart `request_attempt`. */
+  std::string m_requestAttemptChart = "charts/request_attempt.json";
+};
+
+struct RequestPathHooks
+{
+  /** Claims the id of a request that is not idempotent; calls aDone from any
+   * thread, once. */
+  std::function<void(const std::string& aRequestId,
+                     std::function<void(ClaimOutcome)> aDone)>
+    m_claim;
+};
+
+/**
+ * The path of requests through one daemon: from the caller's connection through
+ * queue and claim to a target and back. All members are safe to call from any
+ * thread.
+ */
+class RequestPath
+{
+public:
+  /** aMetrics must outlive the object. */
+  RequestPath(RequestPathSettings aSettings,
+              RequestPathHooks aHooks,
+              Metrics& aMetrics);
+
+  /** Stops at once: requests without a response are refused, or their outcome
+   * is unknown. Call Drain before for a graceful stop. */
+  ~RequestPath();
+  RequestPath(const RequestPath&) = delete;
+  RequestPath& operator=(const RequestPath&) = delete;
+
+  /** Starts to serve. Throws Error when the port is in use, the chart cannot be
+   * read or the claim hook is missing. */
+  void Start();
+
+  /** Port that callers connect to, after Start. */
+  int Port() const;
+
+  /** Puts a configuration into effect. Queued requests of removed services are
+   * refused. */
+  void ApplyConfiguration(std::shared_ptr<const Configuration> aConfiguration);
+
+  /** Sets the targets that may receive new work; after return no other VM gets
+   * new work. Requests in flight elsewhere finish. */
+  void ApplyTargets(const std::vector<TargetInfo>& aTargets);
+
+  /** Sets the slot tokens of a VM, 0 at first. Lowering interrupts no request.
+   * Returns max(aAllowance, requests in flight). */
+  int SetSlotAllowance(const std::string& aVm, int aAllowance);
+
+  std::vector<SlotUsage> SlotUsages() const;
+
+  /** Requests in flight by VM, reserved slots included; VMs without any are
+   * absent. */
+  std::map<std::string, int> InFlightByVm() const;
+
+  RequestPathStatus Status() const;
+
+  /** Refuses new requests and waits until every accepted request has its
+   * response, at most aTimeout; then closes the listening socket. */
+  void Drain(absl::Duration aTimeout);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/server/request_path_status.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "dispatch/target_set.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+/** Work of one service in this daemon. */
+struct ServiceStatus
+{
+  std::string m_service;
+  int m_queued = 0;
+  int m_inFlight = 0;
+  /** Requests whose first attempt was started, since the daemon's start. */
+  std::uint64_t m_started = 0;
+  /** Requests refused, by name of the RefusalReason. */
+  std::map<std::string, std::uint64_t> m_refused;
+};
+
+/** State of the request path for status pages. */
+struct RequestPathStatus
+{
+  std::vector<ServiceStatus> m_services;
+  std::vector<TargetStatus> m_targets;
+};
+
+}
--- /dev/null
+++ b/tests/fakes/fake_target.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bramleystall {
+
+/** What a FakeTarget does with a request that it has read completely. */
+enum class FakeBehaviour
+{
+  Respond,
+  RespondChunked,
+  /** Closes the connection without a byte. */
+  ReadAndClose,
+  /** Never responds; the connection stays open. */
+  Freeze,
+  /** Ends within the body, short of the Content-Length. */
+  TruncateLength,
+  /** Ends before the last chunk. */
+  TruncateChunked,
+  /** Ends within the headers. */
+  TruncateHeaders,
+  /** A body that only the end of the connection delimits. */
+  CloseDelimited,
+  Redirect,
+};
+
+/** A request as a FakeTarget received it. */
+struct FakeRequest
+{
+  std::string m_method;
+  std::string m_target;
+  std::map<std::string, std::string> m_headers;
+  std::string m_body;
+  /** Number of the request on its connection, from 1. */
+  int m_numberOnConnection = 0;
+};
+
+/**
+ * Small HTTP/1.1 server on 127.0.0.1 with one thread for each connection. It
+ * records each request that it has read completely, which counts as a run.
+ * Probes (`/healthz`) are recorded separately.
+ */
+class FakeTarget
+{
+public:
+  using Choose = std::function<FakeBehaviour(const FakeRequest&)>;
+
+  explicit FakeTarget(Choose aChoose = nullptr);
+  ~FakeTarget();
+  FakeTarget(const FakeTarget&) = delete;
+  FakeTarget& operator=(const FakeTarget&) = delete;
+
+  /** "127.0.0.1:PORT". */
+  std::string Address() const;
+
+  /** Delay before each response. */
+  void SetDelay(absl::Duration aDelay);
+  void SetBody(std::string aBody);
+  void SetChoose(Choose aChoose);
+
+  /** Closes the listening socket, so that new connections are refused. */
+  void Refuse();
+
+  /** Runs of requests, by X-Request-Id. */
+  std::map<std::string, int> Runs() const;
+  int RunCount() const;
+  int RunCount(const std::string& aRequestId) const;
+  std::vector<FakeRequest> Requests() const;
+  int ProbeCount() const;
+  /** Largest number of connections that were open at once. */
+  int MostConnections() const;
+
+private:
+  void AcceptAll();
+  void Serve(int aSocket);
+  bool Handle(int aSocket, const FakeRequest& aRequest);
+  void Record(const FakeRequest& aRequest);
+
+  mutable std::mutex m_mutex;
+  Choose m_choose;
+  std::string m_body = "ok";
+  absl::Duration m_delay;
+  int m_listener = -1;
+  int m_port = 0;
+  std::atomic<bool> m_stopping = false;
+  std::vector<FakeRequest> m_requests;
+  int m_probes = 0;
+  int m_open = 0;
+  int m_mostOpen = 0;
+  std::vector<std::thread> m_connections;
+  std::vector<int> m_sockets;
+  std::thread m_acceptor;
+};
+
+}
