Add the operator's tool

Cause: operators had no program to check, publish and give orders.

Change: cli/ has one file for each command; RunTool finds the command and maps errors to exit codes. The store keys of the publisher and the order writer are members of these classes, since daemon/store_keys.h defines the same names in the namespace.

--- /dev/null
+++ b/cli/admin_client.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "cli/command_context.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+/** Answer of one daemon, or the fault that prevented it. */
+struct AdminReply
+{
+  std::string m_address;
+  /** HTTP status; 0 when there was no complete response. */
+  int m_status = 0;
+  /** Parsed body; null when it is not JSON. */
+  nlohmann::json m_body;
+  /** What went wrong, one line; empty for status 2xx. */
+  std::string m_fault;
+  /** Whether the daemon may have received the request. */
+  bool m_mayHaveBeenSent = false;
+
+  bool IsSuccess() const { return m_status >= 200 && m_status < 300; }
+};
+
+/** Sends one request to the admin interface of a daemon. Never throws Error. */
+AdminReply
+AskDaemon(CommandContext& aContext,
+          const std::string& aAddress,
+          const ClientRequest& aRequest);
+
+/** Asks all daemons at the same time, in the order of the settings. */
+std::vector<AdminReply>
+AskAllDaemons(CommandContext& aContext, const std::string& aPath);
+
+}
--- /dev/null
+++ b/cli/drain_command.cpp
@@ -0,0 +1,16 @@
+#include "cli/command_context.h"
+#include "cli/commands.h"
+#include "cli/order_sender.h"
+
+namespace bramleystall {
+
+ExitCode
+RunDrain(CommandContext& aContext)
+{
+  Order order;
+  order.m_kind = OrderKind::Drain;
+  order.m_vm = aContext.Arguments()[0];
+  return SendOrder(aContext, order);
+}
+
+}
--- /dev/null
+++ b/cli/tool.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "cli/exit_code.h"
+#include "cli/tool_environment.h"
+#include "cli/tool_invocation.h"
+
+#include <string>
+
+namespace bramleystall {
+
+/** Help text with the commands, the flags and the exit codes. */
+std::string
+HelpText();
+
+/** Finds and runs the command; prints errors and returns the exit code. */
+ExitCode
+RunTool(const ToolInvocation& aInvocation, ToolEnvironment& aEnvironment);
+
+}
--- /dev/null
+++ b/cli/tool_environment.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/tool_settings.h"
+#include "platform/http_client.h"
+#include "platform/platform_store.h"
+#include "platform/writer_hooks.h"
+
+#include <functional>
+#include <iosfwd>
+#include <memory>
+
+namespace bramleystall {
+
+/** What the tool takes from its surroundings; tests replace it. */
+struct ToolEnvironment
+{
+  std::ostream& m_out;
+  std::ostream& m_error;
+  std::function<std::shared_ptr<PlatformStore>(const PlatformSettings&)>
+    m_openStore;
+  /** Sends an HTTP request; called from several threads. */
+  std::function<ClientResponse(const ClientRequest&)> m_send;
+  WriterHooks m_hooks;
+};
+
+}
--- a/tests/platform/test_configuration_publisher.cpp
+++ b/tests/platform/test_configuration_publisher.cpp
@@ -253,7 +253,7 @@
   auto publisher = MakePublisher();
   m_store.SetCallHook([&](const std::string& aName) {
     if (aName == "write") {
-      m_store.Put(kHistoryKey, SerializeHistory({}));
+      m_store.Put(ConfigurationPublisher::kHistoryKey, SerializeHistory({}));
     }
   });
   CHECK(CodeOf([&] { publisher.Publish(MakeContent(1), "ana"); }) ==
--- a/tests/platform/test_order_writer.cpp
+++ b/tests/platform/test_order_writer.cpp
@@ -96,7 +96,7 @@
   OrderDocument document;
   document.m_orders = { MakeDrain("o1", "vm1") };
   document.m_orders[0].m_state = OrderState::Done;
-  m_store.Put(kOrdersKey, document.Serialize());
+  m_store.Put(OrderWriter::kKey, document.Serialize());
   writer.Append(MakeDrain("o1", "vm1"));
   CHECK(writer.Read().m_orders[0].m_state == OrderState::Done);
 }
@@ -113,7 +113,7 @@
     document.m_orders.back().m_state =
       i == 0 ? OrderState::Running : OrderState::Done;
   }
-  m_store.Put(kOrdersKey, document.Serialize());
+  m_store.Put(OrderWriter::kKey, document.Serialize());
   auto writer = MakeWriter();
   writer.Append(MakeDrain("new", "vm"));
   const OrderDocument after = writer.Read();
@@ -132,7 +132,7 @@
   for (std::size_t i = 0; i < kMaxOpenOrders; ++i) {
     document.m_orders.push_back(MakeDrain(absl::StrCat("o", i), "vm"));
   }
-  m_store.Put(kOrdersKey, document.Serialize());
+  m_store.Put(OrderWriter::kKey, document.Serialize());
   auto writer = MakeWriter();
   CHECK(CodeOf(writer, MakeDrain("new", "vm")) == ErrorCode::Conflict);
   CHECK(document.Serialize().size() < 500'000);
--- a/tests/server/test_admin_server.cpp
+++ b/tests/server/test_admin_server.cpp
@@ -20,11 +20,11 @@
 
   AdminFixture() { m_server.Start(); }
 
-  HttpResponse Send(const std::string& aMethod,
-                    const std::string& aPath,
-                    const std::string& aBody = "")
+  ClientResponse Send(const std::string& aMethod,
+                      const std::string& aPath,
+                      const std::string& aBody = "")
   {
-    HttpRequest request;
+    ClientRequest request;
     request.m_method = aMethod;
     request.m_url = absl::StrCat("http://127.0.0.1:", m_server.Port(), aPath);
     request.m_body = aBody;
@@ -65,7 +65,7 @@
   const std::string body(5000, 'x');
   CHECK(Send("POST", "/v1/orders", body).m_status == 202);
   CHECK(m_order == body);
-  const HttpResponse metrics = Send("GET", "/metrics");
+  const ClientResponse metrics = Send("GET", "/metrics");
   CHECK(metrics.m_headers.at("content-type") == "text/plain; version=0.0.4");
   CHECK(metrics.m_body.find("bramleystall_admin_requests_total{route=\"add_"
                             "order\",status=\"202\"} 1\n") !=
@@ -77,7 +77,7 @@
                  "Admin faults have a status and a JSON message",
                  "[server]")
 {
-  const HttpResponse unavailable = Send("GET", "/v1/status");
+  const ClientResponse unavailable = Send("GET", "/v1/status");
   CHECK(unavailable.m_status == 503);
   CHECK(unavailable.m_body ==
         R"({"error":"unavailable","message":"store \"down\""})");
