Add the daemon's wiring

Cause: the modules are there, but no process joins them. Ruled out: a thread for each watch in the daemon itself; the cluster module brings the document watcher.

--- a/cluster/fleet_observations.h
+++ b/cluster/fleet_observations.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cluster/member_view.h"
+#include "cluster/cluster_node.h"
 #include "core/fleet_document.h"
 #include "fleet/vm_observation.h"
 
--- /dev/null
+++ b/daemon/daemon.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/daemon_settings.h"
+#include "core/metrics.h"
+#include "core/state_chart.h"
+
+#include <memory>
+#include <string>
+
+namespace bramleystall {
+
+/**
+ * One `bramleystalld`: joins the request path, the cluster node, the platform's
+ * store, the decider and the admin server.
+ */
+class Daemon
+{
+public:
+  /** aChartsFolder holds the state charts. Throws Error when one is missing. */
+  Daemon(DaemonSettings aSettings, const std::string& aChartsFolder);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /** Starts to listen and to serve. Throws Error. */
+  void Start();
+
+  /**
+   * Graceful shutdown: refuses new requests, finishes those in flight, leaves
+   * the membership. Takes at most the drain timeout.
+   */
+  void Shutdown();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/daemon/decider_loop.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "cluster/cluster_node.h"
+#include "cluster/decider_lease.h"
+#include "cluster/fenced_writer.h"
+#include "core/configuration.h"
+#include "core/metrics.h"
+#include "core/state_chart.h"
+#include "daemon/fleet_state.h"
+#include "fleet/fleet_plan.h"
+#include "fleet/fleet_snapshot.h"
+#include "fleet/planner_memory.h"
+#include "platform/platform_store.h"
+#include "platform/vm_control.h"
+#include "platform/vm_list.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bramleystall {
+
+/** Interval of the plans. A drain or reboot takes seconds, so 500 ms adds
+ * little, and the reads stay under 20 a second. */
+inline constexpr absl::Duration kPlanInterval = absl::Milliseconds(500);
+
+/** A reboot request is repeated at this interval until the VM has returned. */
+inline constexpr absl::Duration kRebootRepeat = absl::Seconds(10);
+
+struct DeciderHooks
+{
+  std::function<std::vector<MemberView>()> m_members;
+  std::function<std::shared_ptr<const Configuration>()> m_configuration;
+  /** Requests in flight and queued by pool. */
+  std::function<std::map<std::string, int>()> m_poolDemand;
+};
+
+/** The platform as the decider uses it; all must outlive the loop. */
+struct DeciderPlatform
+{
+  PlatformStore& m_store;
+  VmList& m_vmList;
+  VmControl& m_vmControl;
+};
+
+/**
+ * Holds or waits for the decider lease, and plans while it holds it. Each plan
+ * is one fenced transaction; after a conflict the next plan starts from fresh
+ * reads.
+ */
+class DeciderLoop
+{
+public:
+  DeciderLoop(DeciderPlatform aPlatform,
+              DeciderLease& aLease,
+              std::shared_ptr<const StateChart> aLifecycle,
+              DeciderHooks aHooks,
+              Metrics& aMetrics);
+  ~DeciderLoop();
+  DeciderLoop(const DeciderLoop&) = delete;
+  DeciderLoop& operator=(const DeciderLoop&) = delete;
+
+  void Start();
+  /** Ends the thread and gives up the lease. */
+  void Stop();
+
+  /** Reports of the last plan; empty while this daemon is not the decider. */
+  std::vector<PoolReport> Pools() const;
+
+private:
+  void Run(const std::stop_token& aStop);
+  void PlanOnce(const LeaseGrant& aGrant);
+  FleetState ReadState(const std::vector<MemberView>& aMembers,
+                       const std::optional<std::vector<VmListing>>& aVmList);
+  std::optional<std::vector<VmListing>> ReadVmList();
+  FleetSnapshot MakeSnapshot(const FleetState& aState,
+                             std::optional<std::vector<VmListing>> aVmList,
+                             const std::vector<MemberView>& aMembers) const;
+  bool Commit(const LeaseGrant& aGrant,
+              const FleetState& aState,
+              const FleetPlan& aPlan);
+  void RequestReboots(const FleetPlan& aPlan);
+  void SetPools(std::vector<PoolReport> aPools);
+
+  DeciderPlatform m_platform;
+  DeciderLease& m_lease;
+  std::shared_ptr<const StateChart> m_lifecycle;
+  DeciderHooks m_hooks;
+  Metrics& m_metrics;
+  PlannerMemory m_memory;
+  /** Monotonic time of the last request by reboot token. */
+  std::map<std::string, absl::Time> m_rebootRequests;
+  mutable std::mutex m_mutex;
+  std::vector<PoolReport> m_pools;
+  std::jthread m_thread;
+};
+
+}
--- /dev/null
+++ b/daemon/explain_source.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/configuration.h"
+#include "fleet/fleet_plan.h"
+#include "platform/platform_store.h"
+
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+/**
+ * Answers `explain` from the documents in the store. While the store cannot be
+ * reached, it answers from the last documents that it read.
+ */
+class ExplainSource
+{
+public:
+  /** The store must outlive the object. */
+  explicit ExplainSource(PlatformStore& aStore);
+
+  /** JSON text of the answer. Throws Error (NotFound, InvalidInput). */
+  std::string Answer(const Configuration& aConfiguration,
+                     const std::vector<std::string>& aDataCentres,
+                     const std::vector<PoolReport>& aPools,
+                     const std::string& aKind,
+                     const std::string& aName);
+
+private:
+  /** Value of a key, from the store or from the last reading. */
+  std::optional<std::string> Read(const std::string& aKey);
+
+  PlatformStore& m_store;
+  std::mutex m_mutex;
+  std::map<std::string, std::optional<std::string>> m_lastValues;
+};
+
+}
--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,101 @@
+#include "core/daemon_settings.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "daemon/daemon.h"
+
+#include <absl/strings/str_cat.h>
+#include <curl/curl.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <thread>
+#include <unistd.h>
+
+DEFINE_string(settings, "", "JSON file with the settings of the daemon");
+DEFINE_string(charts,
+              BRAMLEYSTALL_CHARTS_DIR,
+              "folder of the state chart files");
+
+namespace {
+
+using namespace bramleystall;
+
+// As in the operator's tool: 2 invalid input, 4 unavailable.
+constexpr int kExitUsage = 1;
+constexpr int kExitInvalidInput = 2;
+constexpr int kExitUnavailable = 4;
+
+sigset_t
+BlockTerminationSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A peer or caller that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+void
+WaitForSignal(const sigset_t& aSignals)
+{
+  int signal = 0;
+  sigwait(&aSignals, &signal);
+}
+
+/** Ends the process at the second signal, while the first one drains. */
+void
+StopAtOnceAtNextSignal(const sigset_t& aSignals)
+{
+  std::thread([aSignals] {
+    WaitForSignal(aSignals);
+    LogWarning(LogPart::Main, "second stop signal; stopping at once.");
+    _exit(EXIT_FAILURE);
+  }).detach();
+}
+
+int
+Run()
+{
+  const DaemonSettings settings = LoadDaemonSettings(FLAGS_settings);
+  InitLog(settings.m_logLevel, settings.m_logFormat, settings.m_daemon);
+  const sigset_t signals = BlockTerminationSignals();
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  Daemon daemon(settings, FLAGS_charts);
+  daemon.Start();
+  LogInfo(LogPart::Main, "daemon started.");
+  WaitForSignal(signals);
+  LogInfo(LogPart::Main, "stop signal; finishing requests in flight.");
+  StopAtOnceAtNextSignal(signals);
+  daemon.Shutdown();
+  LogInfo(LogPart::Main, "daemon stopped.");
+  return EXIT_SUCCESS;
+}
+
+}
+
+int
+main(int argc, char** argv)
+{
+  gflags::SetUsageMessage("bramleystalld --settings FILE");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_settings.empty()) {
+    std::cerr << "bramleystalld: --settings FILE is required\n";
+    return kExitUsage;
+  }
+  try {
+    return Run();
+  } catch (const Error& error) {
+    std::cerr << "bramleystalld: " << error.what() << "\n";
+    return error.Code() == ErrorCode::InvalidInput ? kExitInvalidInput
+                                                   : kExitUnavailable;
+  } catch (const std::exception& error) {
+    std::cerr << "bramleystalld: " << error.what() << "\n";
+    return kExitUnavailable;
+  }
+}
--- a/daemon/store_keys.h
+++ b/daemon/store_keys.h
@@ -4,10 +4,10 @@
 
 namespace bramleystall {
 
-/** Keys of the store that the daemon reads and writes (docs/design.md, 4). */
-inline const std::string kConfigurationKey = "bramleystall/config/current";
+/** Key whose lock is the decider lease. */
 inline const std::string kDeciderKey = "bramleystall/decider";
-inline const std::string kOrdersKey = "bramleystall/orders";
+
+/** Key of the decision log. */
 inline const std::string kDecisionsKey = "bramleystall/decisions";
 
 /** Key of the fleet document of a data centre. */
