Add random histories as property tests of the planner

Cause: the guarantees must hold in any mix of failures and orders. Change: a model of the fleet, a checker with arithmetic of its own and seeded histories. They found three faults: a VM that was gone was adopted in the plan that removed its record, adoptions raised the eviction limit, and surplus VMs moved back before the hold time without an urgent need.

--- a/fleet/fleet_view.cpp
+++ b/fleet/fleet_view.cpp
@@ -85,6 +85,11 @@
       }
     }
   }
+  for (const auto& [pool, budget] : m_budgets) {
+    const double exact =
+      Spec().m_maxEvictionFraction * budget.m_recorded + kRounding;
+    m_evictionLimits[pool] = std::max(1, static_cast<int>(std::floor(exact)));
+  }
   const auto isUnread = [this](const std::string& aDataCentre) {
     return !m_snapshot.m_documents.contains(aDataCentre);
   };
@@ -200,9 +205,8 @@
 int
 FleetView::EvictionLimit(const std::string& aPool) const
 {
-  const double exact =
-    Spec().m_maxEvictionFraction * Budget(aPool).m_recorded + kRounding;
-  return std::max(1, static_cast<int>(std::floor(exact)));
+  const auto limit = m_evictionLimits.find(aPool);
+  return limit == m_evictionLimits.end() ? 1 : limit->second;
 }
 
 bool
--- a/fleet/fleet_view.h
+++ b/fleet/fleet_view.h
@@ -119,6 +119,8 @@
   std::map<std::string, const VmListing*> m_listings;
   std::set<std::string> m_changed;
   std::map<std::string, int> m_evictions;
+  /** From the sizes before the plan, so that adoptions do not raise it. */
+  std::map<std::string, int> m_evictionLimits;
   bool m_isPartial = false;
   bool m_hasList = false;
 };
--- a/fleet/move_plan.cpp
+++ b/fleet/move_plan.cpp
@@ -15,15 +15,17 @@
 bool
 MayDonate(FleetView& aView,
           const VmView& aVm,
-          const std::string& aPool,
+          const MoveRequest& aRequest,
           const BusyPools& aBusy)
 {
   const std::string& from = aVm.m_record.m_pool;
-  if (from == aPool || !FleetView::IsInService(aVm) || !aView.MayLeave(aVm)) {
+  if (from == aRequest.m_pool || !FleetView::IsInService(aVm) ||
+      !aView.MayLeave(aVm)) {
     return false;
   }
   return aView.IsSpare(from) ||
-         (aView.HasSurplus(from) && !aBusy.contains(from));
+         (aRequest.m_mayTakeSurplus && aView.HasSurplus(from) &&
+          !aBusy.contains(from));
 }
 
 /** Time that a condition has lasted; the memory holds since when. */
@@ -111,28 +113,28 @@
 }
 
 bool
-MoveInto(FleetView& aView,
-         const std::string& aPool,
-         PlanReason aReason,
-         const std::string& aExplanation,
-         const BusyPools& aBusy,
-         std::int64_t aPreferMaintained)
+MoveInto(FleetView& aView, const MoveRequest& aRequest, const BusyPools& aBusy)
 {
-  const CapacityBudget& target = aView.Budget(aPool);
+  const CapacityBudget& target = aView.Budget(aRequest.m_pool);
   const auto rank = [&](const VmView& aVm) {
     return std::tuple(!aView.IsSpare(aVm.m_record.m_pool),
                       target.ReadyIn(aView.Domain(aVm)),
-                      aVm.m_record.m_maintainedMillis < aPreferMaintained,
+                      aVm.m_record.m_maintainedMillis <
+                        aRequest.m_preferMaintained,
                       aVm.m_record.m_name);
   };
   VmView* best = nullptr;
   for (auto& [name, vm] : aView.Vms()) {
-    if (MayDonate(aView, vm, aPool, aBusy) &&
+    if (MayDonate(aView, vm, aRequest, aBusy) &&
         (!best || rank(vm) < rank(*best))) {
       best = &vm;
     }
   }
-  return best && aView.Drain(*best, aPool, "", aReason, aExplanation);
+  return best && aView.Drain(*best,
+                             aRequest.m_pool,
+                             "",
+                             aRequest.m_reason,
+                             aRequest.m_explanation);
 }
 
 void
@@ -193,17 +195,17 @@
       }
     }
     const CapacityBudget& budget = aView.Budget(worst);
-    if (worst.empty() || !MoveInto(aView,
-                                   worst,
-                                   PlanReason::ReplaceLost,
-                                   absl::StrCat("pool '",
-                                                worst,
-                                                "' has ",
-                                                budget.m_members,
-                                                " of ",
-                                                budget.Workers(),
-                                                " VMs"),
-                                   aBusy)) {
+    MoveRequest request;
+    request.m_pool = worst;
+    request.m_explanation = absl::StrCat("pool '",
+                                         worst,
+                                         "' has ",
+                                         budget.m_members,
+                                         " of ",
+                                         budget.Workers(),
+                                         " VMs");
+    request.m_mayTakeSurplus = IsUrgent(budget);
+    if (worst.empty() || !MoveInto(aView, request, aBusy)) {
       return;
     }
   }
--- a/fleet/move_plan.h
+++ b/fleet/move_plan.h
@@ -13,19 +13,25 @@
 /** Pools that a running wave still has to maintain. */
 using BusyPools = std::set<std::string>;
 
+/** A VM that a pool asks for. */
+struct MoveRequest
+{
+  std::string m_pool;
+  PlanReason m_reason = PlanReason::ReplaceLost;
+  std::string m_explanation;
+  /** Whether a surplus may be taken before its hold time has passed. */
+  bool m_mayTakeSurplus = false;
+  /** Spares maintained since this time, in milliseconds, come first. */
+  std::int64_t m_preferMaintained = 0;
+};
+
 /**
  * Starts to move one VM into a pool: a spare that adds least to the pool's
  * largest failure domain, otherwise a VM of a pool with a surplus that no wave
- * needs. Spares maintained since `aPreferMaintained` come first. Returns
- * whether a VM started to move.
+ * needs. Returns whether a VM started to move.
  */
 bool
-MoveInto(FleetView& aView,
-         const std::string& aPool,
-         PlanReason aReason,
-         const std::string& aExplanation,
-         const BusyPools& aBusy,
-         std::int64_t aPreferMaintained = 0);
+MoveInto(FleetView& aView, const MoveRequest& aRequest, const BusyPools& aBusy);
 
 /** Returns draining VMs to pools that have fallen below their promise. */
 void
--- a/fleet/vm_lifecycle.cpp
+++ b/fleet/vm_lifecycle.cpp
@@ -327,8 +327,12 @@
 {
   std::vector<std::string> expired;
   for (const auto& [name, vm] : aView.Vms()) {
+    // A VM that is gone and serves again joins anew.
+    const bool isBack = vm.m_health == VmHealth::Healthy && vm.m_listing &&
+                        !vm.m_listing->m_isLeaving &&
+                        aView.Age(vm) >= aView.Spec().m_vmGoneAfter;
     if (vm.m_record.m_state == VmState::Gone &&
-        aView.Age(vm) >= kGoneRetention) {
+        (isBack || aView.Age(vm) >= kGoneRetention)) {
       expired.push_back(name);
     }
   }
@@ -336,6 +340,16 @@
     expired, [&aView](const std::string& aVm) { aView.Forget(aVm); });
 }
 
+/** Whether a document of the snapshot holds the VM, even if it is gone: a
+ * record leaves in one plan and returns in a later one. */
+bool
+IsRecorded(const FleetView& aView, const std::string& aVm)
+{
+  return std::ranges::any_of(
+    aView.Snapshot().m_documents,
+    [&aVm](const auto& aEntry) { return aEntry.second.m_vms.contains(aVm); });
+}
+
 int
 Lacking(const CapacityBudget& aBudget)
 {
@@ -385,7 +399,7 @@
   std::vector<const VmListing*> others;
   for (const VmListing& listing : *aView.Snapshot().m_vmList) {
     if (listing.m_isEntry || listing.m_isLeaving || listing.m_name.empty() ||
-        aView.Find(listing.m_name)) {
+        aView.Find(listing.m_name) || IsRecorded(aView, listing.m_name)) {
       continue;
     }
     const bool fits = aView.IsConfigured(listing.m_pool) &&
--- a/fleet/wave_plan.cpp
+++ b/fleet/wave_plan.cpp
@@ -184,14 +184,14 @@
     if (!hasLoan && !mayUseReserve) {
       continue;
     }
-    if (MoveInto(
-          m_view,
-          pool,
-          PlanReason::WaveLoan,
-          absl::StrCat(
-            "lets pool '", pool, "' release VMs to order ", m_order.m_id),
-          aBusy,
-          m_order.m_createdMillis)) {
+    MoveRequest request;
+    request.m_pool = pool;
+    request.m_reason = PlanReason::WaveLoan;
+    request.m_explanation = absl::StrCat(
+      "lets pool '", pool, "' release VMs to order ", m_order.m_id);
+    request.m_mayTakeSurplus = true;
+    request.m_preferMaintained = m_order.m_createdMillis;
+    if (MoveInto(m_view, request, aBusy)) {
       ++m_loans;
     }
   }
--- /dev/null
+++ b/tests/fakes/fleet_model.h
@@ -0,0 +1,443 @@
+#pragma once
+
+#include "core/clock.h"
+#include "fleet/planner.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+/** Pool of a modelled fleet. */
+struct ModelPool
+{
+  std::string m_name;
+  int m_workers = 0;
+  double m_budget = 0.75;
+  double m_weight = 1;
+};
+
+/** Sizes and delays of a modelled fleet. */
+struct FleetModelOptions
+{
+  std::uint64_t m_seed = 1;
+  int m_dataCentres = 3;
+  int m_vmsPerRack = 4;
+  std::vector<ModelPool> m_pools;
+  int m_spares = 8;
+  /** Whether neighbouring VMs of a rack belong to different pools. */
+  bool m_isSpread = true;
+  FleetSpec m_spec;
+  absl::Duration m_step = absl::Seconds(1);
+  absl::Duration m_rebootTime = absl::Minutes(3);
+  /** Longest time until the daemons of a data centre have drained a VM. */
+  absl::Duration m_drainTime = absl::Seconds(3);
+  /** How far the VM list lags. */
+  absl::Duration m_listLag = absl::Seconds(5);
+};
+
+/** VM of the modelled platform, as it really is. */
+struct ModelVm
+{
+  VmListing m_listing;
+  absl::Time m_downFrom = absl::InfiniteFuture();
+  absl::Time m_upFrom = absl::InfinitePast();
+  /** Time from which the list shows the VM again, and until when it does. */
+  absl::Time m_listedFrom = absl::InfinitePast();
+  absl::Time m_listedUntil = absl::InfiniteFuture();
+  VmObservation m_observation;
+  absl::Time m_drainedAt = absl::InfiniteFuture();
+  std::set<std::string> m_rebootTokens;
+  int m_reboots = 0;
+
+  bool IsUp(absl::Time aNow) const
+  {
+    return aNow < m_downFrom || aNow >= m_upFrom;
+  }
+};
+
+/** What happens to a VM that reboots. */
+struct RebootFate
+{
+  bool m_returns = true;
+  /** Time after its return at which it fails for good. */
+  absl::Duration m_failsAfter = absl::InfiniteDuration();
+};
+
+/**
+ * A fleet, its platform and its daemons, reduced to what the planner sees: it
+ * holds the truth, derives snapshots from it and applies plans to it.
+ */
+class FleetModel
+{
+public:
+  using Planner =
+    std::function<FleetPlan(const FleetSnapshot&, PlannerMemory&)>;
+
+  explicit FleetModel(const FleetModelOptions& aOptions,
+                      std::shared_ptr<const StateChart> aChart)
+    : m_options(aOptions)
+    , m_random(aOptions.m_seed)
+    , m_chart(std::move(aChart))
+  {
+    BuildConfiguration();
+    BuildVms();
+    m_fate = [](const std::string&) { return RebootFate{}; };
+    m_alter = [](FleetSnapshot&) {};
+    m_check = [](const FleetSnapshot&, const FleetPlan&) {};
+  }
+
+  absl::Time Now() const { return m_now; }
+  const Configuration& Config() const { return *m_configuration; }
+  std::map<std::string, ModelVm>& Vms() { return m_vms; }
+  const std::map<std::string, FleetDocument>& Documents() const
+  {
+    return m_documents;
+  }
+  OrderDocument& Orders() { return m_orders; }
+  const OrderDocument& OrdersSeen() const { return m_orders; }
+  PlannerMemory& Memory() { return m_memory; }
+  std::mt19937_64& Random() { return m_random; }
+
+  /** Uniform in [0, 1). */
+  double Chance()
+  {
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+  }
+  /** Uniform in [aLow, aHigh]. */
+  int Pick(int aLow, int aHigh)
+  {
+    return std::uniform_int_distribution<int>(aLow, aHigh)(m_random);
+  }
+
+  /** Adds an order and returns its id. */
+  std::string AddOrder(OrderKind aKind,
+                       const std::string& aVm,
+                       const std::string& aPool,
+                       const std::string& aWave = "")
+  {
+    Order order;
+    order.m_id = absl::StrCat("order-", ++m_orderCount);
+    order.m_kind = aKind;
+    order.m_vm = aVm;
+    order.m_pool = aPool;
+    order.m_wave = aWave;
+    order.m_createdMillis = ToMillis(m_now);
+    m_orders.m_orders.push_back(order);
+    return order.m_id;
+  }
+
+  const Order& FindOrder(const std::string& aId) const
+  {
+    return *std::ranges::find(m_orders.m_orders, aId, &Order::m_id);
+  }
+
+  /** Takes a VM down for a time; for good when it is infinite. */
+  void Fail(const std::string& aVm, absl::Duration aDuration)
+  {
+    ModelVm& vm = m_vms.at(aVm);
+    const bool wasDown = !vm.IsUp(m_now);
+    vm.m_downFrom = m_now;
+    vm.m_upFrom =
+      wasDown ? std::max(vm.m_upFrom, m_now + aDuration) : m_now + aDuration;
+    if (aDuration == absl::InfiniteDuration()) {
+      vm.m_listedUntil = m_now + m_options.m_listLag;
+      vm.m_listedFrom = absl::InfiniteFuture();
+    }
+  }
+
+  void FailWhere(const std::function<bool(const VmListing&)>& aPredicate,
+                 absl::Duration aDuration)
+  {
+    for (auto& [name, vm] : m_vms) {
+      if (aPredicate(vm.m_listing)) {
+        Fail(name, aDuration);
+      }
+    }
+  }
+
+  /** Ends every failure. */
+  void Heal()
+  {
+    for (auto& [name, vm] : m_vms) {
+      if (vm.m_upFrom > m_now && vm.m_downFrom <= m_now) {
+        vm.m_upFrom = m_now;
+      }
+      vm.m_downFrom = std::min(vm.m_downFrom, m_now);
+      vm.m_upFrom = m_now;
+      vm.m_listedFrom = m_now;
+    }
+    m_partitionedUntil.clear();
+  }
+
+  void Partition(const std::string& aDataCentre, absl::Duration aDuration)
+  {
+    m_partitionedUntil[aDataCentre] = m_now + aDuration;
+  }
+
+  void SetStep(absl::Duration aStep) { m_options.m_step = aStep; }
+  FleetModelOptions& Options() { return m_options; }
+
+  /** Advances the time by one step and lets the planner decide. */
+  FleetPlan Step(const Planner& aPlanner)
+  {
+    m_now += m_options.m_step;
+    RunLaterFailures();
+    Probe();
+    FleetSnapshot snapshot = TakeSnapshot();
+    m_alter(snapshot);
+    FleetPlan plan = aPlanner(snapshot, m_memory);
+    m_check(snapshot, plan);
+    if (m_loseWrite && m_loseWrite()) {
+      return plan;
+    }
+    Accept(plan);
+    return plan;
+  }
+
+  /** Number of records for which the predicate holds. */
+  int CountRecords(const std::function<bool(const VmRecord&)>& aPredicate) const
+  {
+    int count = 0;
+    for (const auto& [dataCentre, document] : m_documents) {
+      for (const auto& [name, vm] : document.m_vms) {
+        count += aPredicate(vm) ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  const VmRecord& Record(const std::string& aVm) const
+  {
+    for (const auto& [dataCentre, document] : m_documents) {
+      const auto found = document.m_vms.find(aVm);
+      if (found != document.m_vms.end()) {
+        return found->second;
+      }
+    }
+    throw std::out_of_range(aVm);
+  }
+
+  /** VMs of a pool that are ready and really up. */
+  int TrulyReady(const std::string& aPool) const
+  {
+    return CountRecords([&](const VmRecord& aVm) {
+      return aVm.m_pool == aPool && aVm.m_state == VmState::Ready &&
+             m_vms.at(aVm.m_name).IsUp(m_now);
+    });
+  }
+
+  /** Fate of the next reboot of a VM. */
+  std::function<RebootFate(const std::string&)> m_fate;
+  /** Disturbs a snapshot before the planner sees it. */
+  std::function<void(FleetSnapshot&)> m_alter;
+  std::function<void(const FleetSnapshot&, const FleetPlan&)> m_check;
+  /** Whether the write of this plan is rejected by the store. */
+  std::function<bool()> m_loseWrite;
+
+private:
+  void BuildConfiguration()
+  {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->m_version = 1;
+    configuration->m_fleet = m_options.m_spec;
+    configuration->m_fleet.m_spareWorkers = m_options.m_spares;
+    for (const ModelPool& pool : m_options.m_pools) {
+      ServiceSpec service;
+      service.m_name = service.m_pool = pool.m_name;
+      service.m_poolWorkers = pool.m_workers;
+      service.m_availabilityBudget = pool.m_budget;
+      service.m_weight = pool.m_weight;
+      configuration->m_services.push_back(service);
+    }
+    m_configuration = configuration;
+  }
+
+  std::vector<std::string> PoolsOfVms()
+  {
+    std::vector<std::string> pools;
+    for (const ModelPool& pool : m_options.m_pools) {
+      pools.insert(pools.end(), pool.m_workers, pool.m_name);
+    }
+    pools.insert(pools.end(), m_options.m_spares, m_options.m_spec.m_sparePool);
+    return pools;
+  }
+
+  void BuildVms()
+  {
+    const std::vector<std::string> pools = PoolsOfVms();
+    const int count = static_cast<int>(pools.size());
+    const int racks =
+      (count + m_options.m_vmsPerRack - 1) / m_options.m_vmsPerRack;
+    for (int dataCentre = 0; dataCentre < m_options.m_dataCentres;
+         ++dataCentre) {
+      const std::string name = absl::StrCat("dc", dataCentre);
+      m_documents[name].m_dataCentre = name;
+    }
+    for (int i = 0; i < count; ++i) {
+      const int rack =
+        m_options.m_isSpread ? i % racks : i / m_options.m_vmsPerRack;
+      ModelVm vm;
+      vm.m_listing.m_name = absl::StrCat("vm", 1000 + i);
+      vm.m_listing.m_address = absl::StrCat("127.0.0.1:", 10000 + i);
+      vm.m_listing.m_dataCentre =
+        absl::StrCat("dc", rack % m_options.m_dataCentres);
+      vm.m_listing.m_rack = absl::StrCat("rack", rack);
+      vm.m_listing.m_pool = pools[i];
+      vm.m_observation.m_isHealthy = true;
+      vm.m_observation.m_consecutiveProbeSuccesses = 100;
+      m_documents[vm.m_listing.m_dataCentre].m_vms[vm.m_listing.m_name] =
+        StartRecord(vm.m_listing);
+      m_vms[vm.m_listing.m_name] = vm;
+    }
+  }
+
+  VmRecord StartRecord(const VmListing& aListing) const
+  {
+    VmRecord record;
+    record.m_name = aListing.m_name;
+    record.m_address = aListing.m_address;
+    record.m_rack = aListing.m_rack;
+    record.m_pool = aListing.m_pool;
+    record.m_state = VmState::Ready;
+    record.m_sinceMillis = ToMillis(m_now - absl::Hours(1));
+    record.m_reason = "adopted";
+    return record;
+  }
+
+  void Probe()
+  {
+    const int probes =
+      std::max(1, static_cast<int>(absl::ToInt64Seconds(m_options.m_step)));
+    for (auto& [name, vm] : m_vms) {
+      VmObservation& seen = vm.m_observation;
+      if (vm.IsUp(m_now)) {
+        seen.m_isHealthy = true;
+        seen.m_lastHealthy = m_now;
+        seen.m_consecutiveProbeFailures = 0;
+        seen.m_consecutiveProbeSuccesses += probes;
+      } else {
+        seen.m_consecutiveProbeSuccesses = 0;
+        seen.m_consecutiveProbeFailures += probes;
+        seen.m_isHealthy = seen.m_consecutiveProbeFailures < 2;
+      }
+    }
+  }
+
+  bool IsPartitioned(const std::string& aDataCentre) const
+  {
+    const auto found = m_partitionedUntil.find(aDataCentre);
+    return found != m_partitionedUntil.end() && m_now < found->second;
+  }
+
+  FleetSnapshot TakeSnapshot()
+  {
+    FleetSnapshot snapshot;
+    snapshot.m_now = m_now;
+    snapshot.m_configuration = m_configuration;
+    snapshot.m_lifecycle = m_chart;
+    snapshot.m_orders = m_orders;
+    snapshot.m_vmList.emplace();
+    for (const auto& [name, vm] : m_vms) {
+      if (m_now < vm.m_listedUntil || m_now >= vm.m_listedFrom) {
+        snapshot.m_vmList->push_back(vm.m_listing);
+      }
+      if (!IsPartitioned(vm.m_listing.m_dataCentre)) {
+        snapshot.m_observations[name] = vm.m_observation;
+      }
+    }
+    for (const auto& [dataCentre, document] : m_documents) {
+      if (!IsPartitioned(dataCentre)) {
+        snapshot.m_documents[dataCentre] = document;
+        AddAcknowledged(document, snapshot.m_acknowledgedDrains);
+      }
+    }
+    return snapshot;
+  }
+
+  void AddAcknowledged(const FleetDocument& aDocument,
+                       std::set<std::string>& aDrains)
+  {
+    for (const auto& [name, record] : aDocument.m_vms) {
+      ModelVm& vm = m_vms.at(name);
+      if (record.m_state != VmState::Draining) {
+        vm.m_drainedAt = absl::InfiniteFuture();
+        continue;
+      }
+      if (vm.m_drainedAt == absl::InfiniteFuture()) {
+        vm.m_drainedAt = m_now + Chance() * m_options.m_drainTime;
+      }
+      if (m_now >= vm.m_drainedAt) {
+        aDrains.insert(name);
+      }
+    }
+  }
+
+  void Accept(const FleetPlan& aPlan)
+  {
+    for (const auto& [dataCentre, document] : aPlan.m_changedDocuments) {
+      const std::uint64_t revision = m_documents[dataCentre].m_revision;
+      m_documents[dataCentre] = document;
+      m_documents[dataCentre].m_revision = revision + 1;
+    }
+    if (aPlan.m_changedOrders) {
+      m_orders = *aPlan.m_changedOrders;
+      ++m_orders.m_revision;
+    }
+    for (const auto& [name, token] : aPlan.m_reboots) {
+      ModelVm& vm = m_vms.at(name);
+      if (!IsPartitioned(vm.m_listing.m_dataCentre) &&
+          vm.m_rebootTokens.insert(token).second) {
+        Reboot(name, vm);
+      }
+    }
+  }
+
+  void Reboot(const std::string& aName, ModelVm& aVm)
+  {
+    const RebootFate fate = m_fate(aName);
+    ++aVm.m_reboots;
+    aVm.m_downFrom = m_now;
+    aVm.m_upFrom =
+      fate.m_returns ? m_now + m_options.m_rebootTime : absl::InfiniteFuture();
+    aVm.m_listedUntil = m_now + m_options.m_listLag;
+    aVm.m_listedFrom = aVm.m_upFrom + m_options.m_listLag;
+    if (fate.m_returns && fate.m_failsAfter != absl::InfiniteDuration()) {
+      // The VM is up between its return and its failure.
+      m_laterFailures.emplace(aVm.m_upFrom + fate.m_failsAfter, aName);
+    }
+  }
+
+  void RunLaterFailures()
+  {
+    while (!m_laterFailures.empty() &&
+           m_laterFailures.begin()->first <= m_now) {
+      Fail(m_laterFailures.begin()->second, absl::InfiniteDuration());
+      m_laterFailures.erase(m_laterFailures.begin());
+    }
+  }
+
+  FleetModelOptions m_options;
+  std::mt19937_64 m_random;
+  std::shared_ptr<const StateChart> m_chart;
+  std::shared_ptr<const Configuration> m_configuration;
+  absl::Time m_now = absl::FromUnixSeconds(1800000000);
+  std::map<std::string, ModelVm> m_vms;
+  std::map<std::string, FleetDocument> m_documents;
+  std::map<std::string, absl::Time> m_partitionedUntil;
+  std::multimap<absl::Time, std::string> m_laterFailures;
+  OrderDocument m_orders;
+  PlannerMemory m_memory;
+  int m_orderCount = 0;
+};
+
+}
--- /dev/null
+++ b/tests/fleet/test_planner_properties.cpp
@@ -0,0 +1,44 @@
+#include "tests/fakes/lifecycle_chart.h"
+#include "tests/fakes/random_history.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+using namespace bramleystall;
+
+namespace {
+
+void
+CheckHistories(std::uint64_t aFirst, std::uint64_t aCount)
+{
+  const auto chart = LoadLifecycle(BRAMLEYSTALL_SOURCE_DIR);
+  int drains = 0;
+  for (std::uint64_t seed = aFirst; seed < aFirst + aCount; ++seed) {
+    RandomHistory history(seed, chart);
+    const std::string violation = history.Run(PlanFleet);
+    drains += history.Drains();
+    CAPTURE(seed);
+    CHECK(violation == "");
+  }
+  // Histories in which nothing drains would prove nothing.
+  CHECK(drains > static_cast<int>(aCount) * 5);
+}
+
+}
+
+// Guards against a plan that breaks a guarantee in any mix of failures, false
+// inputs, orders and restarts of the decider.
+TEST_CASE("Planner keeps its guarantees in random histories", "[fleet]")
+{
+  CheckHistories(1, 300);
+}
+
+// The same for many more seeds; takes minutes.
+TEST_CASE("Planner keeps its guarantees in 10,000 histories", "[.long]")
+{
+  const char* const first = std::getenv("BRAMLEYSTALL_FIRST_SEED");
+  const char* const count = std::getenv("BRAMLEYSTALL_SEEDS");
+  CheckHistories(first ? std::strtoull(first, nullptr, 10) : 1,
+                 count ? std::strtoull(count, nullptr, 10) : 10000);
+}
