Add the decider loop

Cause: plans have to be made by one daemon and written with a fence. Change: DeciderLoop reads the fleet's documents, plans, and writes each plan as one transaction under the lease; reboots are requested with their token until the VM has returned. Ruled out: keeping documents between plans; six reads every 500 ms are far below the store's limits, and a conflict then needs no special case.

--- a/cluster/document_cache.cpp
+++ b/cluster/document_cache.cpp
@@ -71,7 +71,8 @@
     events.emplace_back(isNewer ? "version_higher" : "version_not_higher");
     outcome = isNewer ? OfferOutcome::InEffect : OfferOutcome::NotNewer;
   }
-  const bool takesEffect = RunChart(m_configurationChart, events) == "in_effect";
+  const bool takesEffect =
+    RunChart(m_configurationChart, events) == "in_effect";
   if (takesEffect != (outcome == OfferOutcome::InEffect)) {
     throw Error(ErrorCode::Internal,
                 "configuration version chart disagrees with the code");
--- a/cluster/document_cache.h
+++ b/cluster/document_cache.h
@@ -64,9 +64,9 @@
   std::string FleetDocumentText() const;
 
 private:
-  OfferOutcome JudgeConfiguration(const std::string& aText,
-                                  std::shared_ptr<const Configuration>& aParsed)
-    const;
+  OfferOutcome JudgeConfiguration(
+    const std::string& aText,
+    std::shared_ptr<const Configuration>& aParsed) const;
   OfferOutcome Counted(const char* aKind, OfferOutcome aOutcome);
 
   const std::string m_dataCentre;
--- a/cluster/fleet_observations.cpp
+++ b/cluster/fleet_observations.cpp
@@ -31,8 +31,8 @@
 ChooseProber(const std::string& aVm,
              const std::vector<const MemberView*>& aLive)
 {
-  const auto best = std::ranges::max_element(
-    aLive, {}, [&aVm](const MemberView* aMember) {
+  const auto best =
+    std::ranges::max_element(aLive, {}, [&aVm](const MemberView* aMember) {
       return RendezvousWeight(aVm, aMember->m_daemon, 0);
     });
   return best == aLive.end() ? nullptr : *best;
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -73,13 +73,22 @@
   settings.m_daemon = aSettings.m_daemon;
   settings.m_dataCentre = aSettings.m_dataCentre;
   settings.m_listenAddress = AddressOf(aSettings.m_peers.m_listen);
-  std::ranges::transform(aSettings.m_peers.m_seeds,
-                         std::back_inserter(settings.m_seeds),
-                         [](const PeerSeed& aSeed) {
-                           return PeerAddress{ aSeed.m_daemon,
-                                               aSeed.m_dataCentre,
-                                               aSeed.m_address };
-                         });
+  std::ranges::transform(
+    aSettings.m_peers.m_seeds,
+    std::back_inserter(settings.m_seeds),
+    [](const PeerSeed& aSeed) {
+      return PeerAddress{ aSeed.m_daemon, aSeed.m_dataCentre, aSeed.m_address };
+    });
+  return settings;
+}
+
+DeciderLeaseSettings
+MakeLeaseSettings(const DaemonSettings& aSettings)
+{
+  DeciderLeaseSettings settings;
+  settings.m_daemon = aSettings.m_daemon;
+  settings.m_key = kDeciderKey;
+  settings.m_ttl = aSettings.m_leaseTtl;
   return settings;
 }
 
@@ -142,7 +151,6 @@
   const DaemonSettings m_settings;
   const StateChart m_configurationChart;
   const std::shared_ptr<const StateChart> m_lifecycleChart;
-  const StateChart m_termChart;
   Metrics m_metrics;
   ConsulStore m_store;
   ConsulVmList m_vmList;
@@ -170,8 +178,6 @@
       absl::StrCat(aChartsFolder, "/configuration_version.json")))
   , m_lifecycleChart(std::make_shared<const StateChart>(
       StateChart::Load(absl::StrCat(aChartsFolder, "/vm_lifecycle.json"))))
-  , m_termChart(
-      StateChart::Load(absl::StrCat(aChartsFolder, "/decider_term.json")))
   , m_store(MakeConsulSettings(m_settings.m_platform), &m_metrics)
   , m_vmList(MakeConsulSettings(m_settings.m_platform), &m_metrics)
   , m_vmControl(MakeConsulSettings(m_settings.m_platform), &m_metrics)
@@ -200,10 +206,9 @@
              } },
            m_metrics)
   , m_lease(m_store,
-            m_settings.m_daemon,
-            m_settings.m_leaseTtl,
-            m_termChart,
-            m_metrics)
+            StateChart::Load(absl::StrCat(aChartsFolder, "/decider_term.json")),
+            MakeLeaseSettings(m_settings),
+            &m_metrics)
   , m_decider({ m_store, m_vmList, m_vmControl },
               m_lease,
               m_lifecycleChart,
@@ -215,17 +220,23 @@
   , m_configurationWatcher(
       m_store,
       kConfigurationKey,
-      [this](const StoreValue& aValue) {
-        m_documents.OfferConfiguration(aValue.m_value);
+      {},
+      [this](const std::optional<StoreValue>& aValue) {
+        if (aValue) {
+          m_documents.OfferConfiguration(aValue->m_value);
+        }
       },
-      m_metrics)
+      &m_metrics)
   , m_fleetWatcher(
       m_store,
       FleetDocumentKey(m_settings.m_dataCentre),
-      [this](const StoreValue& aValue) {
-        m_documents.OfferFleetDocument(aValue.m_value);
+      {},
+      [this](const std::optional<StoreValue>& aValue) {
+        if (aValue) {
+          m_documents.OfferFleetDocument(aValue->m_value);
+        }
       },
-      m_metrics)
+      &m_metrics)
   , m_admin(m_settings.m_admin.m_address,
             m_settings.m_admin.m_port,
             MakeAdminHooks(),
@@ -324,9 +335,8 @@
 std::string
 Daemon::Impl::DocumentText(DocumentKind aKind) const
 {
-  return aKind == DocumentKind::Configuration
-           ? m_documents.ConfigurationText()
-           : m_documents.FleetDocumentText();
+  return aKind == DocumentKind::Configuration ? m_documents.ConfigurationText()
+                                              : m_documents.FleetDocumentText();
 }
 
 void
@@ -421,9 +431,8 @@
   inputs.m_daemon = m_settings.m_daemon;
   inputs.m_dataCentre = m_settings.m_dataCentre;
   inputs.m_isReady = IsReady();
-  const auto grant = m_lease.Grant();
-  inputs.m_isDecider = grant.has_value();
-  inputs.m_term = grant ? grant->m_term : 0;
+  inputs.m_isDecider = m_lease.MayDecide();
+  inputs.m_term = m_lease.Term();
   inputs.m_configuration = m_documents.CurrentConfiguration();
   inputs.m_inEffectMillis = m_inEffectMillis;
   inputs.m_fleetDocument = m_documents.CurrentFleetDocument();
@@ -445,12 +454,10 @@
   std::ranges::transform(m_node.Members(),
                          std::back_inserter(dataCentres),
                          &MemberView::m_dataCentre);
-  return JsonResponse(200,
-                      m_explainSource.Answer(*configuration,
-                                             dataCentres,
-                                             m_decider.Pools(),
-                                             aKind,
-                                             aName));
+  return JsonResponse(
+    200,
+    m_explainSource.Answer(
+      *configuration, dataCentres, m_decider.Pools(), aKind, aName));
 }
 
 AdminResponse
--- /dev/null
+++ b/daemon/decider_loop.cpp
@@ -0,0 +1,270 @@
+#include "daemon/decider_loop.h"
+
+#include "cluster/drain_acknowledgement.h"
+#include "cluster/fleet_observations.h"
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "daemon/plan_writes.h"
+#include "daemon/store_keys.h"
+#include "fleet/planner.h"
+#include "platform/order_writer.h"
+#include "platform/writer_hooks.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace bramleystall {
+
+namespace {
+
+constexpr int kTokenDigits = 32;
+
+void
+LogDecision(const Decision& aDecision)
+{
+  LogInfo(LogPart::Planner,
+          absl::StrCat("VM ",
+                       aDecision.m_vm,
+                       " goes from ",
+                       std::string(NameOf(kVmStateNames, aDecision.m_from)),
+                       " to ",
+                       std::string(NameOf(kVmStateNames, aDecision.m_to)),
+                       " in pool ",
+                       aDecision.m_poolAfter,
+                       ": ",
+                       aDecision.m_explanation,
+                       "."));
+}
+
+}
+
+DeciderLoop::DeciderLoop(DeciderPlatform aPlatform,
+                         DeciderLease& aLease,
+                         std::shared_ptr<const StateChart> aLifecycle,
+                         DeciderHooks aHooks,
+                         Metrics& aMetrics)
+  : m_platform(aPlatform)
+  , m_lease(aLease)
+  , m_lifecycle(std::move(aLifecycle))
+  , m_hooks(std::move(aHooks))
+  , m_metrics(aMetrics)
+  , m_writer(aPlatform.m_store, {}, &aMetrics)
+{
+}
+
+DeciderLoop::~DeciderLoop()
+{
+  Stop();
+}
+
+void
+DeciderLoop::Start()
+{
+  m_lease.Start();
+  m_thread = std::jthread([this](const std::stop_token& aStop) { Run(aStop); });
+}
+
+void
+DeciderLoop::Stop()
+{
+  if (m_thread.joinable()) {
+    m_thread.request_stop();
+    m_thread.join();
+  }
+  m_lease.Stop();
+}
+
+std::vector<PoolReport>
+DeciderLoop::Pools() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_pools;
+}
+
+void
+DeciderLoop::SetPools(std::vector<PoolReport> aPools)
+{
+  for (const PoolReport& pool : aPools) {
+    const MetricLabels labels = { { "pool", pool.m_pool } };
+    m_metrics.SetGauge("bramleystall_pool_ready", labels, pool.m_ready);
+    m_metrics.SetGauge("bramleystall_pool_promised", labels, pool.m_promised);
+  }
+  const std::lock_guard lock(m_mutex);
+  m_pools = std::move(aPools);
+}
+
+void
+DeciderLoop::Run(const std::stop_token& aStop)
+{
+  while (!aStop.stop_requested()) {
+    try {
+      PlanOnce();
+    } catch (const Error& error) {
+      m_metrics.Count(
+        "bramleystall_plan_failures_total",
+        { { "reason", std::string(NameOf(kErrorCodeNames, error.Code())) } });
+      LogWarning(LogPart::Planner,
+                 absl::StrCat("no plan this time: ", error.what(), "."));
+    }
+    absl::SleepFor(kPlanInterval);
+  }
+}
+
+void
+DeciderLoop::PlanOnce()
+{
+  if (!m_lease.MayDecide()) {
+    // Another decider may act meanwhile, so nothing remembered is current.
+    m_memory = {};
+    m_rebootRequests.clear();
+    SetPools({});
+    return;
+  }
+  const auto configuration = m_hooks.m_configuration();
+  if (!configuration) {
+    return;
+  }
+  const auto members = m_hooks.m_members();
+  auto vmList = ReadVmList();
+  const FleetState state = ReadState(members, vmList);
+  FleetSnapshot snapshot = MakeSnapshot(state, std::move(vmList), members);
+  snapshot.m_configuration = configuration;
+  FleetPlan plan = PlanFleet(snapshot, m_memory);
+  if (Commit(state, plan)) {
+    RequestReboots(plan);
+    SetPools(std::move(plan.m_pools));
+  }
+}
+
+std::optional<std::vector<VmListing>>
+DeciderLoop::ReadVmList()
+{
+  try {
+    return m_platform.m_vmList.Read();
+  } catch (const Error& error) {
+    m_metrics.Count("bramleystall_vm_list_failures_total");
+    return std::nullopt;
+  }
+}
+
+void
+DeciderLoop::ReadDocument(const std::string& aDataCentre, FleetState& aState)
+{
+  const auto value = m_platform.m_store.Get(FleetDocumentKey(aDataCentre));
+  FleetDocument document;
+  document.m_dataCentre = aDataCentre;
+  if (value) {
+    document = FleetDocument::Parse(value->m_value);
+  }
+  aState.m_documents[aDataCentre] = std::move(document);
+  aState.m_documentRevisions[aDataCentre] = value ? value->m_revision : 0;
+}
+
+FleetState
+DeciderLoop::ReadState(const std::vector<MemberView>& aMembers,
+                       const std::optional<std::vector<VmListing>>& aVmList)
+{
+  std::set<std::string> dataCentres;
+  for (const MemberView& member : aMembers) {
+    dataCentres.insert(member.m_dataCentre);
+  }
+  if (aVmList) {
+    for (const VmListing& listing : *aVmList) {
+      dataCentres.insert(listing.m_dataCentre);
+    }
+  }
+  FleetState state;
+  for (const std::string& dataCentre : dataCentres) {
+    ReadDocument(dataCentre, state);
+  }
+  if (const auto orders = m_platform.m_store.Get(kOrdersKey)) {
+    state.m_orders = OrderDocument::Parse(orders->m_value);
+    state.m_ordersRevision = orders->m_revision;
+  }
+  if (const auto decisions = m_platform.m_store.Get(kDecisionsKey)) {
+    state.m_decisions = DecisionLog::Parse(decisions->m_value);
+    state.m_decisionsRevision = decisions->m_revision;
+  }
+  return state;
+}
+
+FleetSnapshot
+DeciderLoop::MakeSnapshot(const FleetState& aState,
+                          std::optional<std::vector<VmListing>> aVmList,
+                          const std::vector<MemberView>& aMembers) const
+{
+  FleetSnapshot snapshot;
+  snapshot.m_now = absl::Now();
+  snapshot.m_lifecycle = m_lifecycle;
+  snapshot.m_documents = aState.m_documents;
+  snapshot.m_observations =
+    CombineObservations(aState.m_documents, aMembers, snapshot.m_now);
+  for (const auto& [dataCentre, document] : aState.m_documents) {
+    snapshot.m_acknowledgedDrains.merge(
+      AcknowledgedDrains(document, aMembers, aVmList));
+  }
+  snapshot.m_vmList = std::move(aVmList);
+  snapshot.m_orders = aState.m_orders;
+  snapshot.m_poolDemand = m_hooks.m_poolDemand();
+  return snapshot;
+}
+
+bool
+DeciderLoop::Commit(const FleetState& aState, const FleetPlan& aPlan)
+{
+  const auto condition = m_lease.Condition();
+  if (!condition) {
+    return false;
+  }
+  FencedWrite write;
+  write.m_token = RandomHex(kTokenDigits);
+  write.m_writes = MakePlanWrites(aState, aPlan, m_lease.Term(), write.m_token);
+  if (write.m_writes.empty()) {
+    return true;
+  }
+  write.m_condition = condition;
+  const WriteOutcome outcome = m_writer.Apply(write);
+  m_metrics.Count(
+    "bramleystall_plans_total",
+    { { "outcome", std::string(NameOf(kWriteOutcomeNames, outcome)) } });
+  if (outcome != WriteOutcome::Applied) {
+    LogWarning(LogPart::Planner,
+               absl::StrCat("the plan's write ended with ",
+                            std::string(NameOf(kWriteOutcomeNames, outcome)),
+                            "; the next plan starts from fresh reads."));
+    return false;
+  }
+  std::ranges::for_each(aPlan.m_decisions, LogDecision);
+  return true;
+}
+
+void
+DeciderLoop::RequestReboots(const FleetPlan& aPlan)
+{
+  const absl::Time now = MonotonicNow();
+  std::map<std::string, absl::Time> requests;
+  for (const auto& [vm, token] : aPlan.m_reboots) {
+    const auto previous = m_rebootRequests.find(token);
+    const bool isDue = previous == m_rebootRequests.end() ||
+                       now - previous->second >= kRebootRepeat;
+    if (!isDue) {
+      requests.insert(*previous);
+      continue;
+    }
+    try {
+      m_platform.m_vmControl.Reboot(vm, token);
+      requests[token] = now;
+    } catch (const Error& error) {
+      LogWarning(LogPart::Planner,
+                 absl::StrCat("reboot of VM ", vm, ": ", error.what(), "."));
+    }
+  }
+  m_rebootRequests = std::move(requests);
+}
+
+}
--- a/daemon/decider_loop.h
+++ b/daemon/decider_loop.h
@@ -75,16 +75,15 @@
 
 private:
   void Run(const std::stop_token& aStop);
-  void PlanOnce(const LeaseGrant& aGrant);
+  void PlanOnce();
   FleetState ReadState(const std::vector<MemberView>& aMembers,
                        const std::optional<std::vector<VmListing>>& aVmList);
   std::optional<std::vector<VmListing>> ReadVmList();
+  void ReadDocument(const std::string& aDataCentre, FleetState& aState);
   FleetSnapshot MakeSnapshot(const FleetState& aState,
                              std::optional<std::vector<VmListing>> aVmList,
                              const std::vector<MemberView>& aMembers) const;
-  bool Commit(const LeaseGrant& aGrant,
-              const FleetState& aState,
-              const FleetPlan& aPlan);
+  bool Commit(const FleetState& aState, const FleetPlan& aPlan);
   void RequestReboots(const FleetPlan& aPlan);
   void SetPools(std::vector<PoolReport> aPools);
 
@@ -93,6 +92,7 @@
   std::shared_ptr<const StateChart> m_lifecycle;
   DeciderHooks m_hooks;
   Metrics& m_metrics;
+  FencedWriter m_writer;
   PlannerMemory m_memory;
   /** Monotonic time of the last request by reboot token. */
   std::map<std::string, absl::Time> m_rebootRequests;
--- a/daemon/explain_source.cpp
+++ b/daemon/explain_source.cpp
@@ -47,7 +47,8 @@
   const OrderDocument orders =
     ordersText ? OrderDocument::Parse(*ordersText) : OrderDocument{};
   const auto logText = Read(kDecisionsKey);
-  const DecisionLog log = logText ? DecisionLog::Parse(*logText) : DecisionLog{};
+  const DecisionLog log =
+    logText ? DecisionLog::Parse(*logText) : DecisionLog{};
   return Explain({ &aConfiguration, &documents, &orders, &log, &aPools },
                  aKind,
                  aName)
--- a/daemon/plan_writes.cpp
+++ b/daemon/plan_writes.cpp
@@ -55,8 +55,8 @@
 {
   std::vector<StoreWrite> writes;
   for (const auto& [dataCentre, document] : aPlan.m_changedDocuments) {
-    writes.push_back(MakeDocumentWrite(
-      aState, dataCentre, document, aTerm, aWriterToken));
+    writes.push_back(
+      MakeDocumentWrite(aState, dataCentre, document, aTerm, aWriterToken));
   }
   if (aPlan.m_changedOrders) {
     OrderDocument orders = *aPlan.m_changedOrders;
--- a/daemon/status_report.cpp
+++ b/daemon/status_report.cpp
@@ -40,16 +40,14 @@
 MembersToJson(const StatusInputs& aInputs)
 {
   return ArrayOf(aInputs.m_members, [&](const MemberView& aMember) {
-    return json{
-      { "daemon", aMember.m_daemon },
-      { "data_centre", aMember.m_dataCentre },
-      { "liveness", NameOf(kLivenessNames, aMember.m_liveness) },
-      { "configuration_version", aMember.m_configurationVersion },
-      { "fleet_revision", aMember.m_fleetRevision },
-      { "last_heard_ms",
-        absl::ToInt64Milliseconds(aInputs.m_monotonicNow -
-                                  aMember.m_lastHeard) }
-    };
+    return json{ { "daemon", aMember.m_daemon },
+                 { "data_centre", aMember.m_dataCentre },
+                 { "liveness", NameOf(kLivenessNames, aMember.m_liveness) },
+                 { "configuration_version", aMember.m_configurationVersion },
+                 { "fleet_revision", aMember.m_fleetRevision },
+                 { "last_heard_ms",
+                   absl::ToInt64Milliseconds(aInputs.m_monotonicNow -
+                                             aMember.m_lastHeard) } };
   });
 }
 
@@ -81,14 +79,12 @@
 PoolsToJson(const std::vector<PoolReport>& aPools)
 {
   return ArrayOf(aPools, [](const PoolReport& aPool) {
-    return json{ { "pool", aPool.m_pool },
-                 { "promised", aPool.m_promised },
-                 { "ready", aPool.m_ready },
-                 { "margin", aPool.m_margin },
-                 { "spare", aPool.m_spare },
-                 { "is_kept", aPool.m_isKept },
-                 { "shortage", aPool.m_shortage },
-                 { "explanation", aPool.m_explanation } };
+    return json{
+      { "pool", aPool.m_pool },         { "promised", aPool.m_promised },
+      { "ready", aPool.m_ready },       { "margin", aPool.m_margin },
+      { "spare", aPool.m_spare },       { "is_kept", aPool.m_isKept },
+      { "shortage", aPool.m_shortage }, { "explanation", aPool.m_explanation }
+    };
   });
 }
 
--- a/server/target_prober.cpp
+++ b/server/target_prober.cpp
@@ -98,8 +98,8 @@
     if (state.m_nextProbe > aNow) {
       continue;
     }
-    const bool isSteady = state.m_consecutiveSuccesses >=
-                          m_settings.m_successesForHealthyInterval;
+    const bool isSteady =
+      state.m_consecutiveSuccesses >= m_settings.m_successesForHealthyInterval;
     state.m_nextProbe = aNow + (isSteady ? m_settings.m_healthyInterval
                                          : m_settings.m_unhealthyInterval);
     due.emplace(vm, state.m_address);
@@ -128,9 +128,8 @@
   if (aSucceeded) {
     state.m_lastHealthy = MonotonicNow();
   } else {
-    state.m_nextProbe =
-      std::min(state.m_nextProbe,
-               MonotonicNow() + m_settings.m_unhealthyInterval);
+    state.m_nextProbe = std::min(
+      state.m_nextProbe, MonotonicNow() + m_settings.m_unhealthyInterval);
   }
 }
 
@@ -144,12 +143,13 @@
                  aAddress,
                  std::unique_ptr<CURL, EasyDeleter>(curl_easy_init()) };
     CURL* const handle = probe.m_handle.get();
-    const std::string url = absl::StrCat("http://", aAddress, m_settings.m_path);
+    const std::string url =
+      absl::StrCat("http://", aAddress, m_settings.m_path);
     curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(handle,
-                     CURLOPT_TIMEOUT_MS,
-                     static_cast<long>(
-                       absl::ToInt64Milliseconds(m_settings.m_timeout)));
+    curl_easy_setopt(
+      handle,
+      CURLOPT_TIMEOUT_MS,
+      static_cast<long>(absl::ToInt64Milliseconds(m_settings.m_timeout)));
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
--- a/tests/cluster/test_document_cache.cpp
+++ b/tests/cluster/test_document_cache.cpp
@@ -15,8 +15,7 @@
   Configuration configuration;
   configuration.m_version = aVersion;
   configuration.m_writerToken = "token";
-  configuration.m_digest =
-    aDigest.empty() ? DigestOf(configuration) : aDigest;
+  configuration.m_digest = aDigest.empty() ? DigestOf(configuration) : aDigest;
   return SerializeConfiguration(configuration);
 }
 
@@ -31,8 +30,8 @@
 
 struct Fixture
 {
-  StateChart m_chart = StateChart::Load(
-    BRAMLEYSTALL_SOURCE_DIR "/charts/configuration_version.json");
+  StateChart m_chart = StateChart::Load(BRAMLEYSTALL_SOURCE_DIR
+                                        "/charts/configuration_version.json");
   Metrics m_metrics;
   std::vector<std::uint64_t> m_versions;
   std::vector<std::uint64_t> m_revisions;
--- a/tests/cluster/test_drain_acknowledgement.cpp
+++ b/tests/cluster/test_drain_acknowledgement.cpp
@@ -53,9 +53,9 @@
   const FleetDocument document = DrainingDocument();
   const std::vector<VmListing> list = { MakeEntry("a"), MakeEntry("b") };
   const MemberView a = MakeMember("a", kDrainRevision);
-  CHECK(AcknowledgedDrains(
-          document, { a, MakeMember("b", kDrainRevision) }, list)
-          .contains("vm1"));
+  CHECK(
+    AcknowledgedDrains(document, { a, MakeMember("b", kDrainRevision) }, list)
+      .contains("vm1"));
   CHECK(AcknowledgedDrains(
           document, { a, MakeMember("b", kDrainRevision - 1) }, list)
           .empty());
--- a/tests/cluster/test_fleet_observations.cpp
+++ b/tests/cluster/test_fleet_observations.cpp
@@ -66,11 +66,11 @@
 }
 
 // Guards against two daemons choosing different probers from one view.
-TEST_CASE("The prober does not depend on the order of the members",
-          "[cluster]")
+TEST_CASE("The prober does not depend on the order of the members", "[cluster]")
 {
   const MemberView a = MakeMember("a", {});
   const MemberView b = MakeMember("b", {});
-  CHECK(FindProber("vm1", "dc1", { a, b }) == FindProber("vm1", "dc1", { b, a }));
+  CHECK(FindProber("vm1", "dc1", { a, b }) ==
+        FindProber("vm1", "dc1", { b, a }));
   CHECK(FindProber("vm1", "dc2", { a, b }).empty());
 }
