Use the keys of the writers in the daemon

Cause: the order and configuration keys moved into their writers. Change: the daemon names them from there, so that each key stands once.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -219,7 +219,7 @@
   , m_explainSource(m_store)
   , m_configurationWatcher(
       m_store,
-      kConfigurationKey,
+      ConfigurationPublisher::kCurrentKey,
       {},
       [this](const std::optional<StoreValue>& aValue) {
         if (aValue) {
--- a/daemon/decider_loop.cpp
+++ b/daemon/decider_loop.cpp
@@ -182,7 +182,7 @@
   for (const std::string& dataCentre : dataCentres) {
     ReadDocument(dataCentre, state);
   }
-  if (const auto orders = m_platform.m_store.Get(kOrdersKey)) {
+  if (const auto orders = m_platform.m_store.Get(OrderWriter::kKey)) {
     state.m_orders = OrderDocument::Parse(orders->m_value);
     state.m_ordersRevision = orders->m_revision;
   }
--- a/daemon/explain_source.cpp
+++ b/daemon/explain_source.cpp
@@ -43,7 +43,7 @@
       documents[dataCentre] = FleetDocument::Parse(*text);
     }
   }
-  const auto ordersText = Read(kOrdersKey);
+  const auto ordersText = Read(OrderWriter::kKey);
   const OrderDocument orders =
     ordersText ? OrderDocument::Parse(*ordersText) : OrderDocument{};
   const auto logText = Read(kDecisionsKey);
--- a/daemon/plan_writes.cpp
+++ b/daemon/plan_writes.cpp
@@ -63,7 +63,7 @@
     orders.m_revision = aState.m_orders.m_revision + 1;
     orders.m_writerToken = aWriterToken;
     writes.push_back(
-      { kOrdersKey, orders.Serialize(), aState.m_ordersRevision });
+      { OrderWriter::kKey, orders.Serialize(), aState.m_ordersRevision });
   }
   if (!aPlan.m_decisions.empty()) {
     DecisionLog log = aState.m_decisions;
