--- /dev/null
+++ b/cluster/backoff.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <random>
+
+namespace bramleystall {
+
+/**
+ * Exponential backoff with full jitter: the n-th delay is uniform between 0 and
+ * the base doubled n times, at most the bound. Not safe to share by threads.
+ */
+class Backoff
+{
+public:
+  Backoff(absl::Duration aBase, absl::Duration aBound, std::uint64_t aSeed);
+
+  /** Next delay. */
+  absl::Duration Next();
+
+  /** Starts again at the base, after a success. */
+  void Reset();
+
+private:
+  absl::Duration m_base;
+  absl::Duration m_bound;
+  absl::Duration m_current;
+  std::mt19937_64 m_random;
+};
+
+/** Seed that differs between processes, from the system's random source. */
+std::uint64_t
+RandomSeed();
+
+}
--- /dev/null
+++ b/cluster/decider_lease.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "cluster/backoff.h"
+#include "core/enum_names.h"
+#include "core/metrics.h"
+#include "core/state_chart.h"
+#include "platform/platform_store.h"
+
+#include <absl/time/time.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <stop_token>
+#include <string>
+#include <thread>
+
+namespace bramleystall {
+
+/** States of `charts/decider_term.json`. */
+enum class DeciderState
+{
+  /** Another daemon holds the lease, or none does yet. */
+  Follower,
+  /** The lock looked free; this daemon tries to take it. */
+  Candidate,
+  /** The lock may have been taken; the value is read back. */
+  Confirming,
+  Holder,
+  /** The own deadline has passed without a renewal; no decision is allowed. */
+  Lapsed,
+};
+
+inline constexpr EnumNames<DeciderState, 5> kDeciderStateNames = { {
+  { DeciderState::Follower, "follower" },
+  { DeciderState::Candidate, "candidate" },
+  { DeciderState::Confirming, "confirming" },
+  { DeciderState::Holder, "holder" },
+  { DeciderState::Lapsed, "lapsed" },
+} };
+
+/** Times and names of the lease. */
+struct DeciderLeaseSettings
+{
+  /** Name of this daemon, unique in the fleet. */
+  std::string m_daemon;
+  std::string m_key = "bramleystall/decider";
+  /** The store's API allows no session shorter than 10 s. */
+  absl::Duration m_ttl = absl::Seconds(10);
+  /** The holder stops this long before the session may expire. */
+  absl::Duration m_safetyMargin = absl::Seconds(2);
+  absl::Duration m_renewInterval = absl::Seconds(2);
+  /** Longest wait of a follower for a change of the lease. */
+  absl::Duration m_watchTime = absl::Seconds(30);
+  /** Followers wait up to this long before they try a free lock. */
+  absl::Duration m_takeoverJitter = absl::Milliseconds(500);
+  absl::Duration m_firstBackoff = absl::Milliseconds(200);
+  absl::Duration m_maxBackoff = absl::Seconds(3);
+  std::uint64_t m_seed = RandomSeed();
+  /** Monotonic clock, which tests replace. */
+  std::function<absl::Time()> m_now;
+};
+
+/**
+ * Lease of the decider: a lock of the store under a session. The term is the
+ * number of times that the lock has passed to a new session, so it grows by one
+ * with each holder; the value holds the daemon and the term.
+ *
+ * One thread calls Step or Run; the other members are safe to call from any.
+ * Counters: `decider_transitions_total{event}` and
+ * `decider_lease_errors_total{state}`; gauge `decider_term`.
+ */
+class DeciderLease
+{
+public:
+  /** The store and the metrics must outlive it; null means no metrics. */
+  DeciderLease(PlatformStore& aStore,
+               StateChart aChart,
+               DeciderLeaseSettings aSettings,
+               Metrics* aMetrics);
+  ~DeciderLease();
+  DeciderLease(const DeciderLease&) = delete;
+  DeciderLease& operator=(const DeciderLease&) = delete;
+
+  /** Runs the steps in a thread of its own until Stop. */
+  void Start();
+  /** Ends the thread and releases the lease. */
+  void Stop();
+
+  /**
+   * One step of the current state, with store calls that may block. Returns
+   * how long to wait before the next step.
+   */
+  absl::Duration Step();
+
+  /** Gives the lease up, so that another daemon need not wait for its expiry.
+   */
+  void Release();
+
+  /** Whether this daemon holds the lease and its own deadline is ahead. */
+  bool MayDecide() const;
+
+  /**
+   * Lock condition for the decider's writes, or nothing when it may not decide.
+   * The store checks the condition, so a write that is delayed beyond the lease
+   * is rejected.
+   */
+  std::optional<LockCondition> Condition() const;
+
+  /** Term of this daemon; 0 when it does not hold the lease. */
+  std::uint64_t Term() const;
+
+  DeciderState State() const;
+
+  /** Daemon that held the lease at the last reading; empty when none did. */
+  std::string LastSeenHolder() const;
+
+private:
+  absl::Duration StepFollower();
+  absl::Duration StepCandidate();
+  absl::Duration StepConfirming();
+  absl::Duration StepHolder();
+
+  void Run(const std::stop_token& aStop);
+  void Fire(const std::string& aEvent);
+  void OpenSession();
+  /** Ends the session; a failure is harmless, since it then expires. */
+  void DropSession();
+  void Follow(const std::string& aEvent);
+  void SetDeadline(absl::Time aRenewalSent);
+  void NoteReading(const std::optional<StoreValue>& aValue);
+  /** Writes the term into the value when another attempt left an old one. */
+  void RepairValue(const StoreValue& aValue);
+  std::string MakeValue(std::uint64_t aTerm) const;
+  bool IsPastDeadline() const;
+  absl::Duration CountFailure(const std::string& aMessage);
+
+  PlatformStore& m_store;
+  StateChart m_chart;
+  DeciderLeaseSettings m_settings;
+  Metrics* m_metrics;
+  Backoff m_backoff;
+
+  mutable std::mutex m_mutex;
+  std::condition_variable_any m_stopped;
+  DeciderState m_state;
+  std::string m_session;
+  absl::Time m_sessionCreated;
+  absl::Time m_deadline = absl::InfinitePast();
+  std::uint64_t m_term = 0;
+  std::string m_holder;
+  /** Last reading of the key, where the next watch continues. */
+  std::uint64_t m_revision = 0;
+  std::uint64_t m_lockCount = 0;
+  std::jthread m_thread;
+};
+
+}
--- /dev/null
+++ b/cluster/document_watcher.cpp
@@ -0,0 +1,127 @@
+#include "cluster/document_watcher.h"
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/log.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace bramleystall {
+
+DocumentWatcher::DocumentWatcher(PlatformStore& aStore,
+                                 std::string aKey,
+                                 DocumentWatcherSettings aSettings,
+                                 Hook aHook,
+                                 Metrics* aMetrics)
+  : m_store(aStore)
+  , m_key(std::move(aKey))
+  , m_settings(aSettings)
+  , m_hook(std::move(aHook))
+  , m_metrics(aMetrics)
+  , m_backoff(aSettings.m_firstBackoff,
+              aSettings.m_maxBackoff,
+              aSettings.m_seed)
+{
+}
+
+DocumentWatcher::~DocumentWatcher()
+{
+  Stop();
+}
+
+void
+DocumentWatcher::Start()
+{
+  m_thread = std::jthread([this](const std::stop_token& aStop) { Run(aStop); });
+}
+
+void
+DocumentWatcher::Stop()
+{
+  m_thread.request_stop();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+absl::Time
+DocumentWatcher::LastContact() const
+{
+  const std::scoped_lock lock(m_mutex);
+  return m_lastContact;
+}
+
+void
+DocumentWatcher::Count(const std::string& aName)
+{
+  if (m_metrics != nullptr) {
+    m_metrics->Count(aName, { { "key", m_key } });
+  }
+}
+
+void
+DocumentWatcher::Pause(const std::stop_token& aStop, absl::Duration aTime)
+{
+  std::unique_lock lock(m_mutex);
+  m_stopped.wait_for(
+    lock, aStop, absl::ToChronoNanoseconds(aTime), [] { return false; });
+}
+
+void
+DocumentWatcher::Run(const std::stop_token& aStop)
+{
+  while (!aStop.stop_requested()) {
+    const absl::Time start = MonotonicNow();
+    const std::uint64_t before = m_revision;
+    const bool isAnswered = WatchOnce();
+    // A store that returns unchanged values without waiting would otherwise be
+    // asked in a loop.
+    const bool isEarly = m_revision == before &&
+                         MonotonicNow() - start < m_settings.m_watchTime / 2;
+    if (isAnswered && !isEarly) {
+      m_backoff.Reset();
+      continue;
+    }
+    Pause(aStop, m_backoff.Next());
+  }
+}
+
+bool
+DocumentWatcher::WatchOnce()
+{
+  std::optional<StoreValue> value;
+  try {
+    value = m_store.WaitForChange(m_key, m_revision, m_settings.m_watchTime);
+  } catch (const Error& error) {
+    Count("document_watch_errors_total");
+    LogWarning(LogPart::Store,
+               absl::StrCat("watch of ", m_key, " failed: ", error.what()));
+    return false;
+  }
+  {
+    const std::scoped_lock lock(m_mutex);
+    m_lastContact = MonotonicNow();
+  }
+  const std::uint64_t revision = value ? value->m_revision : 0;
+  if (revision != m_revision) {
+    m_revision = revision;
+    Report(value);
+  }
+  return true;
+}
+
+void
+DocumentWatcher::Report(const std::optional<StoreValue>& aValue)
+{
+  Count("document_watch_changes_total");
+  try {
+    m_hook(aValue);
+  } catch (const std::exception& error) {
+    // One malformed document must not end the watch of the next one.
+    Count("document_watch_hook_failures_total");
+    LogError(LogPart::Store,
+             absl::StrCat("change of ", m_key, " rejected: ", error.what()));
+  }
+}
+
+}
--- /dev/null
+++ b/cluster/document_watcher.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "cluster/backoff.h"
+#include "core/metrics.h"
+#include "platform/platform_store.h"
+
+#include <absl/time/time.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <stop_token>
+#include <string>
+#include <thread>
+
+namespace bramleystall {
+
+/** Waiting times of a watcher. */
+struct DocumentWatcherSettings
+{
+  /** Length of one watch; a longer one costs fewer calls. */
+  absl::Duration m_watchTime = absl::Seconds(30);
+  absl::Duration m_firstBackoff = absl::Milliseconds(200);
+  /** At most this long after the store is back, the watch is back. */
+  absl::Duration m_maxBackoff = absl::Seconds(3);
+  std::uint64_t m_seed = RandomSeed();
+};
+
+/**
+ * Watches one key of the store in a thread of its own and calls a hook for each
+ * change, also for the value found at the start and for the removal of a key.
+ * Several changes in a row may arrive as one.
+ *
+ * Counters: `document_watch_changes_total{key}`,
+ * `document_watch_errors_total{key}`,
+ * `document_watch_hook_failures_total{key}`.
+ */
+class DocumentWatcher
+{
+public:
+  /** Called in the watcher's thread. Its exceptions are logged and counted. */
+  using Hook = std::function<void(const std::optional<StoreValue>&)>;
+
+  DocumentWatcher(PlatformStore& aStore,
+                  std::string aKey,
+                  DocumentWatcherSettings aSettings,
+                  Hook aHook,
+                  Metrics* aMetrics);
+  /** Stops the thread; PlatformStore::StopWatches shortens the wait. */
+  ~DocumentWatcher();
+  DocumentWatcher(const DocumentWatcher&) = delete;
+  DocumentWatcher& operator=(const DocumentWatcher&) = delete;
+
+  void Start();
+  void Stop();
+
+  /** Monotonic time of the last answer of the store. */
+  absl::Time LastContact() const;
+
+private:
+  void Run(const std::stop_token& aStop);
+  /** One watch; false when the store did not answer. */
+  bool WatchOnce();
+  void Report(const std::optional<StoreValue>& aValue);
+  void Pause(const std::stop_token& aStop, absl::Duration aTime);
+  void Count(const std::string& aName);
+
+  PlatformStore& m_store;
+  std::string m_key;
+  DocumentWatcherSettings m_settings;
+  Hook m_hook;
+  Metrics* m_metrics;
+  Backoff m_backoff;
+  std::uint64_t m_revision = 0;
+  mutable std::mutex m_mutex;
+  std::condition_variable_any m_stopped;
+  absl::Time m_lastContact = absl::InfinitePast();
+  std::jthread m_thread;
+};
+
+}
--- a/tests/fakes/fake_platform_store.cpp
+++ b/tests/fakes/fake_platform_store.cpp
@@ -80,9 +80,10 @@
   std::unique_lock lock(m_mutex);
   m_changed.wait_for(lock, absl::ToChronoNanoseconds(aTimeout), [&] {
     const auto value = Find(aKey);
-    return m_isDown || (value ? value->m_revision : 0) != aRevision;
+    return m_isDown || m_isStopped ||
+           (value ? value->m_revision : 0) != aRevision;
   });
-  if (m_isDown) {
+  if (m_isDown || m_isStopped) {
     ThrowDown();
   }
   return Find(aKey);
@@ -268,4 +269,12 @@
   return found == m_callCounts.end() ? 0 : found->second;
 }
 
+void
+FakePlatformStore::StopWatches()
+{
+  const std::scoped_lock lock(m_mutex);
+  m_isStopped = true;
+  m_changed.notify_all();
+}
+
 }
--- a/tests/fakes/fake_platform_store.h
+++ b/tests/fakes/fake_platform_store.h
@@ -34,6 +34,7 @@
   WriteOutcome AcquireLock(const std::string& aKey,
                            const std::string& aValue,
                            const std::string& aSession) override;
+  void StopWatches() override;
 
   /** While down, each call throws Error (Unavailable) and changes nothing. */
   void SetDown(bool aIsDown);
@@ -77,6 +78,7 @@
   int m_lostResponses = 0;
   int m_lostRequests = 0;
   bool m_isDown = false;
+  bool m_isStopped = false;
 };
 
 }
