Explore the interleavings of fenced writes

Cause: races between two deciders and an operator, with lost responses and writes that take effect late, cannot be covered by examples. Change: an explorer that advances each writer by one store call at a time and continues each distinct state once; scenarios with a lease change and a publish; the same property for a naive writer, which violates it. Ruled out: running every interleaving to its end, which did not finish in two minutes. A refusal by the lock proves the loss of the lock only when it was held before, which the header now states as a precondition.

--- a/cluster/fenced_writer.h
+++ b/cluster/fenced_writer.h
@@ -19,7 +19,11 @@
 {
   /** Each value must contain the token as a JSON string. */
   std::vector<StoreWrite> m_writes;
-  /** Lock that the writer must hold; nothing for an operator's publish. */
+  /**
+   * Lock that the writer must hold; nothing for an operator's publish. The
+   * session must have been seen to hold the lock: a refusal proves that it lost
+   * the lock only if it had it before.
+   */
   std::optional<LockCondition> m_condition;
   /** Unique token of this set of writes. */
   std::string m_token;
--- a/tests/fakes/fake_platform_store.cpp
+++ b/tests/fakes/fake_platform_store.cpp
@@ -277,4 +277,28 @@
   m_changed.notify_all();
 }
 
+std::string
+FakePlatformStore::Dump() const
+{
+  const std::scoped_lock lock(m_mutex);
+  std::string text = absl::StrCat(m_lastRevision, ";", m_lastSession, ";");
+  for (const auto& [key, value] : m_values) {
+    absl::StrAppend(&text,
+                    key,
+                    "=",
+                    value.m_revision,
+                    ",",
+                    value.m_lockCount,
+                    ",",
+                    value.m_session,
+                    ",",
+                    value.m_value,
+                    ";");
+  }
+  for (const auto& session : m_sessions) {
+    absl::StrAppend(&text, session, ";");
+  }
+  return text;
+}
+
 }
--- a/tests/fakes/fake_platform_store.h
+++ b/tests/fakes/fake_platform_store.h
@@ -54,6 +54,9 @@
   /** Called at the start of each call with its name, without a lock held. */
   void SetCallHook(std::function<void(const std::string&)> aHook);
 
+  /** Text of the whole state, for comparing states. */
+  std::string Dump() const;
+
   /** Number of calls with this name ("get", "wait", "write", ...). */
   int CallCount(const std::string& aName) const;
 
--- /dev/null
+++ b/tests/fakes/interleaving.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "core/error.h"
+#include "platform/platform_store.h"
+#include "tests/fakes/fake_platform_store.h"
+
+#include <any>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+/** What happens to the next store call of an actor. */
+enum class CallFault
+{
+  None,
+  /** It takes effect, but its response is lost. */
+  LoseResponse,
+  /** Its response is lost, and it takes effect later or never. */
+  Delay,
+};
+
+/** Call that takes effect later. */
+struct DelayedCall
+{
+  std::function<void(FakePlatformStore&)> m_effect;
+  /** Text that distinguishes it from other calls. */
+  std::string m_text;
+};
+
+/**
+ * Store of one actor. It answers the calls that the actor has already made from
+ * its record and lets one more through, so that an actor can be advanced by
+ * one call at a time by running it again from the start. The actor must depend
+ * on nothing but the answers.
+ */
+class ReplayStore : public PlatformStore
+{
+public:
+  /** Thrown at a call that may not run yet; not an Error, so that the code
+   * under test does not catch it. */
+  struct Suspended
+  {
+    /** Number of entries of CallFault that apply to the call. */
+    int m_faultCount = 1;
+  };
+
+  ReplayStore(FakePlatformStore& aStore, std::vector<DelayedCall>& aDelayed);
+
+  /** Starts from the first answer; allows one new call or none. */
+  void Rewind(std::optional<CallFault> aNextCall);
+
+  /** Text of all answers so far, which determine the actor's state. */
+  const std::string& Answers() const { return m_answersText; }
+
+  std::optional<StoreValue> Get(const std::string& aKey) override;
+  std::optional<StoreValue> WaitForChange(const std::string& aKey,
+                                          std::uint64_t aRevision,
+                                          absl::Duration aTimeout) override;
+  WriteOutcome Write(const std::vector<StoreWrite>& aWrites,
+                     const std::optional<LockCondition>& aCondition) override;
+  std::string CreateSession(const std::string& aName,
+                            absl::Duration aTtl) override;
+  bool RenewSession(const std::string& aSession) override;
+  void DestroySession(const std::string& aSession) override;
+  WriteOutcome AcquireLock(const std::string& aKey,
+                           const std::string& aValue,
+                           const std::string& aSession) override;
+
+private:
+  struct Answer
+  {
+    std::any m_value;
+    std::optional<Error> m_error;
+  };
+
+  template<typename Result>
+  Result Call(int aFaultCount, const std::function<Result()>& aCall);
+  WriteOutcome CallWrite(
+    const std::string& aText,
+    const std::function<WriteOutcome(FakePlatformStore&)>& aCall);
+
+  FakePlatformStore& m_store;
+  std::vector<DelayedCall>& m_delayed;
+  std::vector<Answer> m_answers;
+  std::string m_answersText;
+  std::size_t m_position = 0;
+  std::optional<CallFault> m_nextCall;
+};
+
+/** One system under test: a store, its actors, and the property. */
+class InterleavingScenario
+{
+public:
+  using Actor = std::function<void(PlatformStore&)>;
+
+  virtual ~InterleavingScenario() = default;
+  virtual FakePlatformStore& Store() = 0;
+  /** Bodies of the actors; each may run several times from its start. */
+  virtual std::vector<Actor> Actors() = 0;
+  /** Text of the scenario's own state, apart from the store. */
+  virtual std::string StateText() const = 0;
+  /** Called after each store call and each late effect. */
+  virtual void AfterStep() = 0;
+  /** Called when all actors are done, and again after late effects. */
+  virtual void AfterRun() = 0;
+};
+
+struct ExplorationLimits
+{
+  /** Largest number of calls with a fault in one run. */
+  int m_maxFaults = 1;
+  /** Longest run in store calls; a longer one is an error of the test. */
+  int m_maxSteps = 60;
+};
+
+struct ExplorationResult
+{
+  /** Runs to the end; the others met a state that was explored before. */
+  std::uint64_t m_completeRuns = 0;
+  std::uint64_t m_states = 0;
+  std::uint64_t m_transitions = 0;
+};
+
+/**
+ * Runs a scenario once for each interleaving of the actors' store calls, with
+ * each combination of faults up to the limit. Runs that reach the same state
+ * have the same continuations, so a state is continued only once. Throws
+ * std::logic_error when a run exceeds the limit of steps.
+ */
+ExplorationResult
+ExploreInterleavings(
+  const std::function<std::unique_ptr<InterleavingScenario>()>& aMake,
+  const ExplorationLimits& aLimits);
+
+}
--- /dev/null
+++ b/tests/naive/naive_writer.cpp
@@ -0,0 +1,28 @@
+#include "tests/naive/naive_writer.h"
+
+namespace bramleystall {
+
+WriteOutcome
+NaiveWrite(PlatformStore& aStore, const FencedWrite& aWrite)
+{
+  // The interface has no unconditional write, so the revision is read again
+  // just before each attempt.
+  constexpr int kMaxAttempts = 4;
+  for (int i = 0; i < kMaxAttempts; ++i) {
+    std::vector<StoreWrite> writes = aWrite.m_writes;
+    for (auto& write : writes) {
+      const auto value = aStore.Get(write.m_key);
+      write.m_expectedRevision = value ? value->m_revision : 0;
+    }
+    const WriteOutcome outcome = aStore.Write(writes, std::nullopt);
+    if (outcome == WriteOutcome::Applied) {
+      return outcome;
+    }
+    if (outcome == WriteOutcome::Unknown) {
+      return WriteOutcome::Conflict;
+    }
+  }
+  return WriteOutcome::Conflict;
+}
+
+}
