Add membership, claims, slot tokens and the peer node

The daemons of a data centre need to agree on who is alive, grant each request id once, share the 8 slots of a worker and spread documents.

Pure objects take the time as an argument: Membership, ClaimTable, FindClaimOwner, SlotLedger and Uuid7. ClusterNode adds two threads and the nng sockets: one pull socket to listen and one push socket for each peer with non-blocking sends, so that a frozen peer delays no other one. Request/reply sockets were ruled out since they wait for such a peer.

A home daemon lends tokens only after every daemon of its view reported what it holds; view numbers that both sides echo rule out reports of an earlier view with the same members. Fixed shares were ruled out because a lone daemon would get only its share.

Incarnations announce their clock, so that the start of ownership and the end of a dead owner follow the fastest clock of the data centre.

--- /dev/null
+++ b/cluster/membership.h
@@ -0,0 +1,229 @@
+#pragma once
+
+#include "cluster/claim_owner.h"
+#include "cluster/messages.h"
+#include "core/enum_names.h"
+
+#include <absl/time/time.h>
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace bramleystall {
+
+inline constexpr absl::Duration kHeartbeatInterval = absl::Milliseconds(500);
+inline constexpr absl::Duration kRemoteHeartbeatInterval = absl::Seconds(2);
+inline constexpr absl::Duration kSuspectAfter = absl::Seconds(2);
+inline constexpr absl::Duration kDeadAfter = absl::Seconds(3);
+inline constexpr absl::Duration kRemoteSuspectAfter = absl::Seconds(6);
+inline constexpr absl::Duration kRemoteDeadAfter = absl::Seconds(10);
+/** A longer gap between two ticks means that the process was paused. */
+inline constexpr absl::Duration kPauseLimit = absl::Seconds(1);
+/** A daemon that reaches no other one acts alone after this time. */
+inline constexpr absl::Duration kJoinTimeout = absl::Milliseconds(1500);
+/** More than the time to make a member known plus the clock skew. */
+inline constexpr absl::Duration kOwnerFromDelay = absl::Seconds(10);
+/** 8 daemons with 8 connections each fill the 64 connections of a worker. */
+inline constexpr std::size_t kMaxActiveDaemons = 8;
+
+enum class Liveness
+{
+  Alive,
+  Suspected,
+  Dead,
+};
+
+inline constexpr EnumNames<Liveness, 3> kLivenessNames = { {
+  { Liveness::Alive, "alive" },
+  { Liveness::Suspected, "suspected" },
+  { Liveness::Dead, "dead" },
+} };
+
+/** What this daemon knows of another incarnation. */
+struct Member
+{
+  MemberEntry m_entry;
+  Liveness m_liveness = Liveness::Alive;
+  /** Monotonic time of the last heartbeat, or of first hearing of it. */
+  absl::Time m_lastHeard;
+  /** Whether a heartbeat came from the member itself. */
+  bool m_heardDirectly = false;
+  std::uint64_t m_lastSequence = 0;
+  std::uint64_t m_membersDigest = 0;
+  /** The member's clock minus the own clock, in milliseconds. */
+  std::int64_t m_clockAheadMillis = 0;
+  /** The member is heard, but has not heard this daemon for a while. */
+  bool m_isDeafToUs = false;
+  /** For a dead member; see OwnerCandidate. */
+  std::int64_t m_deadUntilMillis = 0;
+  LocalState m_state;
+};
+
+/** A daemon and its incarnation. */
+struct IncarnationId
+{
+  std::string m_daemon;
+  std::uint64_t m_incarnation = 0;
+
+  bool operator==(const IncarnationId&) const = default;
+  std::strong_ordering operator<=>(const IncarnationId& aOther) const
+  {
+    return std::tie(m_daemon, m_incarnation) <=>
+           std::tie(aOther.m_daemon, aOther.m_incarnation);
+  }
+};
+
+struct MembershipSettings
+{
+  std::string m_daemon;
+  std::string m_dataCentre;
+  std::string m_address;
+};
+
+/** What the receiver of a heartbeat has to do. */
+enum class HeartbeatResult
+{
+  /** Nothing. */
+  Known,
+  /** Greet a member that was heard for the first time. */
+  NewMember,
+  /** Tell the sender that it counts as dead. */
+  SenderIsDead,
+  /** Drop it: the incarnation is not known yet or outdated. */
+  UnknownSender,
+};
+
+/**
+ * The daemons that this daemon knows, with their liveness, and the state of
+ * its own incarnation. All times are arguments: `aNow` is monotonic, `aWall`
+ * is the wall clock. Not thread-safe.
+ */
+class Membership
+{
+public:
+  Membership(MembershipSettings aSettings, absl::Time aNow, absl::Time aWall);
+
+  /**
+   * Advances the time; call it before every other use and at least every
+   * 100 ms. Detects the own pause and the failure of members. Returns true
+   * when this daemon took a new incarnation.
+   */
+  bool Advance(absl::Time aNow, absl::Time aWall);
+
+  /**
+   * Applies a heartbeat. The own incarnation may change when the sender
+   * regards it as dead.
+   */
+  HeartbeatResult Apply(const std::string& aDaemon,
+                        std::uint64_t aIncarnation,
+                        const Heartbeat& aHeartbeat,
+                        absl::Time aNow,
+                        absl::Time aWall);
+
+  /** Applies the goodbye of a member. */
+  void ApplyGoodbye(const IncarnationId& aSender,
+                    bool aIsClean,
+                    absl::Time aNow,
+                    absl::Time aWall);
+
+  /** A heartbeat to a member, or to an address of which nothing is known. */
+  Heartbeat MakeHeartbeat(const std::string& aReceiver,
+                          const LocalState& aState,
+                          absl::Time aWall) const;
+
+  /** Starts the next round of heartbeats. */
+  void NextSequence(absl::Time aNow);
+
+  std::uint64_t Incarnation() const { return m_self.m_incarnation; }
+  IncarnationId Self() const
+  {
+    return { m_self.m_daemon, m_self.m_incarnation };
+  }
+  const MemberEntry& SelfEntry() const { return m_self; }
+
+  /** Other members by daemon, each with its latest incarnation. */
+  const std::map<std::string, Member>& Others() const { return m_others; }
+
+  /** Earlier incarnations in this data centre, the own ones included. */
+  const std::vector<Member>& Past() const { return m_past; }
+
+  /** Sorted incarnations in this data centre that are not dead. */
+  std::vector<IncarnationId> LocalView() const;
+
+  /** Incarnations of this data centre that own claims or did so. */
+  std::vector<OwnerCandidate> OwnerCandidates() const;
+
+  bool IsLocal(const Member& aMember) const
+  {
+    return aMember.m_entry.m_dataCentre == m_self.m_dataCentre;
+  }
+
+  /** Whether the current incarnation has joined. */
+  bool HasJoined() const { return m_joined; }
+
+  /** Whether this daemon is among the daemons that may serve. */
+  bool IsActive() const;
+
+  /** Whether this daemon may grant claims and ask for them. */
+  bool MayClaim(absl::Time aNow) const;
+
+  /** Whether the time since the last advance shows a pause. */
+  bool IsPaused(absl::Time aNow) const
+  {
+    return aNow - m_lastAdvance > kPauseLimit;
+  }
+
+  /** Number of new incarnations because of pauses. */
+  std::uint64_t Pauses() const { return m_pauses; }
+
+  /** Number of new incarnations because a member reported this one dead. */
+  std::uint64_t ReportedDead() const { return m_reportedDead; }
+
+private:
+  void Rejoin(std::uint64_t aAbove, absl::Time aNow, absl::Time aWall);
+  void TryJoin(absl::Time aNow, absl::Time aWall);
+  void ApplyEntry(const MemberEntry& aEntry, absl::Time aNow, absl::Time aWall);
+  void ApplyKnownEntry(Member& aMember,
+                       const MemberEntry& aEntry,
+                       absl::Time aNow,
+                       absl::Time aWall);
+  void ApplySelfEntry(const MemberEntry& aEntry,
+                      absl::Time aNow,
+                      absl::Time aWall);
+  void ApplyPastEntry(const MemberEntry& aEntry,
+                      absl::Time aNow,
+                      absl::Time aWall);
+  void MarkDead(Member& aMember, absl::Time aWall);
+  void MarkLongDead(Member& aMember,
+                    absl::Duration aAge,
+                    absl::Time aNow,
+                    absl::Time aWall);
+  void Retire(Member aMember, absl::Time aWall);
+  void UpdateLiveness(absl::Time aNow, absl::Time aWall);
+  void ForgetOld(absl::Time aNow);
+  void UpdateDigest();
+  std::int64_t ClusterMillis(absl::Time aWall) const;
+  std::vector<MemberEntry> Entries() const;
+
+  MemberEntry m_self;
+  absl::Time m_lastAdvance;
+  absl::Time m_incarnationStart;
+  bool m_joined = false;
+  std::uint64_t m_sequence = 0;
+  /** Sequence number at the start of the incarnation. */
+  std::uint64_t m_firstSequence = 0;
+  /** Times at which recent sequence numbers were first sent. */
+  std::deque<std::pair<std::uint64_t, absl::Time>> m_sent;
+  std::map<std::string, Member> m_others;
+  std::vector<Member> m_past;
+  std::uint64_t m_digest = 0;
+  std::uint64_t m_pauses = 0;
+  std::uint64_t m_reportedDead = 0;
+};
+
+}
--- /dev/null
+++ b/cluster/peer_sockets.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/enum_names.h"
+
+#include <absl/time/time.h>
+#include <nng/nng.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace bramleystall {
+
+enum class SendResult
+{
+  Sent,
+  /** There is no connection; nothing was sent. */
+  NotConnected,
+  /** The peer does not read; nothing was sent. */
+  QueueFull,
+};
+
+inline constexpr EnumNames<SendResult, 3> kSendResultNames = { {
+  { SendResult::Sent, "sent" },
+  { SendResult::NotConnected, "not_connected" },
+  { SendResult::QueueFull, "queue_full" },
+} };
+
+/**
+ * nng sockets of one daemon: a pull socket that all peers send to, and a push
+ * socket for each peer. Sending never blocks, so a dead or frozen peer delays
+ * no other one. A request/reply socket would wait for such a peer.
+ */
+class PeerSockets
+{
+public:
+  /** Listens on "IP:port". Throws Error (Unavailable) when it cannot. */
+  explicit PeerSockets(const std::string& aListenAddress);
+  ~PeerSockets();
+  PeerSockets(const PeerSockets&) = delete;
+  PeerSockets& operator=(const PeerSockets&) = delete;
+
+  /** Sends to "IP:port"; connects in the background when needed. */
+  SendResult Send(const std::string& aAddress, const std::string& aBytes);
+
+  /** Waits for a message; nothing after Close. Thread-safe. */
+  std::optional<std::string> Receive();
+
+  /** Closes the connections to all other addresses. */
+  void KeepOnly(const std::set<std::string>& aAddresses);
+
+  /** Ends Receive. Thread-safe. */
+  void CloseListener();
+
+private:
+  struct Outgoing;
+
+  nng_socket m_listener = NNG_SOCKET_INITIALIZER;
+  std::map<std::string, std::unique_ptr<Outgoing>> m_outgoing;
+};
+
+}
--- /dev/null
+++ b/cluster/slot_ledger.h
@@ -0,0 +1,208 @@
+#pragma once
+
+#include "cluster/membership.h"
+#include "cluster/messages.h"
+#include "dispatch/slot_usage.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bramleystall {
+
+/** Slot traffic to one daemon. */
+struct SlotMessage
+{
+  std::string m_receiver;
+  std::variant<SlotRequest, SlotReply> m_body;
+};
+
+/** An incarnation that is dead or was replaced. */
+struct DeadHolder
+{
+  IncarnationId m_id;
+  absl::Time m_lastHeard;
+  /** It left nothing behind that still runs. */
+  bool m_isClean = false;
+};
+
+struct SlotLedgerSettings
+{
+  std::string m_daemon;
+  int m_slotsPerWorker = 8;
+  /** Longest time that a request may run at a worker. */
+  absl::Duration m_maxDeadline = absl::Seconds(30);
+};
+
+/**
+ * Shares the slots of the workers of a data centre among its daemons with
+ * tokens. Each worker has a home daemon (rendezvous hash over the view, which
+ * is the set of incarnations that are not dead). The home daemon lends the
+ * tokens; every daemon, the home daemon included, asks for them.
+ *
+ * When the view changes, a home daemon lends again only after every daemon of
+ * the view has reported, in this view, what it holds. View numbers that both
+ * sides echo prove that a report is not from an earlier view with the same
+ * members. A daemon has one request to a home daemon outstanding and ignores
+ * replies to earlier ones, so that lost messages lose no tokens.
+ *
+ * Tokens of dead daemons are quarantined until their last request must have
+ * ended. Not thread-safe.
+ */
+class SlotLedger
+{
+public:
+  /** Sets the tokens at a worker; returns the tokens still in use, which is
+   * the larger of the argument and the requests in flight. */
+  using SetAllowance = std::function<int(const std::string&, int)>;
+
+  SlotLedger(SlotLedgerSettings aSettings, SetAllowance aSetAllowance);
+
+  /** Adopts a view (sorted, with this daemon) if it differs. */
+  void SetView(const std::vector<IncarnationId>& aView,
+               const std::vector<DeadHolder>& aDead,
+               absl::Time aNow);
+
+  /** Gives up all tokens that are not in use, after a pause. */
+  void ReturnAll();
+
+  /**
+   * Returns unused tokens and asks for needed ones. `aMayHold` is false for a
+   * daemon that is not ready. Call it every 50 to 100 ms.
+   */
+  std::vector<SlotMessage> Tick(const std::vector<SlotUsage>& aUsages,
+                                bool aMayHold,
+                                absl::Time aNow);
+
+  std::vector<SlotMessage> OnRequest(const IncarnationId& aSender,
+                                     const SlotRequest& aRequest,
+                                     absl::Time aNow);
+
+  /** May ask for another Tick soon; see WantsTick. */
+  void OnReply(const IncarnationId& aSender,
+               const SlotReply& aReply,
+               absl::Time aNow);
+
+  /** Whether a hint arrived that the next Tick acts on. */
+  bool WantsTick() const { return m_wantsTick; }
+
+  /** Tokens that this daemon holds at a worker. */
+  int Held(const std::string& aVm) const;
+
+  /** Tokens at the workers of this home daemon that wait for dead holders. */
+  int Quarantined(absl::Time aNow) const;
+
+private:
+  struct Holding
+  {
+    /** Home daemon in the current view. */
+    IncarnationId m_home;
+    /** Tokens counted as held: the limit, or more while requests end. */
+    int m_held = 0;
+    /** Tokens that new requests may use. */
+    int m_limit = 0;
+    int m_need = 0;
+    int m_wish = 0;
+    /** Values that the home daemon last confirmed. */
+    int m_sentHeld = 0;
+    int m_sentNeed = 0;
+    int m_sentWish = 0;
+    absl::Time m_surplusSince = absl::InfiniteFuture();
+    absl::Time m_lastAsked = absl::InfinitePast();
+    absl::Time m_contendedUntil = absl::InfinitePast();
+    std::optional<int> m_hint;
+  };
+
+  /** State of the conversation with one home daemon. */
+  struct HomeLink
+  {
+    std::uint64_t m_viewNumber = 0;
+    std::uint64_t m_sequence = 0;
+    bool m_isOutstanding = false;
+    bool m_isSynced = false;
+    absl::Time m_sentAt;
+    /** Workers of the outstanding request. */
+    std::set<std::string> m_vms;
+  };
+
+  /** What this home daemon knows of one daemon of the view. */
+  struct HolderLink
+  {
+    std::uint64_t m_viewNumber = 0;
+    std::uint64_t m_sequence = 0;
+    bool m_isSynced = false;
+  };
+
+  struct Loan
+  {
+    int m_tokens = 0;
+    int m_need = 0;
+    int m_wish = 0;
+  };
+
+  struct Quarantine
+  {
+    int m_tokens = 0;
+    absl::Time m_until;
+  };
+
+  /** Tokens of one worker of which this daemon is the home daemon. */
+  struct Worker
+  {
+    std::map<IncarnationId, Loan> m_loans;
+    std::vector<Quarantine> m_quarantine;
+    /** Tokens that a dead home daemon may have lent were accounted for. */
+    bool m_isAccounted = false;
+  };
+
+  const IncarnationId* HomeOf(const std::string& aVm) const;
+  absl::Time DeadUntil(const DeadHolder& aDead) const;
+  bool IsHomeReady() const;
+  void AccountUnknown(Worker& aWorker, absl::Time aNow) const;
+  int FreeTokens(const Worker& aWorker, absl::Time aNow) const;
+  std::map<IncarnationId, int> FairShares(const Worker& aWorker,
+                                          absl::Time aNow) const;
+  void AdjustHolding(const SlotUsage& aUsage, bool aMayHold, absl::Time aNow);
+  void Reduce(const std::string& aVm, Holding& aHolding, int aTokens);
+  bool MustReport(const Holding& aHolding, absl::Time aNow) const;
+  std::vector<SlotMessage> MakeRequests(absl::Time aNow);
+  std::vector<SlotMessage> HandleRequest(const IncarnationId& aSender,
+                                         const SlotRequest& aRequest,
+                                         absl::Time aNow);
+  void AddHintsToAll(const IncarnationId& aExcept,
+                     absl::Time aNow,
+                     std::map<std::string, SlotReply>& aHints) const;
+  void RecordDemands(const IncarnationId& aSender, const SlotRequest& aRequest);
+  void Lend(const IncarnationId& aSender,
+            const SlotRequest& aRequest,
+            absl::Time aNow,
+            SlotReply& aReply,
+            std::map<std::string, SlotReply>& aHints);
+  SlotReply MakeReply(const IncarnationId& aReceiver) const;
+  std::vector<SlotMessage> Deliver(std::vector<SlotMessage> aMessages,
+                                   absl::Time aNow);
+
+  SlotLedgerSettings m_settings;
+  SetAllowance m_setAllowance;
+  std::vector<IncarnationId> m_view;
+  std::uint64_t m_viewDigest = 0;
+  std::uint64_t m_viewNumber = 0;
+  std::vector<DeadHolder> m_dead;
+  IncarnationId m_self;
+  std::map<std::string, Holding> m_holdings;
+  std::map<IncarnationId, HomeLink> m_homes;
+  std::map<IncarnationId, HolderLink> m_holders;
+  std::map<std::string, Worker> m_workers;
+  /** Request numbers grow over all views, so that no reply is mistaken. */
+  std::uint64_t m_lastSequence = 0;
+  bool m_wantsTick = false;
+};
+
+}
