Carry probe reports in heartbeats

Cause: the decider may be in another data centre than a VM and needs its health and the requests in flight there; without them it plans nothing for that VM. Change: heartbeats carry the probe reports of VMs that are not steady, and the requests in flight at draining VMs also to other data centres. Ruled out: one prober for the whole fleet, which at the design size would send 194 probes a second from one entry VM.

--- a/cluster/cluster_node.cpp
+++ b/cluster/cluster_node.cpp
@@ -90,6 +90,7 @@
            aMember.m_state.m_configurationDigest,
            aMember.m_state.m_fleetRevision,
            aMember.m_state.m_inFlight,
+           aMember.m_state.m_probeStates,
            aMember.m_lastHeard };
 }
 
@@ -417,14 +418,9 @@
 ClusterNode::SendHeartbeat(const std::string& aDaemon,
                            const std::string& aAddress)
 {
-  LocalState state = m_localState;
-  const auto member = m_membership->Others().find(aDaemon);
-  if (member != m_membership->Others().end() &&
-      !m_membership->IsLocal(member->second)) {
-    state.m_inFlight.clear();
-  }
-  if (!SendTo(aAddress,
-              m_membership->MakeHeartbeat(aDaemon, state, absl::Now()))) {
+  if (!SendTo(
+        aAddress,
+        m_membership->MakeHeartbeat(aDaemon, m_localState, absl::Now()))) {
     return false;
   }
   m_metrics.Count(kHeartbeatMetric, { { "direction", "sent" } });
--- a/cluster/cluster_node.h
+++ b/cluster/cluster_node.h
@@ -76,6 +76,7 @@
   std::string m_configurationDigest;
   std::uint64_t m_fleetRevision = 0;
   std::map<std::string, int> m_inFlight;
+  std::map<std::string, int> m_probeStates;
   /** Monotonic time; now for this daemon. */
   absl::Time m_lastHeard;
 };
--- a/cluster/messages.cpp
+++ b/cluster/messages.cpp
@@ -215,6 +215,7 @@
     .Write(aBody.m_state.m_configurationDigest)
     .Write(aBody.m_state.m_fleetRevision)
     .Write(aBody.m_state.m_inFlight)
+    .Write(aBody.m_state.m_probeStates)
     .WriteList(aBody.m_members);
 }
 
@@ -229,6 +230,7 @@
     .Read(aBody.m_state.m_configurationDigest)
     .Read(aBody.m_state.m_fleetRevision)
     .Read(aBody.m_state.m_inFlight)
+    .Read(aBody.m_state.m_probeStates)
     .ReadList(aBody.m_members);
 }
 
--- a/cluster/messages.h
+++ b/cluster/messages.h
@@ -34,6 +34,8 @@
   std::uint64_t m_fleetRevision = 0;
   /** Requests in flight at draining VMs, by VM. */
   std::map<std::string, int> m_inFlight;
+  /** Probe reports by VM, see CombineObservations. */
+  std::map<std::string, int> m_probeStates;
 };
 
 /** What one daemon tells another about a member. */
