--- a/cluster/drain_acknowledgement.cpp
+++ b/cluster/drain_acknowledgement.cpp
@@ -56,14 +56,15 @@
   const RequiredMembers required =
     FindRequired(aDocument.m_dataCentre, aMembers, aVmList);
   std::set<std::string> drained;
-  for (const auto& [name, vm] : aDocument.m_vms) {
+  for (const auto& entry : aDocument.m_vms) {
+    const VmRecord& vm = entry.second;
     const bool isAcknowledged =
       vm.m_state == VmState::Draining && vm.m_drainRevision != 0 &&
       std::ranges::all_of(required, [&vm](const auto& aEntry) {
         return HasDrained(aEntry.second, vm);
       });
     if (isAcknowledged) {
-      drained.insert(name);
+      drained.insert(entry.first);
     }
   }
   return drained;
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -132,7 +132,7 @@
   void Shutdown();
 
   void OnConfiguration(std::shared_ptr<const Configuration> aConfiguration);
-  void OnFleetDocument(std::shared_ptr<const FleetDocument> aDocument);
+  void OnFleetDocument(const FleetDocument& aDocument);
   LocalState MakeLocalState();
   std::map<std::string, int> ReportedProbes(
     const FleetDocument& aDocument) const;
@@ -192,7 +192,7 @@
       m_settings.m_dataCentre,
       m_configurationChart,
       { [this](auto aConfiguration) { OnConfiguration(aConfiguration); },
-        [this](auto aDocument) { OnFleetDocument(aDocument); } },
+        [this](const auto& aDocument) { OnFleetDocument(*aDocument); } },
       m_metrics)
   , m_node(MakeClusterSettings(m_settings),
            { [this] { return MakeLocalState(); },
@@ -282,11 +282,11 @@
 }
 
 void
-Daemon::Impl::OnFleetDocument(std::shared_ptr<const FleetDocument> aDocument)
+Daemon::Impl::OnFleetDocument(const FleetDocument& aDocument)
 {
-  m_requestPath.ApplyTargets(ReadyTargets(*aDocument));
+  m_requestPath.ApplyTargets(ReadyTargets(aDocument));
   // Only now no VM that drains in this revision gets new work.
-  m_appliedFleetRevision = aDocument->m_revision;
+  m_appliedFleetRevision = aDocument.m_revision;
 }
 
 LocalState
--- a/tests/cluster/test_document_cache.cpp
+++ b/tests/cluster/test_document_cache.cpp
@@ -38,10 +38,10 @@
   DocumentCache m_cache{
     "dc1",
     m_chart,
-    { [this](std::shared_ptr<const Configuration> aConfiguration) {
+    { [this](const std::shared_ptr<const Configuration>& aConfiguration) {
        m_versions.push_back(aConfiguration->m_version);
      },
-      [this](std::shared_ptr<const FleetDocument> aDocument) {
+      [this](const std::shared_ptr<const FleetDocument>& aDocument) {
         m_revisions.push_back(aDocument->m_revision);
       } },
     m_metrics
--- a/tests/fleet/test_planner_properties.cpp
+++ b/tests/fleet/test_planner_properties.cpp
@@ -19,7 +19,7 @@
     const std::string violation = history.Run(PlanFleet);
     drains += history.Drains();
     CAPTURE(seed);
-    CHECK(violation == "");
+    CHECK(violation.empty());
   }
   // Histories in which nothing drains would prove nothing.
   CHECK(drains > static_cast<int>(aCount) * 5);
