--- a/cluster/decider_lease.cpp
+++ b/cluster/decider_lease.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace bramleystall {
 
 DeciderLease::DeciderLease(PlatformStore& aStore,
@@ -91,33 +93,43 @@
   if (m_metrics != nullptr) {
     m_metrics->Count("decider_lease_errors_total", { { "state", state } });
   }
-  LogWarning(LogPart::Planner,
-             absl::StrCat("decider lease in state ", state, ": ", aMessage));
+  if (!std::exchange(m_isFailing, true)) {
+    LogWarning(LogPart::Planner,
+               absl::StrCat("decider lease in state ", state, ": ", aMessage));
+  }
   return m_backoff.Next();
 }
 
+absl::Duration
+DeciderLease::StepState()
+{
+  switch (State()) {
+    case DeciderState::Follower:
+      return StepFollower();
+    case DeciderState::Candidate:
+      return StepCandidate();
+    case DeciderState::Confirming:
+      return StepConfirming();
+    case DeciderState::Holder:
+    case DeciderState::Lapsed:
+      return StepHolder();
+  }
+  return m_settings.m_renewInterval;
+}
+
 absl::Duration
 DeciderLease::Step()
 {
   try {
-    switch (State()) {
-      case DeciderState::Follower:
-        return StepFollower();
-      case DeciderState::Candidate:
-        return StepCandidate();
-      case DeciderState::Confirming:
-        return StepConfirming();
-      case DeciderState::Holder:
-      case DeciderState::Lapsed:
-        return StepHolder();
-    }
+    const absl::Duration pause = StepState();
+    m_isFailing = false;
+    return pause;
   } catch (const Error& error) {
     if (State() == DeciderState::Holder && IsPastDeadline()) {
       Fire("deadline_passed");
     }
     return CountFailure(error.what());
   }
-  return m_settings.m_renewInterval;
 }
 
 void
--- a/cluster/decider_lease.h
+++ b/cluster/decider_lease.h
@@ -118,6 +118,7 @@
   std::string LastSeenHolder() const;
 
 private:
+  absl::Duration StepState();
   absl::Duration StepFollower();
   absl::Duration StepCandidate();
   absl::Duration StepConfirming();
@@ -154,6 +155,8 @@
   /** Last reading of the key, where the next watch continues. */
   std::uint64_t m_revision = 0;
   std::uint64_t m_lockCount = 0;
+  /** Whether the last step failed; only the first failure is logged. */
+  bool m_isFailing = false;
   std::jthread m_thread;
 };
 
--- a/cluster/document_watcher.cpp
+++ b/cluster/document_watcher.cpp
@@ -6,6 +6,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <utility>
+
 namespace bramleystall {
 
 DocumentWatcher::DocumentWatcher(PlatformStore& aStore,
@@ -93,15 +95,10 @@
   try {
     value = m_store.WaitForChange(m_key, m_revision, m_settings.m_watchTime);
   } catch (const Error& error) {
-    Count("document_watch_errors_total");
-    LogWarning(LogPart::Store,
-               absl::StrCat("watch of ", m_key, " failed: ", error.what()));
+    NoteFailure(error.what());
     return false;
   }
-  {
-    const std::scoped_lock lock(m_mutex);
-    m_lastContact = MonotonicNow();
-  }
+  NoteContact();
   const std::uint64_t revision = value ? value->m_revision : 0;
   if (revision != m_revision) {
     m_revision = revision;
@@ -110,6 +107,26 @@
   return true;
 }
 
+void
+DocumentWatcher::NoteFailure(const std::string& aMessage)
+{
+  Count("document_watch_errors_total");
+  if (!std::exchange(m_isFailing, true)) {
+    LogWarning(LogPart::Store,
+               absl::StrCat("watch of ", m_key, " failed: ", aMessage));
+  }
+}
+
+void
+DocumentWatcher::NoteContact()
+{
+  if (std::exchange(m_isFailing, false)) {
+    LogInfo(LogPart::Store, absl::StrCat("watch of ", m_key, " is back"));
+  }
+  const std::scoped_lock lock(m_mutex);
+  m_lastContact = MonotonicNow();
+}
+
 void
 DocumentWatcher::Report(const std::optional<StoreValue>& aValue)
 {
--- a/cluster/document_watcher.h
+++ b/cluster/document_watcher.h
@@ -63,6 +63,8 @@
   void Run(const std::stop_token& aStop);
   /** One watch; false when the store did not answer. */
   bool WatchOnce();
+  void NoteFailure(const std::string& aMessage);
+  void NoteContact();
   void Report(const std::optional<StoreValue>& aValue);
   void Pause(const std::stop_token& aStop, absl::Duration aTime);
   void Count(const std::string& aName);
@@ -74,6 +76,8 @@
   Metrics* m_metrics;
   Backoff m_backoff;
   std::uint64_t m_revision = 0;
+  /** Whether the last watch failed; only changes of it are logged. */
+  bool m_isFailing = false;
   mutable std::mutex m_mutex;
   std::condition_variable_any m_stopped;
   absl::Time m_lastContact = absl::InfinitePast();
