--- a/tests/fakes/child_process.cpp
+++ b/tests/fakes/child_process.cpp
@@ -15,8 +15,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace bramleystall {
 
 namespace {
