Test the request path and order fair shares by requests in flight

Cause: the parts of the request path had only a first test, and virtual time alone let bursts of a service below its share wait behind a flood.

Fair shares compare requests in flight for the weight first, then virtual time. Slots lent to less urgent work no longer use up the quota of more urgent work of the same team. A target that the cap kept in is taken out and probed once the cap allows it; one failure no longer changes the choice.

--- a/dispatch/fair_queue.cpp
+++ b/dispatch/fair_queue.cpp
@@ -9,6 +9,8 @@
 
 // Weight of a new sample: the mean follows a change within about ten requests.
 constexpr double kSampleWeight = 0.2;
+// Slots of a backlogged service change slowly; single starts are noise.
+constexpr double kInFlightSampleWeight = 0.05;
 // Keeps shares defined for services whose requests take almost no time.
 constexpr double kMinRunTimeSeconds = 1e-4;
 
@@ -42,7 +44,7 @@
     const auto quota = aTeamQuotas.find(queue.m_team);
     Team& team = m_teams[queue.m_team];
     team.m_quota = quota == aTeamQuotas.end() ? 0 : quota->second;
-    team.m_inFlight += queue.m_inFlight;
+    team.InFlight(queue.m_urgency) += queue.m_inFlight;
   }
   std::vector<QueuedRequest> removed;
   for (auto& [name, queue] : previous) {
@@ -74,7 +76,8 @@
   if (static_cast<int>(queue.m_waiting.size()) >= queue.m_limit) {
     return RefusalReason::QueueFull;
   }
-  if (aNow + ExpectedWait(aService) > aDeadline) {
+  if (aNow + ExpectedWait(aService) + MeanRunTime(aService) > aDeadline &&
+      !queue.m_waiting.empty()) {
     return RefusalReason::WaitExceedsDeadline;
   }
   Insert(queue, { aId, aService, aNow, aDeadline });
@@ -86,6 +89,7 @@
 {
   if (aQueue.m_waiting.empty()) {
     aQueue.m_virtualTime = std::max(aQueue.m_virtualTime, m_virtualTime);
+    aQueue.m_backloggedInFlight = aQueue.m_inFlight;
   }
   m_serviceOf[aRequest.m_id] = aRequest.m_service;
   m_deadlines.emplace(aRequest.m_deadline, aRequest.m_id);
@@ -115,8 +119,12 @@
   request.m_charged = queue->m_meanRunTime;
   queue->m_virtualTime += request.m_charged / queue->m_weight;
   ++queue->m_inFlight;
-  ++m_teams[queue->m_team].m_inFlight;
+  ++m_teams[queue->m_team].InFlight(queue->m_urgency);
   ++m_inFlight;
+  if (!queue->m_waiting.empty()) {
+    queue->m_backloggedInFlight +=
+      kInFlightSampleWeight * (queue->m_inFlight - queue->m_backloggedInFlight);
+  }
   return request;
 }
 
@@ -129,9 +137,8 @@
     if (queue.m_waiting.empty() || (team && queue.m_team != *team)) {
       continue;
     }
-    const bool precedes =
-      !best || (team ? PrecedesInTeam(queue, *best)
-                     : queue.m_virtualTime < best->m_virtualTime);
+    const bool precedes = !best || (team ? PrecedesInTeam(queue, *best)
+                                         : PrecedesInShares(queue, *best));
     if (precedes) {
       best = &queue;
     }
@@ -149,10 +156,13 @@
       continue;
     }
     const Team& team = m_teams.at(queue.m_team);
-    if (team.m_inFlight >= team.m_quota * m_slots) {
+    // Less urgent work that holds lent slots must not use up the quota of more
+    // urgent work of the same team.
+    const int inFlight = team.InFlightUpTo(queue.m_urgency);
+    if (inFlight >= team.m_quota * m_slots) {
       continue;
     }
-    const double use = team.m_inFlight / team.m_quota;
+    const double use = inFlight / team.m_quota;
     if (use < bestUse) {
       bestUse = use;
       best = &queue.m_team;
@@ -168,7 +178,17 @@
   if (aLeft.m_urgency != aRight.m_urgency) {
     return aLeft.m_urgency < aRight.m_urgency;
   }
-  return aLeft.m_virtualTime < aRight.m_virtualTime;
+  return PrecedesInShares(aLeft, aRight);
+}
+
+bool
+FairQueue::PrecedesInShares(const ServiceQueue& aLeft,
+                            const ServiceQueue& aRight)
+{
+  const auto rank = [](const ServiceQueue& aQueue) {
+    return std::pair(aQueue.m_inFlight / aQueue.m_weight, aQueue.m_virtualTime);
+  };
+  return rank(aLeft) < rank(aRight);
 }
 
 void
@@ -215,7 +235,7 @@
     return;
   }
   --found->second.m_inFlight;
-  --m_teams[found->second.m_team].m_inFlight;
+  --m_teams[found->second.m_team].InFlight(found->second.m_urgency);
   --m_inFlight;
 }
 
@@ -347,7 +367,9 @@
 FairQueue::TeamInFlight(const std::string& aTeam) const
 {
   const auto found = m_teams.find(aTeam);
-  return found == m_teams.end() ? 0 : found->second.m_inFlight;
+  return found == m_teams.end()
+           ? 0
+           : found->second.InFlightUpTo(Urgency::Background);
 }
 
 }
--- a/dispatch/fair_queue.h
+++ b/dispatch/fair_queue.h
@@ -5,8 +5,11 @@
 
 #include <absl/time/time.h>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <numeric>
 #include <optional>
 #include <set>
 #include <string>
@@ -31,17 +34,22 @@
 /**
  * Queues of the services that share one pool. Order of service:
  *
- * 1. Teams whose requests in flight are below their quota of the slots, the
- *    least used team first; inside the team strictly by urgency; between
- *    services of equal urgency by weighted fair shares.
+ * 1. Teams below their quota of the slots, the least used first. Slots count
+ *    against the quota of a request when a request of the same team with the
+ *    same or a higher urgency holds them, so less urgent work in lent slots
+ *    does not use up the quota of more urgent work. Inside the team strictly by
+ *    urgency; services of equal urgency by weighted fair shares.
  * 2. Slots that no team below its quota asks for are lent to any service by
  *    weighted fair shares, regardless of urgency, so that a flood of urgent
  *    work does not take all lent slots.
  *
- * Fair shares use start-time fair queueing: a service's virtual time grows by
- * the slot time of its requests divided by its weight, and the service with the
- * lowest virtual time is next. A service that becomes active starts at the
- * queue's virtual time, so it gains nothing from idle time.
+ * Fair shares: the service with the fewest requests in flight for its weight is
+ * next; when equal, the one with the lowest virtual time. The virtual time
+ * grows by the slot time of a service's requests divided by its weight; a
+ * service that becomes active starts at the queue's virtual time, so it gains
+ * nothing from idle time. Requests in flight come first because they follow a
+ * flood at once, while virtual time alone let bursts of services below their
+ * share wait behind it.
  *
  * Takes the time as an argument and has no clock. Cost of a decision: linear in
  * the number of services, logarithmic in the number of queued requests.
@@ -116,13 +124,26 @@
     double m_meanRunTime = 1;
     double m_virtualTime = 0;
     int m_inFlight = 0;
+    /** Mean of the requests in flight while others wait. */
+    double m_backloggedInFlight = 0;
     std::map<std::uint64_t, QueuedRequest> m_waiting;
   };
   using Queues = std::map<std::string, ServiceQueue>;
   struct Team
   {
     double m_quota = 0;
-    int m_inFlight = 0;
+    std::array<int, kUrgencyNames.size()> m_inFlight{};
+
+    int& InFlight(Urgency aUrgency)
+    {
+      return m_inFlight.at(static_cast<std::size_t>(aUrgency));
+    }
+    /** Requests in flight with this or a higher urgency. */
+    int InFlightUpTo(Urgency aUrgency) const
+    {
+      const auto last = static_cast<std::ptrdiff_t>(aUrgency) + 1;
+      return std::accumulate(m_inFlight.begin(), m_inFlight.begin() + last, 0);
+    }
   };
 
   void Insert(ServiceQueue& aQueue, QueuedRequest aRequest);
@@ -131,6 +152,8 @@
   const std::string* LeastUsedTeamBelowQuota() const;
   bool PrecedesInTeam(const ServiceQueue& aLeft,
                       const ServiceQueue& aRight) const;
+  static bool PrecedesInShares(const ServiceQueue& aLeft,
+                               const ServiceQueue& aRight);
   double GuaranteedSlots(const ServiceQueue& aQueue) const;
   void AdvanceVirtualTime();
   void EndInFlight(const QueuedRequest& aRequest);
--- a/dispatch/target_set.cpp
+++ b/dispatch/target_set.cpp
@@ -97,8 +97,7 @@
     ++second;
   }
   const auto rank = [](const Target* aTarget) {
-    return std::pair(aTarget->m_health.ConsecutiveFailures(),
-                     aTarget->m_inFlight);
+    return std::pair(aTarget->m_health.ShouldTakeOut(), aTarget->m_inFlight);
   };
   Target* const one = aCandidates[first];
   Target* const other = aCandidates[second];
@@ -135,13 +134,19 @@
   }
   Target& target = found->second;
   target.m_health.OnOutcome(aOutcome);
-  if (target.m_eligible && target.m_health.ShouldTakeOut() &&
-      MayTakeOut(target.m_info.m_pool)) {
-    target.m_health.TakeOut(aNow);
-  }
+  TakeOutIfFailing(target, aNow);
   ReleaseSlot(target);
 }
 
+void
+TargetSet::TakeOutIfFailing(Target& aTarget, absl::Time aNow)
+{
+  if (aTarget.m_eligible && aTarget.m_health.ShouldTakeOut() &&
+      MayTakeOut(aTarget.m_info.m_pool)) {
+    aTarget.m_health.TakeOut(aNow);
+  }
+}
+
 bool
 TargetSet::MayTakeOut(const std::string& aPool) const
 {
@@ -162,6 +167,9 @@
 {
   std::vector<TargetInfo> due;
   for (auto& [vm, target] : m_targets) {
+    // The cap may have kept it in; a probe must decide when it is well again,
+    // since it gets little work until then.
+    TakeOutIfFailing(target, aNow);
     if (target.m_eligible && target.m_health.StartProbe(aNow)) {
       due.push_back(target.m_info);
     }
--- a/dispatch/target_set.h
+++ b/dispatch/target_set.h
@@ -50,9 +50,10 @@
 
   /**
    * Reserves a slot at a target of the pool: of two random targets with a free
-   * slot, the one with fewer consecutive failures, then with fewer requests in
-   * flight. Targets in aTried are not chosen while the pool has others that are
-   * not out. Returns null when no slot is free.
+   * slot, one that is not failing (failing ones are in the rotation only
+   * because of kMaxOutFraction), then the one with fewer requests in flight.
+   * Targets in aTried are not chosen while the pool has others that are not
+   * out. Returns null when no slot is free.
    */
   const TargetInfo* Reserve(const std::string& aPool,
                             const std::vector<std::string>& aTried = {});
@@ -63,7 +64,8 @@
   /** Returns a slot after an attempt and updates the target's health. */
   void Finish(const std::string& aVm, TargetOutcome aOutcome, absl::Time aNow);
 
-  /** Targets whose probe is due; each is marked as being probed. */
+  /** Takes out failing targets that the cap kept in so far, and returns the
+   * targets whose probe is due; each is marked as being probed. */
   std::vector<TargetInfo> StartProbes(absl::Time aNow);
 
   void OnProbe(const std::string& aVm, bool aPassed, absl::Time aNow);
@@ -99,6 +101,7 @@
   int AllowanceOf(const std::string& aVm) const;
   bool HasFreeSlot(const Target& aTarget) const;
   Target* Pick(const std::vector<Target*>& aCandidates);
+  void TakeOutIfFailing(Target& aTarget, absl::Time aNow);
   bool MayTakeOut(const std::string& aPool) const;
   void ReleaseSlot(Target& aTarget);
 
--- /dev/null
+++ b/tests/dispatch/test_request_attempt.cpp
@@ -0,0 +1,134 @@
+#include "core/error.h"
+#include "core/state_chart.h"
+#include "dispatch/request_attempt.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <set>
+
+using namespace bramleystall;
+
+namespace {
+
+StateChart
+LoadChart()
+{
+  return StateChart::Load(BRAMLEYSTALL_SOURCE_DIR
+                          "/charts/request_attempt.json");
+}
+
+/** States that can be reached from a state without the given event. */
+std::set<std::string>
+Reachable(const StateChart& aChart,
+          const std::string& aFrom,
+          const std::string& aExceptEvent)
+{
+  std::set<std::string> reached = { aFrom };
+  for (bool grew = true; grew;) {
+    grew = false;
+    for (const auto& step : aChart.Transitions()) {
+      if (step.m_event != aExceptEvent && reached.contains(step.m_from)) {
+        grew = reached.insert(step.m_to).second || grew;
+      }
+    }
+  }
+  return reached;
+}
+
+}
+
+// Guards against chart and code drifting apart, in both directions.
+TEST_CASE("Request attempt chart and code have the same names", "[dispatch]")
+{
+  const StateChart chart = LoadChart();
+  std::set<std::string> states;
+  std::set<std::string> events;
+  for (const auto& step : chart.Transitions()) {
+    states.insert(step.m_from);
+    states.insert(step.m_to);
+    events.insert(step.m_event);
+  }
+  std::set<std::string> knownStates;
+  for (const auto& [state, name] : kAttemptStateNames) {
+    knownStates.emplace(name);
+  }
+  std::set<std::string> knownEvents;
+  for (const auto& [event, name] : kAttemptEventNames) {
+    knownEvents.emplace(name);
+  }
+  CHECK(states == knownStates);
+  CHECK(events == knownEvents);
+}
+
+// Guards against a false "not run" (P4): once a byte may have been sent, no
+// path leads to a refusal.
+TEST_CASE("No path leads from a sent request to a refusal", "[dispatch]")
+{
+  const StateChart chart = LoadChart();
+  for (const auto& step : chart.Transitions()) {
+    if (step.m_event != "send") {
+      continue;
+    }
+    CAPTURE(step.m_from);
+    // The event not_sent says that the attempt sent no byte.
+    CHECK_FALSE(Reachable(chart, step.m_to, "not_sent").contains("refused"));
+  }
+  CHECK_FALSE(Reachable(chart, "retry_waiting", "").contains("refused"));
+}
+
+// Guards against a second send without an event that tells why (P5).
+TEST_CASE("A second send needs a retry or an attempt that sent nothing",
+          "[dispatch]")
+{
+  const StateChart chart = LoadChart();
+  for (const auto& step : chart.Transitions()) {
+    if (step.m_from == "sending" || step.m_from == "retry_sending") {
+      const bool leadsOn = !chart.IsFinal(step.m_to);
+      const bool isReason =
+        step.m_event == "retry" || step.m_event == "not_sent";
+      CHECK(leadsOn == isReason);
+    }
+  }
+}
+
+// Guards against transitions that the chart forbids being applied.
+TEST_CASE("Each transition of the chart is applied, others are rejected",
+          "[dispatch]")
+{
+  const StateChart chart = LoadChart();
+  std::ifstream file(BRAMLEYSTALL_SOURCE_DIR "/charts/request_attempt.json");
+  auto json = nlohmann::json::parse(file);
+  for (const auto& [state, stateName] : kAttemptStateNames) {
+    json["initial"] = stateName;
+    const StateChart startsThere = StateChart::Parse(json.dump());
+    for (const auto& [event, eventName] : kAttemptEventNames) {
+      CAPTURE(stateName, eventName);
+      const auto next =
+        chart.Next(std::string(stateName), std::string(eventName));
+      RequestAttempt moved(startsThere);
+      REQUIRE(moved.State() == state);
+      CHECK(moved.Allows(event) == next.has_value());
+      if (next) {
+        moved.Fire(event);
+        CHECK(NameOf(kAttemptStateNames, moved.State()) == *next);
+      } else {
+        CHECK_THROWS_AS(moved.Fire(event), Error);
+        CHECK(moved.State() == state);
+      }
+    }
+  }
+  RequestAttempt attempt(chart);
+  CHECK_FALSE(attempt.Allows(AttemptEvent::Send));
+  CHECK_THROWS_AS(attempt.Fire(AttemptEvent::Send), Error);
+  attempt.Fire(AttemptEvent::Select);
+  attempt.Fire(AttemptEvent::Clear);
+  attempt.Fire(AttemptEvent::Send);
+  CHECK(attempt.IsSending());
+  attempt.Fire(AttemptEvent::Retry);
+  CHECK(attempt.State() == AttemptState::RetryWaiting);
+  CHECK_FALSE(attempt.Allows(AttemptEvent::Refuse));
+  attempt.Fire(AttemptEvent::Lose);
+  CHECK(attempt.IsFinished());
+}
--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -178,11 +178,23 @@
     setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     const std::lock_guard lock(m_mutex);
     m_sockets.push_back(connection);
-    m_mostOpen = std::max(m_mostOpen, ++m_open);
+    m_mostOpen = std::max(m_mostOpen, CountOpen());
     m_connections.emplace_back([this, connection] { Serve(connection); });
   }
 }
 
+int
+FakeTarget::CountOpen() const
+{
+  // A connection that the other end closed does not count, even when its thread
+  // has not noticed it yet.
+  return static_cast<int>(std::ranges::count_if(m_sockets, [](int aSocket) {
+    pollfd state{ aSocket, POLLRDHUP, 0 };
+    poll(&state, 1, 0);
+    return (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0;
+  }));
+}
+
 void
 FakeTarget::Serve(int aSocket)
 {
@@ -191,16 +203,28 @@
   while (auto request = ReadRequest(aSocket, buffer)) {
     request->m_numberOnConnection = ++number;
     Record(*request);
-    if (!Handle(aSocket, *request)) {
+    if (!Serve(aSocket, *request)) {
       break;
     }
   }
   const std::lock_guard lock(m_mutex);
   std::erase(m_sockets, aSocket);
-  --m_open;
   close(aSocket);
 }
 
+bool
+FakeTarget::Serve(int aSocket, const FakeRequest& aRequest)
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_mostRunning = std::max(m_mostRunning, ++m_running);
+  }
+  const bool keep = Handle(aSocket, aRequest);
+  const std::lock_guard lock(m_mutex);
+  --m_running;
+  return keep;
+}
+
 void
 FakeTarget::Record(const FakeRequest& aRequest)
 {
@@ -319,4 +343,11 @@
   return m_mostOpen;
 }
 
+int
+FakeTarget::MostRunning() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_mostRunning;
+}
+
 }
--- a/tests/fakes/fake_target.h
+++ b/tests/fakes/fake_target.h
@@ -77,11 +77,15 @@
   int ProbeCount() const;
   /** Largest number of connections that were open at once. */
   int MostConnections() const;
+  /** Largest number of requests that ran at once. */
+  int MostRunning() const;
 
 private:
   void AcceptAll();
   void Serve(int aSocket);
+  bool Serve(int aSocket, const FakeRequest& aRequest);
   bool Handle(int aSocket, const FakeRequest& aRequest);
+  int CountOpen() const;
   void Record(const FakeRequest& aRequest);
 
   mutable std::mutex m_mutex;
@@ -93,8 +97,9 @@
   std::atomic<bool> m_stopping = false;
   std::vector<FakeRequest> m_requests;
   int m_probes = 0;
-  int m_open = 0;
   int m_mostOpen = 0;
+  int m_running = 0;
+  int m_mostRunning = 0;
   std::vector<std::thread> m_connections;
   std::vector<int> m_sockets;
   std::thread m_acceptor;
--- a/tests/server/test_request_path.cpp
+++ b/tests/server/test_request_path.cpp
@@ -279,3 +279,468 @@
   CHECK(first.MostConnections() <= 8);
   CHECK(second.MostConnections() <= 8);
 }
+
+// Guards against retries without a bound, and against idempotent requests that
+// fail although another target works.
+TEST_CASE("Idempotent requests are retried within the budget", "[server]")
+{
+  PathFixture fixture;
+  std::atomic<bool> failing = false;
+  const auto choose = [&failing](const FakeRequest& aRequest) {
+    const bool isPlanned = aRequest.m_headers.contains("x-fail");
+    return failing && isPlanned ? FakeBehaviour::ReadAndClose
+                                : FakeBehaviour::Respond;
+  };
+  FakeTarget first(choose);
+  FakeTarget second;
+  fixture.SetTargets({ &first, &second });
+  for (int i = 0; i < 40; ++i) {
+    REQUIRE(fixture.Get().m_status == 200);
+  }
+  failing = true;
+  int unknown = 0;
+  for (int i = 0; i < 40; ++i) {
+    unknown += fixture.Get({ { "X-Fail", "1" } }).m_status == 504 ? 1 : 0;
+  }
+  const auto retries =
+    fixture.Count("bramleystall_retries_total", "connection_closed");
+  CHECK(retries >= 1);
+  CHECK(retries <= 8);
+  CHECK(first.RunCount() + second.RunCount() == 80 + static_cast<int>(retries));
+  CHECK(
+    fixture.Count("bramleystall_unknown_outcomes_total", "connection_closed") ==
+    static_cast<std::uint64_t>(unknown));
+}
+
+// Guards against a request being queued or run although it is not valid.
+TEST_CASE("Requests that are not valid are rejected and not run", "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target;
+  fixture.SetTargets({ &target });
+  const auto [method, path, headers, status, reason] =
+    GENERATE(table<std::string, std::string, HttpHeaders, int, std::string>({
+      { "GET", "/other", {}, 404, "unknown_service" },
+      { "POST", "/renewals", {}, 400, "request_id_required" },
+      { "GET", "/renewals/../x", {}, 400, "malformed" },
+      { "GET", "/renewals", { { "X-Deadline-Ms", "0" } }, 400, "malformed" },
+      { "GET", "/renewals", { { "X-Deadline-Ms", "1s" } }, 400, "malformed" },
+      { "GET",
+        "/renewals",
+        { { "X-Request-Id", std::string(200, 'x') } },
+        400,
+        "malformed" },
+      { "GET",
+        "/renewals",
+        { { "X-Request-Id", "a" }, { "X-Request-Id", "b" } },
+        400,
+        "malformed" },
+    }));
+  CAPTURE(method, path, reason);
+  const auto result = CallOnce(fixture.m_path->Port(), method, path, headers);
+  CHECK(result.m_status == status);
+  CHECK(Header(result, "x-bramleystall-outcome") == "refused-not-run");
+  CHECK(Header(result, "x-bramleystall-reason") == reason);
+  CHECK(target.RunCount() == 0);
+}
+
+// Guards against bytes that are not HTTP reaching a target or ending the
+// daemon.
+TEST_CASE("Malformed bytes get status 400", "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target;
+  fixture.SetTargets({ &target });
+  for (const char* const bytes :
+       { "GET /renewals HTTP/1.1\r\n\r\n",
+         "GET /renewals HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+         "GET renewals HTTP/1.1\r\nHost: a\r\n\r\n",
+         "nonsense\r\n\r\n" }) {
+    CAPTURE(bytes);
+    const std::string received =
+      SendRaw(fixture.m_path->Port(), bytes, absl::Milliseconds(300));
+    CHECK((received.empty() || received.starts_with("HTTP/1.1 400") ||
+           received.starts_with("HTTP/1.0 400")));
+  }
+  CHECK(target.RunCount() == 0);
+  CHECK(fixture.Get().m_status == 200);
+}
+
+// Guards against a request body that fills the daemon's memory.
+TEST_CASE("A body above the limit gets status 413", "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target;
+  fixture.SetTargets({ &target });
+  const std::string id = NewRequestId();
+  const HttpHeaders headers = { { "X-Request-Id", id } };
+  const int port = fixture.m_path->Port();
+  const std::string fits(1000, 'x');
+  CHECK(CallOnce(port, "POST", "/renewals", headers, fits).m_status == 200);
+  const auto declared =
+    CallOnce(port, "POST", "/renewals", headers, fits + "x");
+  CHECK(declared.m_status == 413);
+  CHECK(Header(declared, "x-request-id") == id);
+  const std::string chunked = SendRaw(
+    port,
+    "POST /renewals HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+    "Connection: close\r\n\r\n3e9\r\n" +
+      fits + "x\r\n0\r\n\r\n",
+    absl::Seconds(2));
+  CHECK(chunked.starts_with("HTTP/1.1 413"));
+  CHECK(target.RunCount() == 1);
+}
+
+// Guards against each claim result being answered with the wrong certainty.
+TEST_CASE("Claim results decide the response", "[server]")
+{
+  const auto [outcome, status, reason] =
+    GENERATE(table<ClaimOutcome, int, std::string>({
+      { ClaimOutcome::Duplicate, 504, "duplicate_id" },
+      { ClaimOutcome::OwnerUnreachable, 504, "owner_unreachable" },
+      { ClaimOutcome::TooOld, 504, "id_too_old" },
+      { ClaimOutcome::FromFuture, 400, "request_id_from_future" },
+      { ClaimOutcome::InvalidId, 400, "request_id_invalid" },
+    }));
+  CAPTURE(reason);
+  RequestPathHooks hooks;
+  hooks.m_claim = [chosen =
+                     outcome](const std::string&,
+                              const std::function<void(ClaimOutcome)>& aDone) {
+    aDone(chosen);
+  };
+  PathFixture fixture(hooks);
+  FakeTarget target;
+  fixture.SetTargets({ &target }, 1);
+  for (int i = 0; i < 3; ++i) {
+    const auto result = fixture.Charge(NewRequestId());
+    CHECK(result.m_status == status);
+    CHECK(Header(result, "x-bramleystall-reason") == reason);
+  }
+  CHECK(target.RunCount() == 0);
+  CHECK(fixture.m_path->InFlightByVm().empty());
+  CHECK(fixture.Get().m_status == 200);
+}
+
+// Guards against a charge being sent to a target that started to drain while
+// its claim was under way (P6), and against it being refused although granted.
+TEST_CASE("A target that leaves during a claim gets no work", "[server]")
+{
+  std::mutex mutex;
+  std::vector<std::function<void(ClaimOutcome)>> pending;
+  RequestPathHooks hooks;
+  hooks.m_claim = [&](const std::string&,
+                      std::function<void(ClaimOutcome)> aDone) {
+    const std::lock_guard lock(mutex);
+    pending.push_back(std::move(aDone));
+  };
+  PathFixture fixture(hooks);
+  FakeTarget leaving;
+  FakeTarget staying;
+  fixture.SetTargets({ &leaving });
+  auto call = std::async(std::launch::async,
+                         [&] { return fixture.Charge(NewRequestId()); });
+  REQUIRE(Eventually([&] {
+    const std::lock_guard lock(mutex);
+    return !pending.empty();
+  }));
+  CHECK(fixture.m_path->InFlightByVm().at("vm0") == 1);
+  fixture.m_path->SetSlotAllowance("other", 1);
+  fixture.m_path->ApplyTargets(
+    { { "other", staying.Address(), "pool", "rack" } });
+  pending.front()(ClaimOutcome::Granted);
+  CHECK(call.get().m_status == 200);
+  CHECK(leaving.RunCount() == 0);
+  CHECK(staying.RunCount() == 1);
+}
+
+// Guards against a charge that is sent after its caller was told that it was
+// not run (P4): a claim may be granted after the deadline.
+TEST_CASE("A claim that is granted too late sends nothing", "[server]")
+{
+  std::promise<std::function<void(ClaimOutcome)>> pending;
+  RequestPathHooks hooks;
+  hooks.m_claim = [&](const std::string&,
+                      std::function<void(ClaimOutcome)> aDone) {
+    pending.set_value(std::move(aDone));
+  };
+  PathFixture fixture(hooks);
+  FakeTarget target;
+  fixture.SetTargets({ &target });
+  const auto result =
+    fixture.Charge(NewRequestId(), { { "X-Deadline-Ms", "100" } });
+  CHECK(result.m_status == 503);
+  CHECK(Header(result, "x-bramleystall-reason") == "deadline_passed");
+  pending.get_future().get()(ClaimOutcome::Granted);
+  absl::SleepFor(absl::Milliseconds(50));
+  CHECK(target.RunCount() == 0);
+  CHECK(fixture.m_path->InFlightByVm().empty());
+}
+
+// Guards against more work at a worker than its slots (8 requests with one slot
+// must run one after the other), and against lowered allowances being ignored.
+TEST_CASE("Requests at a target stay within the slot allowance", "[server]")
+{
+  const int allowance = GENERATE(1, 3);
+  PathFixture fixture;
+  FakeTarget target;
+  target.SetDelay(absl::Milliseconds(5));
+  fixture.SetTargets({ &target }, allowance);
+  constexpr int kCallers = 8;
+  std::vector<std::future<CallerResult>> calls;
+  calls.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    calls.push_back(
+      std::async(std::launch::async, [&] { return fixture.Get(); }));
+  }
+  for (auto& call : calls) {
+    CHECK(call.get().m_status == 200);
+  }
+  CHECK(target.MostRunning() <= allowance);
+  CHECK(target.RunCount() == kCallers);
+}
+
+// Guards against a request being run after its caller was told "not run".
+TEST_CASE("A request that waits past its deadline is refused", "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target;
+  fixture.SetTargets({ &target }, 0);
+  const std::string id = NewRequestId();
+  const auto result = fixture.Charge(id, { { "X-Deadline-Ms", "100" } });
+  CHECK(result.m_status == 503);
+  CHECK(Header(result, "x-bramleystall-reason") == "deadline_passed");
+  CHECK(fixture.m_path->SlotUsages().at(0).m_waiting == 0);
+  fixture.m_path->SetSlotAllowance("vm0", 8);
+  absl::SleepFor(absl::Milliseconds(50));
+  CHECK(target.RunCount(id) == 0);
+  CHECK(fixture.Count("bramleystall_refusals_total", "deadline_passed") == 1);
+}
+
+// Guards against a bounded queue that is not bounded.
+TEST_CASE("A full queue refuses at once", "[server]")
+{
+  PathFixture fixture;
+  auto configuration = MakeConfiguration();
+  configuration->m_services[0].m_queueLimit = 2;
+  fixture.m_path->ApplyConfiguration(configuration);
+  FakeTarget target;
+  fixture.SetTargets({ &target }, 0);
+  auto waitingCall = [&] { return fixture.Get(); };
+  auto first = std::async(std::launch::async, waitingCall);
+  auto second = std::async(std::launch::async, waitingCall);
+  REQUIRE(Eventually(
+    [&] { return fixture.m_path->Status().m_services.at(0).m_queued == 2; }));
+  const auto third = fixture.Get();
+  CHECK(third.m_status == 503);
+  CHECK(Header(third, "x-bramleystall-reason") == "queue_full");
+  CHECK(fixture.m_path->SlotUsages().at(0).m_waiting == 2);
+  fixture.m_path->SetSlotAllowance("vm0", 8);
+  CHECK(first.get().m_status == 200);
+  CHECK(second.get().m_status == 200);
+}
+
+// Guards against work for callers that no longer wait.
+TEST_CASE("A queued request of a caller that hung up is dropped", "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target;
+  fixture.SetTargets({ &target }, 0);
+  const int connection = OpenAndSend(
+    fixture.m_path->Port(), "GET /renewals HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto queued = [&] {
+    return fixture.m_path->Status().m_services.at(0).m_queued;
+  };
+  REQUIRE(Eventually([&] { return queued() == 1; }));
+  close(connection);
+  CHECK(Eventually([&] { return queued() == 0; }));
+  CHECK(fixture.m_metrics.CounterValue(
+          "bramleystall_caller_disconnects_total") == 1);
+  fixture.m_path->SetSlotAllowance("vm0", 8);
+  CHECK(fixture.Get().m_status == 200);
+  CHECK(target.RunCount() == 1);
+}
+
+// Guards against a hang-up that interrupts a request at a target.
+TEST_CASE("A request in flight ends although its caller hung up", "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target;
+  target.SetDelay(absl::Milliseconds(100));
+  fixture.SetTargets({ &target });
+  const int connection = OpenAndSend(
+    fixture.m_path->Port(), "GET /renewals HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(Eventually([&] { return target.RunCount() == 1; }));
+  close(connection);
+  CHECK(Eventually([&] {
+    return fixture.m_metrics.CounterValue(
+             "bramleystall_caller_disconnects_total") == 1;
+  }));
+  CHECK(fixture.m_path->InFlightByVm().at("vm0") == 1);
+  CHECK(Eventually([&] { return fixture.m_path->InFlightByVm().empty(); }));
+}
+
+// Guards against a late response reaching the next caller (P3).
+TEST_CASE("A response after the deadline is dropped", "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target([](const FakeRequest& aRequest) {
+    if (aRequest.m_headers.contains("x-slow")) {
+      absl::SleepFor(absl::Milliseconds(200));
+    }
+    return FakeBehaviour::Respond;
+  });
+  fixture.SetTargets({ &target });
+  const auto late =
+    fixture.Get({ { "X-Slow", "1" }, { "X-Deadline-Ms", "50" } });
+  CHECK(late.m_status == 504);
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "id" + std::to_string(i);
+    const auto result = fixture.Get({ { "X-Request-Id", id } });
+    CHECK(result.m_status == 200);
+    CHECK(Header(result, "x-request-id") == id);
+    absl::SleepFor(absl::Milliseconds(25));
+  }
+}
+
+// Guards against a planned stop that interrupts requests (P7).
+TEST_CASE("Draining finishes accepted requests and refuses new ones",
+          "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target;
+  target.SetDelay(absl::Milliseconds(200));
+  fixture.SetTargets({ &target }, 1);
+  auto running = std::async(std::launch::async, [&] { return fixture.Get(); });
+  REQUIRE(Eventually([&] { return target.RunCount() == 1; }));
+  auto queued = std::async(std::launch::async, [&] { return fixture.Get(); });
+  REQUIRE(Eventually(
+    [&] { return fixture.m_path->Status().m_services.at(0).m_queued == 1; }));
+  auto drained = std::async(std::launch::async,
+                            [&] { fixture.m_path->Drain(absl::Seconds(5)); });
+  absl::SleepFor(absl::Milliseconds(20));
+  const auto refused = fixture.Get();
+  CHECK(refused.m_status == 503);
+  CHECK(Header(refused, "x-bramleystall-reason") == "shutting_down");
+  CHECK(running.get().m_status == 200);
+  CHECK(queued.get().m_status == 200);
+  drained.get();
+  CHECK_THROWS(OpenAndSend(fixture.m_path->Port(), "x"));
+}
+
+// Guards against callers left without response when the daemon stops at once.
+TEST_CASE("Stopping at once gives every request a truthful response",
+          "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target([](const FakeRequest&) { return FakeBehaviour::Freeze; });
+  fixture.SetTargets({ &target }, 1);
+  auto running =
+    std::async(std::launch::async, [&] { return fixture.Charge("run"); });
+  REQUIRE(Eventually([&] { return target.RunCount("run") == 1; }));
+  auto queued =
+    std::async(std::launch::async, [&] { return fixture.Charge("wait"); });
+  REQUIRE(Eventually(
+    [&] { return fixture.m_path->Status().m_services.at(0).m_queued == 1; }));
+  fixture.m_path.reset();
+  CHECK(Header(running.get(), "x-bramleystall-outcome") == "outcome-unknown");
+  CHECK(Header(queued.get(), "x-bramleystall-outcome") == "refused-not-run");
+  CHECK(target.RunCount("wait") == 0);
+}
+
+// Guards against a failing target that keeps its share of the work, and against
+// one that is never used again after it recovered.
+TEST_CASE("A failing target leaves the rotation and returns", "[server]")
+{
+  PathFixture fixture;
+  std::atomic<bool> failing = true;
+  FakeTarget first([&failing](const FakeRequest&) {
+    return failing ? FakeBehaviour::ReadAndClose : FakeBehaviour::Respond;
+  });
+  FakeTarget second;
+  fixture.SetTargets({ &first, &second });
+  const auto health = [&] {
+    return fixture.m_path->Status().m_targets.at(0).m_health;
+  };
+  for (int i = 0; i < 100 && health() != HealthState::Out; ++i) {
+    fixture.Get();
+  }
+  REQUIRE(health() == HealthState::Out);
+  const int before = first.RunCount();
+  for (int i = 0; i < 10; ++i) {
+    CHECK(fixture.Get().m_status == 200);
+  }
+  CHECK(first.RunCount() == before);
+  failing = false;
+  CHECK(Eventually([&] { return health() == HealthState::Returning; }));
+  CHECK(first.ProbeCount() >= TargetHealth::kProbesToReturn);
+  for (int i = 0; i < 400 && health() != HealthState::Healthy; ++i) {
+    CHECK(fixture.Get().m_status == 200);
+  }
+  CHECK(health() == HealthState::Healthy);
+  CHECK(first.RunCount() > before);
+}
+
+// Guards against requests of a removed service waiting until their deadline.
+TEST_CASE("Requests of a removed service are refused", "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target;
+  fixture.SetTargets({ &target }, 0);
+  auto call = std::async(std::launch::async, [&] { return fixture.Get(); });
+  REQUIRE(Eventually(
+    [&] { return fixture.m_path->Status().m_services.at(0).m_queued == 1; }));
+  auto configuration = std::make_shared<Configuration>();
+  configuration->m_services = { MakeService("other", "/other") };
+  fixture.m_path->ApplyConfiguration(configuration);
+  CHECK(Header(call.get(), "x-bramleystall-reason") == "service_removed");
+  CHECK(fixture.Get().m_status == 404);
+}
+
+// Guards against queued requests being stuck in the queue of the old pool.
+TEST_CASE("Requests of a service that changes its pool move with it",
+          "[server]")
+{
+  PathFixture fixture;
+  FakeTarget target;
+  FakeTarget other;
+  fixture.SetTargets({ &target }, 0);
+  auto call = std::async(std::launch::async, [&] { return fixture.Get(); });
+  REQUIRE(Eventually(
+    [&] { return fixture.m_path->Status().m_services.at(0).m_queued == 1; }));
+  fixture.m_path->SetSlotAllowance("vm9", 1);
+  fixture.m_path->ApplyTargets(
+    { { "vm0", target.Address(), "pool", "rack" },
+      { "vm9", other.Address(), "second", "rack" } });
+  auto configuration = MakeConfiguration();
+  configuration->m_services[0].m_pool = "second";
+  fixture.m_path->ApplyConfiguration(configuration);
+  CHECK(call.get().m_status == 200);
+  CHECK(other.RunCount() == 1);
+}
+
+// Guards against a pool without targets holding requests until their deadline.
+TEST_CASE("Without a target requests are refused at once", "[server]")
+{
+  PathFixture fixture;
+  const auto result = fixture.Get();
+  CHECK(result.m_status == 503);
+  CHECK(Header(result, "x-bramleystall-reason") == "no_capacity");
+}
+
+// Guards against a daemon that starts although it cannot serve.
+TEST_CASE("A missing hook or a used port is an error", "[server]")
+{
+  Metrics metrics;
+  RequestPathSettings settings;
+  settings.m_requestAttemptChart =
+    BRAMLEYSTALL_SOURCE_DIR "/charts/request_attempt.json";
+  CHECK_THROWS_AS(RequestPath(settings, {}, metrics), Error);
+  PathFixture fixture;
+  settings.m_listenPort = fixture.m_path->Port();
+  RequestPathHooks hooks;
+  hooks.m_claim = [](const std::string&,
+                     const std::function<void(ClaimOutcome)>&) {};
+  RequestPath second(settings, hooks, metrics);
+  CHECK_THROWS_AS(second.Start(), Error);
+}
