--- a/cluster/slot_ledger.cpp
+++ b/cluster/slot_ledger.cpp
@@ -39,11 +39,12 @@
                     const std::vector<DeadHolder>& aDead,
                     absl::Time aNow)
 {
-  m_dead = aDead;
+  NoteDead(aDead);
   if (aView == m_view) {
     return;
   }
   m_view = aView;
+  m_seen.insert(m_view.begin(), m_view.end());
   ++m_viewNumber;
   std::string text;
   for (const IncarnationId& id : m_view) {
@@ -55,31 +56,65 @@
   m_viewDigest = DigestOf(text);
   m_homes.clear();
   m_holders.clear();
-  m_wantsTick = true;
+  m_wantsTick = !m_view.empty();
+  if (m_view.empty()) {
+    m_workers.clear();
+    return;
+  }
   for (auto& [vm, holding] : m_holdings) {
     holding.m_home = *HomeOf(vm);
   }
   std::erase_if(m_workers, [this](const auto& aWorker) {
-    const IncarnationId* const home = HomeOf(aWorker.first);
-    return !home || home->m_daemon != m_settings.m_daemon;
+    return HomeOf(aWorker.first)->m_daemon != m_settings.m_daemon;
   });
   for (auto& [vm, worker] : m_workers) {
-    std::erase_if(worker.m_loans,
-                  [&, &quarantine = worker.m_quarantine](const auto& aLoan) {
-                    const auto& [holder, loan] = aLoan;
-                    if (std::ranges::binary_search(m_view, holder)) {
-                      return false;
-                    }
-                    const auto dead =
-                      std::ranges::find(m_dead, holder, &DeadHolder::m_id);
-                    if (dead == m_dead.end()) {
-                      quarantine.push_back(
-                        { loan.m_tokens, DeadUntil({ holder, aNow, false }) });
-                    } else if (!dead->m_isClean) {
-                      quarantine.push_back({ loan.m_tokens, DeadUntil(*dead) });
-                    }
-                    return true;
-                  });
+    MoveLoansOfDead(worker, aNow);
+  }
+}
+
+void
+SlotLedger::NoteDead(const std::vector<DeadHolder>& aDead)
+{
+  std::erase_if(m_seen, [&](const IncarnationId& aId) {
+    return !std::ranges::binary_search(m_view, aId) &&
+           std::ranges::find(aDead, aId, &DeadHolder::m_id) == aDead.end();
+  });
+  m_dead = aDead;
+  bool isUnseen = false;
+  for (const DeadHolder& dead : m_dead) {
+    isUnseen |= m_seen.insert(dead.m_id).second && !dead.m_isClean;
+  }
+  if (isUnseen) {
+    // Another home daemon may have lent to it.
+    for (auto& [vm, worker] : m_workers) {
+      worker.m_isAccounted = false;
+    }
+  }
+}
+
+void
+SlotLedger::MoveLoansOfDead(Worker& aWorker, absl::Time aNow) const
+{
+  for (auto next = aWorker.m_loans.begin(); next != aWorker.m_loans.end();) {
+    const auto loan = next++;
+    const IncarnationId& holder = loan->first;
+    if (std::ranges::binary_search(m_view, holder)) {
+      continue;
+    }
+    const auto dead = std::ranges::find(m_dead, holder, &DeadHolder::m_id);
+    const bool isClean = dead != m_dead.end() && dead->m_isClean;
+    const auto successor =
+      std::ranges::find(m_view, holder.m_daemon, &IncarnationId::m_daemon);
+    if (isClean && successor != m_view.end()) {
+      // The same process, which has not reported its tokens yet.
+      aWorker.m_loans[*successor].m_tokens += loan->second.m_tokens;
+    } else if (!isClean) {
+      const absl::Time lastHeard =
+        dead == m_dead.end() ? aNow : dead->m_lastHeard;
+      aWorker.m_quarantine.push_back(
+        { loan->second.m_tokens, DeadUntil({ holder, lastHeard, false }) });
+    }
+    aWorker.m_loans.erase(loan);
   }
 }
 
@@ -136,6 +171,7 @@
       !std::ranges::binary_search(m_view, aSender)) {
     return {};
   }
+  NoteViewNumber(aSender, aRequest.m_viewNumber);
   HolderLink& link = m_holders[aSender];
   if (aRequest.m_viewNumber < link.m_viewNumber ||
       aRequest.m_sequence <= link.m_sequence) {
@@ -170,6 +206,17 @@
   return messages;
 }
 
+void
+SlotLedger::NoteViewNumber(const IncarnationId& aHome, std::uint64_t aNumber)
+{
+  HomeLink& link = m_homes[aHome];
+  if (aNumber > link.m_viewNumber) {
+    link.m_viewNumber = aNumber;
+    link.m_isSynced = false;
+    m_wantsTick = true;
+  }
+}
+
 void
 SlotLedger::AddHintsToAll(const IncarnationId& aExcept,
                           absl::Time aNow,
@@ -195,12 +242,8 @@
       !std::ranges::binary_search(m_view, aSender)) {
     return;
   }
+  NoteViewNumber(aSender, aReply.m_viewNumber);
   HomeLink& link = m_homes[aSender];
-  if (aReply.m_viewNumber > link.m_viewNumber) {
-    link.m_viewNumber = aReply.m_viewNumber;
-    link.m_isSynced = false;
-    m_wantsTick = true;
-  }
   for (const SlotTarget& hint : aReply.m_hints) {
     const auto found = m_holdings.find(hint.m_vm);
     if (found != m_holdings.end()) {
--- a/cluster/slot_ledger.h
+++ b/cluster/slot_ledger.h
@@ -65,7 +65,10 @@
 
   SlotLedger(SlotLedgerSettings aSettings, SetAllowance aSetAllowance);
 
-  /** Adopts a view (sorted, with this daemon) if it differs. */
+  /**
+   * Adopts a view if it differs: sorted, with this daemon, or empty while this
+   * daemon has not joined and must not lend.
+   */
   void SetView(const std::vector<IncarnationId>& aView,
                const std::vector<DeadHolder>& aDead,
                absl::Time aNow);
@@ -162,6 +165,8 @@
     bool m_isAccounted = false;
   };
 
+  void NoteDead(const std::vector<DeadHolder>& aDead);
+  void MoveLoansOfDead(Worker& aWorker, absl::Time aNow) const;
   const IncarnationId* HomeOf(const std::string& aVm) const;
   absl::Time DeadUntil(const DeadHolder& aDead) const;
   bool IsHomeReady() const;
@@ -176,6 +181,8 @@
   std::vector<SlotMessage> HandleRequest(const IncarnationId& aSender,
                                          const SlotRequest& aRequest,
                                          absl::Time aNow);
+  /** The home daemon needs a full report in each of its views. */
+  void NoteViewNumber(const IncarnationId& aHome, std::uint64_t aNumber);
   void AddHintsToAll(const IncarnationId& aExcept,
                      absl::Time aNow,
                      std::map<std::string, SlotReply>& aHints) const;
@@ -195,6 +202,8 @@
   std::uint64_t m_viewDigest = 0;
   std::uint64_t m_viewNumber = 0;
   std::vector<DeadHolder> m_dead;
+  /** Incarnations that were in a view or in the list of dead ones. */
+  std::set<IncarnationId> m_seen;
   IncarnationId m_self;
   std::map<std::string, Holding> m_holdings;
   std::map<IncarnationId, HomeLink> m_homes;
--- a/tests/cluster/test_cluster_node.cpp
+++ b/tests/cluster/test_cluster_node.cpp
@@ -1,4 +1,4 @@
-#include "core/clock.h"
+#include "cluster/peer_sockets.h"
 #include "tests/fakes/fake_daemon.h"
 
 #include <absl/strings/str_cat.h>
@@ -6,9 +6,12 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
+#include <memory>
 #include <numeric>
 #include <random>
-#include <set>
+#include <string>
+#include <vector>
 
 using namespace bramleystall;
 
@@ -99,6 +102,53 @@
   }
 }
 
+// Guards against a daemon that starts while the store is down and stays
+// without the configuration that its peers have, in any data centre.
+TEST_CASE("A document reaches daemons that start later", "[cluster]")
+{
+  Daemons daemons = StartDaemons(2, 23030);
+  daemons[0]->SetConfiguration(7);
+  CHECK(WaitFor(absl::Seconds(2),
+                [&] { return daemons[1]->ConfigurationVersion() == 7; }));
+  const std::vector seeds = { LocalPeer("d1", "dc1", 23031) };
+  FakeDaemon late(LocalPeer("late", "dc1", 23032), seeds);
+  FakeDaemon remote(LocalPeer("remote", "dc2", 23033), seeds);
+  late.Node().Start();
+  remote.Node().Start();
+  CHECK(WaitFor(absl::Seconds(5), [&] {
+    return late.ConfigurationVersion() == 7 &&
+           remote.ConfigurationVersion() == 7;
+  }));
+  daemons[1]->SetConfiguration(8);
+  CHECK(WaitFor(absl::Seconds(5), [&] {
+    return late.ConfigurationVersion() == 8 &&
+           remote.ConfigurationVersion() == 8;
+  }));
+  CHECK(WaitFor(absl::Seconds(3), [&] {
+    const auto members = daemons[0]->Node().Members();
+    return std::ranges::all_of(members, [](const MemberView& aMember) {
+      return aMember.m_configurationVersion == 8;
+    });
+  }));
+}
+
+// Guards against a daemon that fails on bytes of another program.
+TEST_CASE("Malformed bytes are counted and dropped", "[cluster]")
+{
+  Daemons daemons = StartDaemons(1, 23040);
+  PeerSockets sockets("127.0.0.1:23041");
+  REQUIRE(WaitFor(absl::Seconds(2), [&] {
+    return sockets.Send("127.0.0.1:23040", "no message") == SendResult::Sent;
+  }));
+  CHECK(WaitFor(absl::Seconds(2), [&] {
+    return daemons[0]->Counters().CounterValue(
+             "bramleystall_peer_dropped_total",
+             { { "reason", "malformed" } }) == 1;
+  }));
+  CHECK(
+    WaitFor(absl::Seconds(2), [&] { return daemons[0]->Node().IsReady(); }));
+}
+
 // Guards against an id that two daemons run, or one that is never granted.
 TEST_CASE("Claims are granted once across daemons", "[cluster]")
 {
@@ -119,4 +169,15 @@
     CHECK(daemons[i % 3]->ClaimAndWait(id) == ClaimOutcome::Granted);
     CHECK(daemons[(i + 1) % 3]->ClaimAndWait(id) == ClaimOutcome::Duplicate);
   }
+  // The ids of a daemon that failed are granted by no other one.
+  daemons.back()->Vanish();
+  daemons.pop_back();
+  std::map<ClaimOutcome, int> outcomes;
+  for (int i = 0; i < 60; ++i) {
+    const auto id = Uuid7::Make(later + absl::Seconds(7), random).ToString();
+    ++outcomes[daemons[i % 2]->ClaimAndWait(id)];
+  }
+  CHECK(outcomes[ClaimOutcome::OwnerUnreachable] > 0);
+  CHECK(outcomes[ClaimOutcome::Granted] > 0);
+  CHECK(outcomes.size() == 2);
 }
