--- a/fleet/fleet_view.cpp
+++ b/fleet/fleet_view.cpp
@@ -103,6 +103,7 @@
 void
 FleetView::Observe(VmView& aVm)
 {
+  aVm.m_domain = FindDomain(aVm);
   const std::string& name = aVm.m_record.m_name;
   const auto observation = m_snapshot.m_observations.find(name);
   if (observation != m_snapshot.m_observations.end()) {
@@ -177,7 +178,7 @@
 }
 
 std::string
-FleetView::Domain(const VmView& aVm) const
+FleetView::FindDomain(const VmView& aVm) const
 {
   const FailureDomain survive = Spec().m_survive;
   if (survive == FailureDomain::DataCentre) {
@@ -224,7 +225,7 @@
     return false;
   }
   const CapacityBudget& budget = Budget(aVm.m_record.m_pool);
-  return budget.Promised() == 0 || budget.CanRelease(Domain(aVm));
+  return budget.Promised() == 0 || budget.CanRelease(aVm.m_domain);
 }
 
 void
@@ -249,7 +250,7 @@
     budget.m_presumedReady += aSign;
   }
   if (IsInService(aVm)) {
-    budget.AddReady(Domain(aVm), aSign);
+    budget.AddReady(aVm.m_domain, aSign);
   }
 }
 
--- a/fleet/fleet_view.h
+++ b/fleet/fleet_view.h
@@ -25,6 +25,8 @@
   bool m_isAbsent = false;
   const VmObservation* m_observation = nullptr;
   const VmListing* m_listing = nullptr;
+  /** Failure domain; a VM without a rack is its own domain. */
+  std::string m_domain;
 };
 
 /**
@@ -64,8 +66,6 @@
   bool IsPartial() const { return m_isPartial; }
   /** Whether the list was read and is not empty. */
   bool HasList() const { return m_hasList; }
-  /** Failure domain of a VM; a VM without a rack is its own domain. */
-  std::string Domain(const VmView& aVm) const;
   /** Time since the last change of state. */
   absl::Duration Age(const VmView& aVm) const;
   /** Whether the VM is in service: in state ready and healthy. */
@@ -106,6 +106,7 @@
   void LoadBudgets();
   void LoadVms();
   void Observe(VmView& aVm);
+  std::string FindDomain(const VmView& aVm) const;
   void Count(const VmView& aVm, int aSign);
   Decision Describe(const VmView& aVm,
                     PlanReason aReason,
--- a/fleet/move_plan.cpp
+++ b/fleet/move_plan.cpp
@@ -118,7 +118,7 @@
   const CapacityBudget& target = aView.Budget(aRequest.m_pool);
   const auto rank = [&](const VmView& aVm) {
     return std::tuple(!aView.IsSpare(aVm.m_record.m_pool),
-                      target.ReadyIn(aView.Domain(aVm)),
+                      target.ReadyIn(aVm.m_domain),
                       aVm.m_record.m_maintainedMillis <
                         aRequest.m_preferMaintained,
                       aVm.m_record.m_name);
@@ -237,8 +237,8 @@
       const CapacityBudget& budget = aView.Budget(pool);
       if (vm.m_record.m_pool == pool && FleetView::IsInService(vm) &&
           aView.HasSurplus(pool) && aView.MayLeave(vm) &&
-          (!best || budget.ReadyIn(aView.Domain(vm)) >
-                      budget.ReadyIn(aView.Domain(*best)))) {
+          (!best ||
+           budget.ReadyIn(vm.m_domain) > budget.ReadyIn(best->m_domain))) {
         best = &vm;
       }
     }
--- a/fleet/planner.cpp
+++ b/fleet/planner.cpp
@@ -8,7 +8,7 @@
 #include "fleet/vm_lifecycle.h"
 #include "fleet/wave_plan.h"
 
-#include <vector>
+#include <algorithm>
 
 namespace bramleystall {
 
@@ -54,6 +54,18 @@
   return loansWanted;
 }
 
+/** Whether the state or the detail of an order differs. */
+bool
+HasProgress(const OrderDocument& aBefore, const OrderDocument& aAfter)
+{
+  return !std::ranges::equal(aBefore.m_orders,
+                             aAfter.m_orders,
+                             [](const Order& aOld, const Order& aNew) {
+                               return aOld.m_state == aNew.m_state &&
+                                      aOld.m_detail == aNew.m_detail;
+                             });
+}
+
 /** Reboots are requested until the VM has returned; the token makes a repeated
  * request harmless. */
 void
@@ -87,7 +99,7 @@
   plan.m_sparesNeeded =
     WorstDomainNeed(view) + ExpectedFailures(view) + loansWanted;
   view.Finish();
-  if (orders.Serialize() != aSnapshot.m_orders.Serialize()) {
+  if (HasProgress(aSnapshot.m_orders, orders)) {
     plan.m_changedOrders = std::move(orders);
   }
   return plan;
--- a/fleet/wave_plan.cpp
+++ b/fleet/wave_plan.cpp
@@ -65,12 +65,14 @@
     record.m_maintainedMillis >= m_order.m_createdMillis;
   if (isTaken && IsOut(record)) {
     ++m_out;
-  } else if (isLost || isTaken) {
-    // A VM that the wave took and that is ready again without maintenance
-    // did not come back in time; the wave does not try it twice.
-    ++(isTaken || isMaintained ? m_failed : m_skipped);
+  } else if (isTaken) {
+    // Also one that is ready again without maintenance: it did not come back
+    // in time, and the wave does not try it twice.
+    ++m_failed;
   } else if (isMaintained) {
-    ++m_maintained;
+    ++(isLost && FailedSoon(aVm) ? m_failed : m_maintained);
+  } else if (isLost) {
+    ++m_skipped;
   } else if (FleetView::IsInService(aVm)) {
     m_remaining.push_back(&aVm);
   } else if (record.m_state == VmState::Joining ||
@@ -81,6 +83,16 @@
   }
 }
 
+bool
+WavePlan::FailedSoon(const VmView& aVm) const
+{
+  const std::int64_t failed = aVm.m_record.m_state == VmState::Ready
+                                ? m_view.NowMillis()
+                                : aVm.m_record.m_sinceMillis;
+  return absl::Milliseconds(failed - aVm.m_record.m_maintainedMillis) <=
+         m_view.Spec().m_rebootTimeout;
+}
+
 bool
 WavePlan::HasFailed() const
 {
@@ -113,7 +125,7 @@
     outInDataCentre[vm.m_dataCentre] += IsOut(vm.m_record) ? 1 : 0;
   }
   const auto rank = [&](const VmView* aVm) {
-    return std::tuple(-budget.ReadyIn(m_view.Domain(*aVm)),
+    return std::tuple(-budget.ReadyIn(aVm->m_domain),
                       outInDataCentre[aVm->m_dataCentre],
                       aVm->m_record.m_name);
   };
--- a/fleet/wave_plan.h
+++ b/fleet/wave_plan.h
@@ -27,6 +27,9 @@
 private:
   bool IsInScope(const VmView& aVm) const;
   void Classify(VmView& aVm);
+  /** Whether a maintained VM failed so soon that its reboot may be the cause.
+   * Later failures do not count against the wave. */
+  bool FailedSoon(const VmView& aVm) const;
   bool HasFailed() const;
   bool DrainOne(const std::string& aPool);
   void DrainPools();
--- /dev/null
+++ b/tests/measure/fleet_measure.cpp
@@ -0,0 +1,381 @@
+#include "tests/measure/fleet_measure.h"
+
+#include "core/error.h"
+#include "tests/fakes/fleet_model.h"
+#include "tests/fakes/plan_checker.h"
+#include "tests/naive/naive_planner.h"
+
+#include <absl/strings/str_cat.h>
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <map>
+#include <string>
+
+namespace bramleystall {
+
+namespace {
+
+/** Time that the platform takes to reboot a VM, an assumption of the model. */
+constexpr absl::Duration kRebootTime = absl::Minutes(3);
+
+constexpr absl::Duration kDrainTime = absl::Seconds(3);
+
+/** Time in which a pool must have its promise again after a failure:
+ * detection by probes, drain of a spare and two plans. */
+constexpr absl::Duration kRepairTime = absl::Seconds(60);
+
+FleetModelOptions
+MakeOptions(const std::string& aDeployment, std::uint64_t aSeed)
+{
+  FleetModelOptions options;
+  options.m_seed = aSeed;
+  if (aDeployment == "consortium") {
+    options.m_dataCentres = 3;
+    options.m_pools = { { "counter1", 9, 0.8, 1 },
+                        { "counter2", 9, 0.8, 1 },
+                        { "counter3", 11, 0.8, 1 },
+                        { "counter4", 12, 0.8, 1 } };
+  } else if (aDeployment == "cooperative") {
+    options.m_dataCentres = 4;
+    options.m_pools = { { "alarms", 12, 0.9, 4 },
+                        { "spoilage", 10, 0.8, 2 },
+                        { "doors", 9, 0.8, 2 },
+                        { "summaries", 8, 0.7, 1 } };
+  } else {
+    throw Error(ErrorCode::InvalidInput,
+                absl::StrCat("no deployment is named '", aDeployment, "'"));
+  }
+  options.m_spares = 8;
+  options.m_rebootTime = kRebootTime;
+  options.m_drainTime = kDrainTime;
+  return options;
+}
+
+int
+Promised(const ModelPool& aPool)
+{
+  return static_cast<int>(std::ceil(aPool.m_budget * aPool.m_workers - 1e-9));
+}
+
+int
+CountVms(const FleetModelOptions& aOptions)
+{
+  int count = aOptions.m_spares;
+  for (const ModelPool& pool : aOptions.m_pools) {
+    count += pool.m_workers;
+  }
+  return count;
+}
+
+/** Runs one wave over the whole fleet; minutes until every VM is maintained. */
+double
+RunRollout(FleetModel& aModel,
+           const FleetModel::Planner& aPlanner,
+           std::string* aBroken)
+{
+  PlanChecker checker;
+  aModel.m_check = [&](const FleetSnapshot& aSnapshot, const FleetPlan& aPlan) {
+    const std::string violation = checker.Check(aSnapshot, aPlan);
+    if (aBroken && aBroken->empty()) {
+      *aBroken = violation;
+    }
+  };
+  const absl::Time start = aModel.Now();
+  const std::string wave = aModel.AddOrder(OrderKind::Wave, "", "");
+  constexpr absl::Duration kLongest = absl::Hours(24);
+  while (aModel.FindOrder(wave).IsOpen() && aModel.Now() - start < kLongest) {
+    aModel.Step(aPlanner);
+  }
+  const int left = aModel.CountRecords([start](const VmRecord& aVm) {
+    return aVm.m_maintainedMillis < ToMillis(start);
+  });
+  if (aBroken && aBroken->empty() && left > 0) {
+    *aBroken = absl::StrCat(left, " VMs are not maintained");
+  }
+  return absl::ToDoubleMinutes(aModel.Now() - start);
+}
+
+/**
+ * Bound of a rollout: the mean drain and reboot time, multiplied by the VMs,
+ * divided by the VMs that the budgets allow out of service at once. That is
+ * every VM beyond the promises and, for each pool, one VM for the margin, the
+ * smallest that a pool spread over racks can have.
+ */
+double
+RolloutBound(const FleetModelOptions& aOptions)
+{
+  int held = 0;
+  for (const ModelPool& pool : aOptions.m_pools) {
+    held += Promised(pool) + 1;
+  }
+  const int vms = CountVms(aOptions);
+  const double minutes = absl::ToDoubleMinutes(kRebootTime + kDrainTime / 2);
+  return minutes * vms / (vms - held);
+}
+
+}
+
+MeasureResult
+MeasureRolloutTime(const std::string& aDeployment,
+                   std::uint64_t aSeed,
+                   std::shared_ptr<const StateChart> aChart)
+{
+  const FleetModelOptions options = MakeOptions(aDeployment, aSeed);
+  MeasureResult result{
+    "rollout_time", aDeployment, 0, 0, 0, "min", aSeed, ""
+  };
+  FleetModel baseline(options, aChart);
+  result.m_baseline = RunRollout(baseline, NaivePlanner(), nullptr);
+  FleetModel chosen(options, aChart);
+  result.m_chosen = RunRollout(chosen, PlanFleet, &result.m_broken);
+  result.m_bound = RolloutBound(options);
+  return result;
+}
+
+namespace {
+
+/**
+ * Failure of one VM of a pool. The pool is fixed and the VM is whichever is
+ * first in service there, so that every planner meets the same demand
+ * whatever it has moved.
+ */
+struct Outage
+{
+  absl::Duration m_start;
+  absl::Duration m_length;
+  std::string m_pool;
+};
+
+/** Outages of a run, drawn from the seed alone. */
+std::vector<Outage>
+DrawOutages(const FleetModelOptions& aOptions, absl::Duration aRun)
+{
+  std::mt19937_64 random(aOptions.m_seed);
+  const auto pick = [&random](int aLow, int aHigh) {
+    return std::uniform_int_distribution<int>(aLow, aHigh)(random);
+  };
+  const int minutes = static_cast<int>(absl::ToInt64Minutes(aRun));
+  std::vector<std::string> pools;
+  for (const ModelPool& pool : aOptions.m_pools) {
+    pools.insert(pools.end(), pool.m_workers, pool.m_name);
+  }
+  const auto anyPool = [&] {
+    return pools[pick(0, static_cast<int>(pools.size()) - 1)];
+  };
+  std::vector<Outage> outages;
+  // Restarts are back within a few minutes.
+  for (int i = 0; i < 12; ++i) {
+    outages.push_back({ absl::Minutes(pick(0, minutes - 90)),
+                        absl::Seconds(pick(40, 240)),
+                        anyPool() });
+  }
+  // Failures that last for hours.
+  for (int i = 0; i < 4; ++i) {
+    outages.push_back({ absl::Minutes(pick(0, minutes / 2)),
+                        absl::Minutes(pick(60, 150)),
+                        anyPool() });
+  }
+  // A rack of four, one VM of each pool.
+  const absl::Duration start = absl::Minutes(pick(minutes / 4, minutes / 2));
+  const absl::Duration length = absl::Minutes(pick(30, 90));
+  for (const ModelPool& pool : aOptions.m_pools) {
+    outages.push_back({ start, length, pool.m_name });
+  }
+  std::ranges::sort(outages, {}, &Outage::m_start);
+  return outages;
+}
+
+/** Takes the first VM down that is in service in the pool of the outage. */
+void
+StartOutage(FleetModel& aModel, const Outage& aOutage)
+{
+  for (const auto& [name, vm] : aModel.Vms()) {
+    const VmRecord* const record = aModel.FindRecord(name);
+    if (record && record->m_pool == aOutage.m_pool &&
+        record->m_state == VmState::Ready && vm.IsUp(aModel.Now())) {
+      aModel.Fail(name, aOutage.m_length);
+      return;
+    }
+  }
+}
+
+/** Outages of a pool at a time. */
+int
+CountDown(const std::vector<Outage>& aOutages,
+          const std::string& aPool,
+          absl::Duration aTime)
+{
+  return static_cast<int>(
+    std::ranges::count_if(aOutages, [&](const Outage& aOutage) {
+      return aOutage.m_pool == aPool && aTime >= aOutage.m_start &&
+             aTime < aOutage.m_start + aOutage.m_length;
+    }));
+}
+
+/** What one run with outages gave. */
+struct RunResult
+{
+  int m_moves = 0;
+  bool m_hasOpenOrders = false;
+  std::string m_broken;
+  /** Longest time that a pool missed its promise. */
+  absl::Duration m_longestMiss;
+};
+
+RunResult
+RunOutages(const FleetModelOptions& aOptions,
+           std::shared_ptr<const StateChart> aChart,
+           const FleetModel::Planner& aPlanner,
+           const std::vector<Outage>& aOutages,
+           absl::Duration aRun,
+           bool aHasWave)
+{
+  FleetModel model(aOptions, std::move(aChart));
+  PlanChecker checker;
+  RunResult result;
+  model.m_check = [&](const FleetSnapshot& aSnapshot, const FleetPlan& aPlan) {
+    const std::string violation = checker.Check(aSnapshot, aPlan);
+    if (result.m_broken.empty()) {
+      result.m_broken = violation;
+    }
+    for (const Decision& decision : aPlan.m_decisions) {
+      result.m_moves += decision.m_event == "reassign" ? 1 : 0;
+    }
+  };
+  const absl::Time start = model.Now();
+  std::map<std::string, absl::Time> missedSince;
+  std::size_t next = 0;
+  if (aHasWave) {
+    model.AddOrder(OrderKind::Wave, "", "");
+  }
+  while (model.Now() - start < aRun) {
+    while (next < aOutages.size() &&
+           start + aOutages[next].m_start <= model.Now()) {
+      StartOutage(model, aOutages[next]);
+      ++next;
+    }
+    model.Step(aPlanner);
+    for (const ModelPool& pool : aOptions.m_pools) {
+      if (model.TrulyReady(pool.m_name) >= Promised(pool)) {
+        missedSince.erase(pool.m_name);
+        continue;
+      }
+      const auto since =
+        missedSince.emplace(pool.m_name, model.Now()).first->second;
+      result.m_longestMiss =
+        std::max(result.m_longestMiss, model.Now() - since);
+    }
+  }
+  result.m_hasOpenOrders =
+    std::ranges::any_of(model.OrdersSeen().m_orders, &Order::IsOpen);
+  return result;
+}
+
+/**
+ * Least moves that meet the demand of one pool: the configured number of VMs,
+ * except for lacks that end within the reboot time limit while the promise
+ * stays protected by one VM. Each other lack needs one move in and, when it
+ * has ended for the hold time, one move back to the spares.
+ */
+int
+LeastMoves(const FleetModelOptions& aOptions,
+           const ModelPool& aPool,
+           const std::vector<Outage>& aOutages,
+           absl::Duration aRun)
+{
+  constexpr absl::Duration kGrain = absl::Seconds(10);
+  const auto limit = aOptions.m_spec.m_rebootTimeout / kGrain;
+  const auto hold = aOptions.m_spec.m_surplusHold / kGrain;
+  const int slack = aPool.m_workers - Promised(aPool) - 1;
+  int moves = 0;
+  for (int level = 1; level <= aPool.m_workers; ++level) {
+    const double needed = level > slack ? 1 : limit;
+    int length = 0;
+    int gap = 0;
+    bool isLent = false;
+    for (absl::Duration time; time < aRun; time += kGrain) {
+      const bool isLacking = CountDown(aOutages, aPool.m_name, time) >= level;
+      length = isLacking ? length + 1 : 0;
+      gap = isLacking ? 0 : gap + 1;
+      const bool changes = isLent ? gap >= hold : length >= needed;
+      isLent = changes ? !isLent : isLent;
+      moves += changes ? 1 : 0;
+    }
+  }
+  return moves;
+}
+
+}
+
+MeasureResult
+MeasureVmMoves(const std::string& aDeployment,
+               std::uint64_t aSeed,
+               std::shared_ptr<const StateChart> aChart)
+{
+  constexpr absl::Duration kRun = absl::Hours(12);
+  FleetModelOptions options = MakeOptions(aDeployment, aSeed);
+  options.m_step = absl::Seconds(5);
+  const auto outages = DrawOutages(options, kRun);
+  MeasureResult result{ "vm_moves", aDeployment, 0, 0, 0, "moves", aSeed, "" };
+  result.m_baseline =
+    RunOutages(options, aChart, NaivePlanner(), outages, kRun, false).m_moves;
+  const RunResult chosen =
+    RunOutages(options, aChart, PlanFleet, outages, kRun, false);
+  result.m_chosen = chosen.m_moves;
+  result.m_broken = chosen.m_broken;
+  if (result.m_broken.empty() && chosen.m_longestMiss > kRepairTime) {
+    result.m_broken = absl::StrCat("P1: a pool missed its promise for ",
+                                   absl::FormatDuration(chosen.m_longestMiss));
+  }
+  for (const ModelPool& pool : options.m_pools) {
+    result.m_bound += LeastMoves(options, pool, outages, kRun);
+  }
+  return result;
+}
+
+namespace {
+
+/**
+ * Whether a run keeps the guarantee: a pool has its promise again within the
+ * repair time after any failure, and the wave over all VMs ends.
+ */
+bool
+IsEnough(const RunResult& aResult)
+{
+  return aResult.m_longestMiss <= kRepairTime && !aResult.m_hasOpenOrders;
+}
+
+}
+
+MeasureResult
+MeasureBufferCost(const std::string& aDeployment,
+                  std::uint64_t aSeed,
+                  std::shared_ptr<const StateChart> aChart)
+{
+  constexpr absl::Duration kRun = absl::Hours(8);
+  constexpr int kMostSpares = 24;
+  FleetModelOptions options = MakeOptions(aDeployment, aSeed);
+  options.m_step = absl::Seconds(5);
+  const auto outages = DrawOutages(options, kRun);
+  const double hours = absl::ToDoubleHours(kRun);
+  MeasureResult result{
+    "buffer_cost", aDeployment, 0, 0, 0, "VM-h", aSeed, ""
+  };
+  result.m_broken = "P1: no number of spares was enough";
+  for (int spares = 0; spares <= kMostSpares; ++spares) {
+    options.m_spares = spares;
+    const RunResult run =
+      RunOutages(options, aChart, PlanFleet, outages, kRun, true);
+    if (IsEnough(run)) {
+      result.m_chosen = spares * hours;
+      result.m_broken = run.m_broken;
+      break;
+    }
+  }
+  return result;
+}
+
+}
