--- a/cli/status_command.cpp
+++ b/cli/status_command.cpp
@@ -25,7 +25,7 @@
   };
   for (const AdminReply& reply : aReplies) {
     if (!reply.m_fault.empty()) {
-      rows.push_back({ "-", "-", reply.m_address, reply.m_fault });
+      rows.push_back({ "-", "-", reply.m_address, "no", "-", "-" });
       continue;
     }
     const json& body = reply.m_body;
@@ -34,13 +34,27 @@
     rows.push_back({ TextOf(body, "daemon"),
                      TextOf(body, "data_centre"),
                      reply.m_address,
-                     TextOf(body, "is_ready"),
+                     TextOf(body, "ready"),
                      TextOf(configuration, "version"),
                      TextOf(body, "is_decider") });
   }
   return FormatTable(rows);
 }
 
+/** One line for each daemon that gave no status. */
+std::string
+FaultLines(const std::vector<AdminReply>& aReplies)
+{
+  std::string lines;
+  for (const AdminReply& reply : aReplies) {
+    if (!reply.m_fault.empty()) {
+      absl::StrAppend(
+        &lines, "no status: ", reply.m_address, ": ", reply.m_fault, "\n");
+    }
+  }
+  return lines;
+}
+
 /** The decider's reply, or the first one; null when no daemon answered. */
 const AdminReply*
 FindBest(const std::vector<AdminReply>& aReplies)
@@ -67,14 +81,15 @@
     return "";
   }
   std::vector<std::vector<std::string>> rows = {
-    { "POOL", "PROMISED", "READY", "MARGIN", "DETAIL" }
+    { "POOL", "PROMISED", "READY", "MARGIN", "KEPT", "EXPLANATION" }
   };
   for (const json& pool : pools) {
     rows.push_back({ TextOf(pool, "pool"),
                      TextOf(pool, "promised"),
                      TextOf(pool, "ready"),
                      TextOf(pool, "margin"),
-                     TextOf(pool, "detail") });
+                     TextOf(pool, "is_kept"),
+                     TextOf(pool, "explanation") });
   }
   return absl::StrCat("\n", FormatTable(rows));
 }
@@ -157,6 +172,7 @@
   aContext.Print(
     { { "daemons", RepliesToJson(replies) }, { "orders", orders } },
     absl::StrCat(DaemonTable(replies),
+                 FaultLines(replies),
                  best ? PoolTable(best->m_body) : "",
                  OrderTable(orders)));
   const bool isComplete = std::ranges::all_of(
