--- a/tests/fakes/fake_platform_store.h
+++ b/tests/fakes/fake_platform_store.h
@@ -34,6 +34,7 @@
   WriteOutcome AcquireLock(const std::string& aKey,
                            const std::string& aValue,
                            const std::string& aSession) override;
+  void StopWatches() override;
 
   /** While down, each call throws Error (Unavailable) and changes nothing. */
   void SetDown(bool aIsDown);
@@ -53,6 +54,9 @@
   /** Called at the start of each call with its name, without a lock held. */
   void SetCallHook(std::function<void(const std::string&)> aHook);
 
+  /** Text of the whole state, for comparing states. */
+  std::string Dump() const;
+
   /** Number of calls with this name ("get", "wait", "write", ...). */
   int CallCount(const std::string& aName) const;
 
@@ -77,6 +81,7 @@
   int m_lostResponses = 0;
   int m_lostRequests = 0;
   bool m_isDown = false;
+  bool m_isStopped = false;
 };
 
 }
