Fix a lint finding and compiler warnings of the tool

Cause: the linter asks for a reserved capacity, and GCC 12 warns falsely about bounds when text is appended to a short string literal.

Change: reserve the lines of an explanation; join texts with StrCat.

--- a/cli/explain_command.cpp
+++ b/cli/explain_command.cpp
@@ -54,6 +54,7 @@
                 absl::StrCat(aSubject, " is not known to any daemon"));
   }
   std::vector<std::string> lines;
+  lines.reserve(aReplies.size());
   for (const AdminReply& reply : aReplies) {
     lines.push_back(absl::StrCat(reply.m_address, ": ", reply.m_fault));
   }
--- a/tests/cli/test_tool_process.cpp
+++ b/tests/cli/test_tool_process.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/temporary_folder.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 #include <sys/wait.h>
@@ -21,8 +22,8 @@
 ProcessResult
 RunProgram(const std::string& aArguments)
 {
-  const std::string line = std::string(BRAMLEYSTALL_BINARY_DIR) +
-                           "/bramleystall " + aArguments + " 2>&1";
+  const std::string line = absl::StrCat(
+    BRAMLEYSTALL_BINARY_DIR, "/bramleystall ", aArguments, " 2>&1");
   ProcessResult result;
   FILE* const pipe = popen(line.c_str(), "r");
   REQUIRE(pipe);
@@ -36,7 +37,7 @@
 }
 
 const std::string kExamples =
-  std::string(BRAMLEYSTALL_SOURCE_DIR) + "/examples/cooperative";
+  absl::StrCat(BRAMLEYSTALL_SOURCE_DIR, "/examples/cooperative");
 
 }
 
--- a/tests/core/test_examples.cpp
+++ b/tests/core/test_examples.cpp
@@ -2,6 +2,7 @@
 #include "core/service_file.h"
 #include "core/tool_settings.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -25,8 +26,8 @@
 std::string
 Root(const Deployment& aDeployment)
 {
-  return std::string(BRAMLEYSTALL_SOURCE_DIR) + "/examples/" +
-         aDeployment.m_name;
+  return absl::StrCat(
+    BRAMLEYSTALL_SOURCE_DIR, "/examples/", aDeployment.m_name);
 }
 
 std::vector<DaemonSettings>
@@ -44,7 +45,7 @@
 PeerAddress(const DaemonSettings& aDaemon)
 {
   const ListenAddress& listen = aDaemon.m_peers.m_listen;
-  return listen.m_address + ":" + std::to_string(listen.m_port);
+  return absl::StrCat(listen.m_address, ":", listen.m_port);
 }
 
 }
