Add the measurements with processes, the demo and watched probes

Cause: a rebooting VM was probed every 10 s and its reboot was not seen; the lease of a new fleet waited 30 s for a key that does not exist. Change: VMs that are not ready are probed every second, and a leaving listing counts as down during a reboot; the lease's first reading is not a watch; misc/demo.sh, the measurement program and byte counters of store and probes. Ruled out: shorter probes for all VMs, which cost too many bytes at 970 VMs.

--- a/cluster/decider_lease.cpp
+++ b/cluster/decider_lease.cpp
@@ -152,8 +152,12 @@
 absl::Duration
 DeciderLease::StepFollower()
 {
-  const auto value =
-    m_store.WaitForChange(m_settings.m_key, m_revision, m_settings.m_watchTime);
+  // A watch for a key that does not exist yet would wait for its whole time.
+  const auto value = m_hasRead ? m_store.WaitForChange(m_settings.m_key,
+                                                       m_revision,
+                                                       m_settings.m_watchTime)
+                               : m_store.Get(m_settings.m_key);
+  m_hasRead = true;
   NoteReading(value);
   m_backoff.Reset();
   if (value && !value->m_session.empty()) {
--- a/cluster/decider_lease.h
+++ b/cluster/decider_lease.h
@@ -152,6 +152,8 @@
   absl::Time m_deadline = absl::InfinitePast();
   std::uint64_t m_term = 0;
   std::string m_holder;
+  /** Whether the key was read since the start. */
+  bool m_hasRead = false;
   /** Last reading of the key, where the next watch continues. */
   std::uint64_t m_revision = 0;
   std::uint64_t m_lockCount = 0;
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -36,6 +36,9 @@
 /** Interval at which the VMs to probe follow the membership. */
 constexpr absl::Duration kHousekeepingInterval = absl::Milliseconds(500);
 
+/** The longest deadline that the schema of service files allows. */
+constexpr absl::Duration kLongestDeadline = absl::Minutes(1);
+
 std::string
 AddressOf(const ListenAddress& aListen)
 {
@@ -73,6 +76,7 @@
   settings.m_daemon = aSettings.m_daemon;
   settings.m_dataCentre = aSettings.m_dataCentre;
   settings.m_listenAddress = AddressOf(aSettings.m_peers.m_listen);
+  settings.m_maxDeadline = kLongestDeadline;
   std::ranges::transform(
     aSettings.m_peers.m_seeds,
     std::back_inserter(settings.m_seeds),
@@ -181,12 +185,11 @@
   , m_store(MakeConsulSettings(m_settings.m_platform), &m_metrics)
   , m_vmList(MakeConsulSettings(m_settings.m_platform), &m_metrics)
   , m_vmControl(MakeConsulSettings(m_settings.m_platform), &m_metrics)
-  , m_requestPath(
-      MakeRequestPathSettings(m_settings.m_callers, aChartsFolder),
-      { [this](const std::string& aId, ClusterNode::ClaimCallback aDone) {
-        m_node.Claim(aId, std::move(aDone));
-      } },
-      m_metrics)
+  , m_requestPath(MakeRequestPathSettings(m_settings.m_callers, aChartsFolder),
+                  { [this](const std::string& aId, ClaimCallback aDone) {
+                    m_node.Claim(aId, std::move(aDone));
+                  } },
+                  m_metrics)
   , m_prober(ProbeSettings{}, m_metrics)
   , m_documents(
       m_settings.m_dataCentre,
@@ -384,16 +387,16 @@
     return;
   }
   const auto members = m_node.Members();
-  std::map<std::string, std::string> addresses;
+  std::map<std::string, ProbeTarget> targets;
   for (const auto& [name, vm] : document->m_vms) {
     const bool isOwn =
       vm.m_state != VmState::Gone &&
       FindProber(name, m_settings.m_dataCentre, members) == m_settings.m_daemon;
     if (isOwn) {
-      addresses[name] = vm.m_address;
+      targets[name] = { vm.m_address, IsAlwaysReported(vm.m_state) };
     }
   }
-  m_prober.SetTargets(addresses);
+  m_prober.SetTargets(targets);
 }
 
 bool
--- a/fleet/vm_lifecycle.cpp
+++ b/fleet/vm_lifecycle.cpp
@@ -189,9 +189,10 @@
 void
 AdvanceRebooting(FleetView& aView, VmView& aVm)
 {
-  const bool isDown = aVm.m_health == VmHealth::Failed ||
-                      (aVm.m_observation && !aVm.m_observation->m_isHealthy) ||
-                      (aView.HasList() && !aVm.m_listing);
+  const bool isDown =
+    aVm.m_health == VmHealth::Failed ||
+    (aVm.m_observation && !aVm.m_observation->m_isHealthy) ||
+    (aView.HasList() && (!aVm.m_listing || aVm.m_listing->m_isLeaving));
   const bool wasDown = HasReason(aVm, PlanReason::RebootObservedDown);
   if (isDown && !wasDown) {
     aView.Note(aVm,
--- a/misc/deployment.sh
+++ b/misc/deployment.sh
@@ -137,6 +137,11 @@
   count=$(ready_vms) && ((count >= $1))
 }
 
+ready_vm_of() { # POOL: prints one ready VM of the pool
+  admin 0 /v1/status | jq -r --arg pool "$1" \
+    '[.vms[] | select(.pool == $pool and .state == "ready")][0].vm'
+}
+
 order_state() { # ID
   admin 0 /v1/orders | jq -r --arg id "$1" '.orders[] | select(.id == $id) | .state'
 }
--- a/misc/install.sh
+++ b/misc/install.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
   libabsl-dev libnng-dev libmicrohttpd-dev libcurl4-openssl-dev libgflags-dev
   catch2 libboost-dev libboost-log-dev libboost-thread-dev
-  nlohmann-json3-dev libvalijson-dev libxxhash-dev)
+  nlohmann-json3-dev libvalijson-dev libxxhash-dev jq curl)
 if dpkg-query -W -f='${Status}\n' "${packages[@]}" 2>/dev/null | sort | uniq -c |
   grep -qE "^ *${#packages[@]} install ok installed$"; then
   exit 0
--- a/server/probe_state.h
+++ b/server/probe_state.h
@@ -10,6 +10,8 @@
 struct ProbeState
 {
   std::string m_address;
+  /** Whether the VM is probed at the short interval whatever its health. */
+  bool m_isWatched = false;
   /** Whether the last probe succeeded; false before the first one. */
   bool m_isHealthy = false;
   absl::Time m_lastHealthy = absl::InfinitePast();
--- a/server/target_prober.cpp
+++ b/server/target_prober.cpp
@@ -34,6 +34,19 @@
   std::unique_ptr<CURL, EasyDeleter> m_handle;
 };
 
+/** Bytes of the request and the response, without TCP/IP headers. */
+std::uint64_t
+BytesOf(CURL* aHandle)
+{
+  long request = 0;
+  long headers = 0;
+  curl_off_t body = 0;
+  curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &request);
+  curl_easy_getinfo(aHandle, CURLINFO_HEADER_SIZE, &headers);
+  curl_easy_getinfo(aHandle, CURLINFO_SIZE_DOWNLOAD_T, &body);
+  return static_cast<std::uint64_t>(request + headers + body);
+}
+
 size_t
 DiscardBody(char*, size_t aSize, size_t aCount, void*)
 {
@@ -69,16 +82,22 @@
 }
 
 void
-TargetProber::SetTargets(const std::map<std::string, std::string>& aAddresses)
+TargetProber::SetTargets(const std::map<std::string, ProbeTarget>& aTargets)
 {
+  const absl::Time soon = MonotonicNow() + m_settings.m_unhealthyInterval;
   const std::lock_guard lock(m_mutex);
-  std::erase_if(m_states, [&aAddresses](const auto& aEntry) {
-    const auto found = aAddresses.find(aEntry.first);
-    return found == aAddresses.end() ||
-           found->second != aEntry.second.m_address;
+  std::erase_if(m_states, [&aTargets](const auto& aEntry) {
+    const auto found = aTargets.find(aEntry.first);
+    return found == aTargets.end() ||
+           found->second.m_address != aEntry.second.m_address;
   });
-  for (const auto& [vm, address] : aAddresses) {
-    m_states[vm].m_address = address;
+  for (const auto& [vm, target] : aTargets) {
+    ProbeState& state = m_states[vm];
+    state.m_address = target.m_address;
+    if (target.m_isWatched && !state.m_isWatched) {
+      state.m_nextProbe = std::min(state.m_nextProbe, soon);
+    }
+    state.m_isWatched = target.m_isWatched;
   }
 }
 
@@ -99,6 +118,7 @@
       continue;
     }
     const bool isSteady =
+      !state.m_isWatched &&
       state.m_consecutiveSuccesses >= m_settings.m_successesForHealthyInterval;
     state.m_nextProbe = aNow + (isSteady ? m_settings.m_healthyInterval
                                          : m_settings.m_unhealthyInterval);
@@ -161,6 +181,7 @@
   const auto finish = [&](CURL* aHandle, CURLcode aResult) {
     long status = 0;
     curl_easy_getinfo(aHandle, CURLINFO_RESPONSE_CODE, &status);
+    m_metrics.Count("bramleystall_probe_bytes_total", {}, BytesOf(aHandle));
     curl_multi_remove_handle(multi.get(), aHandle);
     const auto found = probes.find(aHandle);
     Record(found->second.m_vm,
--- a/server/target_prober.h
+++ b/server/target_prober.h
@@ -17,9 +17,9 @@
 struct ProbeSettings
 {
   std::string m_path = "/healthz";
-  /** Interval for a VM whose last probe succeeded. At the design size a daemon
-   * probes 36 VMs; 5 s keeps that under 4 KB a second. */
-  absl::Duration m_healthyInterval = absl::Seconds(5);
+  /** Interval for a VM whose last probe succeeded. With 970 VMs and 8 daemons a
+   * daemon probes 121 VMs, which at 10 s stays under half of 7 KB a second. */
+  absl::Duration m_healthyInterval = absl::Seconds(10);
   /** Interval for a VM whose last probe failed, or that is not ready. */
   absl::Duration m_unhealthyInterval = absl::Seconds(1);
   absl::Duration m_timeout = absl::Seconds(1);
@@ -27,6 +27,14 @@
   int m_successesForHealthyInterval = 3;
 };
 
+/** A VM to probe. */
+struct ProbeTarget
+{
+  std::string m_address;
+  /** Whether its health decides a change soon, as during a reboot. */
+  bool m_isWatched = false;
+};
+
 /**
  * Probes VMs over fresh connections, since a kept-alive connection may answer
  * while the VM refuses new ones. Runs one thread.
@@ -42,8 +50,8 @@
   void Start();
   void Stop();
 
-  /** Sets the VMs to probe: address by VM. Keeps the state of known ones. */
-  void SetTargets(const std::map<std::string, std::string>& aAddresses);
+  /** Sets the VMs to probe. Keeps the state of those at the same address. */
+  void SetTargets(const std::map<std::string, ProbeTarget>& aTargets);
 
   /** State of each VM that this prober probes. */
   std::map<std::string, ProbeState> States() const;
--- a/tests/cluster/test_decider_lease.cpp
+++ b/tests/cluster/test_decider_lease.cpp
@@ -384,3 +384,13 @@
   CHECK(findings.m_sharedTerms == 0);
   CHECK(findings.m_wrongTerms == 0);
 }
+
+// Guards against a fleet without decider for the length of a watch after its
+// first start, when the key does not exist yet.
+TEST_CASE("The first reading does not wait for a change", "[cluster]")
+{
+  LeaseFixture fixture;
+  DeciderLease lease = fixture.MakeLease("a");
+  StepUntil(lease, DeciderState::Holder);
+  CHECK(fixture.m_store.CallCount("wait") == 0);
+}
--- a/tests/fakes/child_process.h
+++ b/tests/fakes/child_process.h
@@ -38,6 +38,8 @@
   /** Exit code, 128 plus the signal, or nothing when it still runs. */
   std::optional<int> Wait(absl::Duration aTimeout);
 
+  pid_t Pid() const { return m_pid; }
+
   /** What the program wrote to its standard output so far. */
   std::string Output() const;
 
--- /dev/null
+++ b/tests/measure/deployment.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/configuration.h"
+#include "core/fleet_document.h"
+#include "tests/fakes/child_process.h"
+#include "tests/support/temporary_folder.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace bramleystall {
+
+/**
+ * The platform stand-in and the daemons of an example deployment as processes,
+ * on ports of their own. The destructor kills them.
+ */
+class Deployment
+{
+public:
+  /**
+   * @param aPrograms folder of the built programs
+   * @param aName `consortium` or `cooperative`
+   * @param aFirstPort first of 40 free TCP ports
+   */
+  Deployment(std::string aPrograms, std::string aName, int aFirstPort);
+
+  /** Starts the platform stand-in. */
+  void StartPlatform();
+
+  /**
+   * Fills the store and the VM list with ready VMs at the address of one target
+   * stand-in: today's pools times the scale. Returns the number of VMs.
+   */
+  int AddVms(int aScale);
+
+  void StartDaemons();
+
+  /** Waits until every daemon has joined and applied its documents. */
+  void WaitUntilReady() const;
+
+  /** The configuration of the example with its pools scaled. */
+  const Configuration& Content() const { return m_content; }
+  const std::string& PlatformUrl() const { return m_platformUrl; }
+  std::size_t Size() const { return m_daemons.size(); }
+
+  /** `GET /v1/status` of a daemon. */
+  nlohmann::json Status(std::size_t aDaemon) const;
+  /** `GET /metrics` of a daemon. */
+  std::string MetricsText(std::size_t aDaemon) const;
+  pid_t Pid(std::size_t aDaemon) const { return m_daemons[aDaemon]->Pid(); }
+  /** Calls that the platform stand-in counted, by kind. */
+  nlohmann::json StoreCalls() const;
+
+private:
+  std::string DataCentreOf(std::size_t aDaemon) const;
+  void WriteSettings(std::size_t aDaemon);
+  std::string Get(const std::string& aUrl) const;
+
+  std::string m_programs;
+  int m_firstPort;
+  std::size_t m_dataCentres;
+  std::size_t m_daemonCount;
+  Configuration m_content;
+  std::string m_platformUrl;
+  TemporaryFolder m_folder;
+  std::unique_ptr<ChildProcess> m_platform;
+  std::unique_ptr<ChildProcess> m_target;
+  std::vector<std::unique_ptr<ChildProcess>> m_daemons;
+};
+
+}
--- /dev/null
+++ b/tests/measure/main.cpp
@@ -0,0 +1,155 @@
+#include "core/error.h"
+#include "core/log.h"
+#include "core/state_chart.h"
+#include "tests/measure/fleet_measure.h"
+#include "tests/measure/flood_measure.h"
+#include "tests/measure/measure_result.h"
+#include "tests/measure/process_measure.h"
+#include "tests/measure/size_report.h"
+
+#include <curl/curl.h>
+#include <gflags/gflags.h>
+
+#include <array>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+DEFINE_string(name,
+              "all",
+              "measurement, or all, or sizes for docs/CAPACITY.md");
+DEFINE_string(charts, BRAMLEYSTALL_CHARTS_DIR, "folder of the state charts");
+DEFINE_string(programs, BRAMLEYSTALL_PROGRAMS_DIR, "folder of the programs");
+
+namespace {
+
+using namespace bramleystall;
+
+constexpr std::array<std::uint64_t, 3> kSeeds = { 1, 2, 3 };
+constexpr std::array kDeployments = { "consortium", "cooperative" };
+
+using Measurement =
+  std::function<std::vector<MeasureResult>(const std::string& aDeployment,
+                                           std::uint64_t aSeed)>;
+
+struct NamedMeasurement
+{
+  std::string m_name;
+  Measurement m_run;
+};
+
+std::shared_ptr<const StateChart>
+LifecycleChart()
+{
+  return std::make_shared<const StateChart>(
+    StateChart::Load(FLAGS_charts + "/vm_lifecycle.json"));
+}
+
+/** The results of a flood run that have the wanted name. */
+Measurement
+FloodPart(const std::string& aName)
+{
+  return [aName](const std::string& aDeployment, std::uint64_t aSeed) {
+    auto results = MeasureFlood(aDeployment, aSeed);
+    std::erase_if(results, [&aName](const MeasureResult& aResult) {
+      return aResult.m_name != aName;
+    });
+    return results;
+  };
+}
+
+Measurement
+FleetPart(MeasureResult (*aMeasure)(const std::string&,
+                                    std::uint64_t,
+                                    std::shared_ptr<const StateChart>))
+{
+  return [aMeasure](const std::string& aDeployment, std::uint64_t aSeed) {
+    return std::vector{ aMeasure(aDeployment, aSeed, LifecycleChart()) };
+  };
+}
+
+std::vector<NamedMeasurement>
+AllMeasurements()
+{
+  const ProcessMeasureSettings processes = { FLAGS_programs, FLAGS_charts };
+  return {
+    { "buffer_cost", FleetPart(MeasureBufferCost) },
+    { "rollout_time", FleetPart(MeasureRolloutTime) },
+    { "vm_moves", FleetPart(MeasureVmMoves) },
+    { "flood_other_work", FloodPart("flood_other_work") },
+    { "urgent_start", FloodPart("urgent_start") },
+    { "config_spread",
+      [processes](const std::string& aDeployment, std::uint64_t aSeed) {
+        return std::vector{ MeasureConfigSpread(
+          processes, aDeployment, aSeed) };
+      } },
+    { "daemon_cost",
+      [processes](const std::string& aDeployment, std::uint64_t aSeed) {
+        return std::vector{ MeasureDaemonCost(processes, aDeployment, aSeed) };
+      } },
+  };
+}
+
+/** Prints one line; returns whether every guarantee held. */
+bool
+Print(const MeasureResult& aResult)
+{
+  std::cout << "measure " << aResult.m_name
+            << " deployment=" << aResult.m_deployment
+            << " baseline=" << aResult.m_baseline
+            << " chosen=" << aResult.m_chosen << " bound=" << aResult.m_bound
+            << " unit=" << aResult.m_unit << " seed=" << aResult.m_seed;
+  if (!aResult.m_broken.empty()) {
+    std::cout << " broken=" << aResult.m_broken;
+  }
+  std::cout << std::endl;
+  return aResult.m_broken.empty();
+}
+
+int
+Run()
+{
+  if (FLAGS_name == "sizes") {
+    PrintSizeReport(std::cout, LifecycleChart(), FLAGS_charts);
+    return EXIT_SUCCESS;
+  }
+  bool isKnown = false;
+  bool isKept = true;
+  for (const NamedMeasurement& measurement : AllMeasurements()) {
+    if (FLAGS_name != "all" && FLAGS_name != measurement.m_name) {
+      continue;
+    }
+    isKnown = true;
+    for (const char* const deployment : kDeployments) {
+      for (const std::uint64_t seed : kSeeds) {
+        for (const auto& result : measurement.m_run(deployment, seed)) {
+          isKept = Print(result) && isKept;
+        }
+      }
+    }
+  }
+  if (!isKnown) {
+    std::cerr << "no measurement is named '" << FLAGS_name << "'\n";
+    return EXIT_FAILURE;
+  }
+  return isKept ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}
+
+int
+main(int argc, char** argv)
+{
+  gflags::SetUsageMessage("runs the measurements of docs/MEASUREMENTS.md");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  try {
+    return Run();
+  } catch (const std::exception& error) {
+    std::cerr << "measurement failed: " << error.what() << "\n";
+    return EXIT_FAILURE;
+  }
+}
