Lend spares to the slowest pool without enlarging failure domains

Cause: loans went to pools in the order of their names and doubled VMs in one rack, which raised the margin and took back what the loan gave. Pools that had finished kept their loans while others waited. Change: the pool that would take longest gets the next loan; loans that keep the largest failure domain come first; others are made only when at least two VMs can follow; surplus VMs of finished pools are lent on. A VM does not return within the hold time to the pool that it left, unless that pool has lost its margin.

--- a/fleet/capacity_budget.cpp
+++ b/fleet/capacity_budget.cpp
@@ -28,6 +28,29 @@
   return found == m_domains.end() ? 0 : found->second;
 }
 
+int
+CapacityBudget::PlacedIn(const std::string& aDomain) const
+{
+  const auto found = m_placed.find(aDomain);
+  return found == m_placed.end() ? 0 : found->second;
+}
+
+bool
+CapacityBudget::RaisesMargin(const std::string& aDomain) const
+{
+  const int after = PlacedIn(aDomain) + 1;
+  return after > 1 &&
+         std::ranges::all_of(m_placed, [after](const auto& aEntry) {
+           return aEntry.second < after;
+         });
+}
+
+void
+CapacityBudget::AddPlaced(const std::string& aDomain, int aCount)
+{
+  m_placed[aDomain] += aCount;
+}
+
 bool
 CapacityBudget::CanRelease(const std::string& aDomain) const
 {
--- a/fleet/capacity_budget.h
+++ b/fleet/capacity_budget.h
@@ -27,6 +27,11 @@
   int ReadyIn(const std::string& aDomain) const;
   const std::map<std::string, int>& Domains() const { return m_domains; }
 
+  /** VMs that belong to the pool or move to it, in a failure domain. */
+  int PlacedIn(const std::string& aDomain) const;
+  /** Whether one more VM there would enlarge the largest failure domain. */
+  bool RaisesMargin(const std::string& aDomain) const;
+  void AddPlaced(const std::string& aDomain, int aCount);
   /** Whether the promise survives the loss of any one failure domain. */
   bool IsProtected() const { return m_ready - Margin() >= m_promised; }
   /** Whether the promise stays protected after a ready VM leaves. */
@@ -49,6 +54,7 @@
   double m_weight = 1;
   int m_ready = 0;
   std::map<std::string, int> m_domains;
+  std::map<std::string, int> m_placed;
 };
 
 }
--- a/fleet/fleet_view.cpp
+++ b/fleet/fleet_view.cpp
@@ -242,6 +242,7 @@
   }
   if (IsMember(aVm)) {
     budget.m_members += aSign;
+    budget.AddPlaced(aVm.m_domain, aSign);
   }
   if (IsMember(aVm) || record.m_state == VmState::Ready) {
     budget.m_recorded += aSign;
--- a/fleet/move_plan.cpp
+++ b/fleet/move_plan.cpp
@@ -12,6 +12,15 @@
 
 namespace {
 
+bool
+HasJustLeft(FleetView& aView, const VmView& aVm, const std::string& aPool)
+{
+  const auto& moves = aView.Memory().m_lastMoves;
+  const auto last = moves.find(aVm.m_record.m_name);
+  return last != moves.end() && last->second.m_fromPool == aPool &&
+         aView.Now() - last->second.m_time < aView.Spec().m_surplusHold;
+}
+
 bool
 MayDonate(FleetView& aView,
           const VmView& aVm,
@@ -23,9 +32,18 @@
       !aView.MayLeave(aVm)) {
     return false;
   }
-  return aView.IsSpare(from) ||
-         (aRequest.m_mayTakeSurplus && aView.HasSurplus(from) &&
-          !aBusy.contains(from));
+  if (!aRequest.m_mayReturn && HasJustLeft(aView, aVm, aRequest.m_pool)) {
+    return false;
+  }
+  if (aRequest.m_mustKeepMargin &&
+      aView.Budget(aRequest.m_pool).RaisesMargin(aVm.m_domain)) {
+    return false;
+  }
+  if (aView.IsSpare(from)) {
+    return aRequest.m_mayTakeSpare;
+  }
+  return aRequest.m_mayTakeSurplus && aView.HasSurplus(from) &&
+         !aBusy.contains(from);
 }
 
 /** Time that a condition has lasted; the memory holds since when. */
@@ -117,8 +135,9 @@
 {
   const CapacityBudget& target = aView.Budget(aRequest.m_pool);
   const auto rank = [&](const VmView& aVm) {
-    return std::tuple(!aView.IsSpare(aVm.m_record.m_pool),
-                      target.ReadyIn(aVm.m_domain),
+    return std::tuple(HasJustLeft(aView, aVm, aRequest.m_pool),
+                      !aView.IsSpare(aVm.m_record.m_pool),
+                      target.PlacedIn(aVm.m_domain),
                       aVm.m_record.m_maintainedMillis <
                         aRequest.m_preferMaintained,
                       aVm.m_record.m_name);
@@ -205,6 +224,7 @@
                                          budget.Workers(),
                                          " VMs");
     request.m_mayTakeSurplus = IsUrgent(budget);
+    request.m_mayReturn = IsUrgent(budget);
     if (worst.empty() || !MoveInto(aView, request, aBusy)) {
       return;
     }
--- a/fleet/move_plan.h
+++ b/fleet/move_plan.h
@@ -19,8 +19,13 @@
   std::string m_pool;
   PlanReason m_reason = PlanReason::ReplaceLost;
   std::string m_explanation;
+  bool m_mayTakeSpare = true;
   /** Whether a surplus may be taken before its hold time has passed. */
   bool m_mayTakeSurplus = false;
+  /** Whether a VM may return that left the pool within the hold time. */
+  bool m_mayReturn = false;
+  /** Whether only VMs help that do not enlarge the largest failure domain. */
+  bool m_mustKeepMargin = false;
   /** Spares maintained since this time, in milliseconds, come first. */
   std::int64_t m_preferMaintained = 0;
 };
--- a/fleet/planner_memory.h
+++ b/fleet/planner_memory.h
@@ -9,6 +9,13 @@
 
 namespace bramleystall {
 
+/** Last move of a VM. */
+struct MoveMemory
+{
+  std::string m_fromPool;
+  absl::Time m_time;
+};
+
 /**
  * What one decider remembers between plans. It only delays decisions: a new
  * decider starts with an empty memory and waits the full periods again.
@@ -23,6 +30,8 @@
   std::map<std::string, absl::Time> m_surplusSince;
   /** Since when a pool has had fewer members than it needs. */
   std::map<std::string, absl::Time> m_lackingSince;
+  /** Moves within the last hold time, by VM. */
+  std::map<std::string, MoveMemory> m_lastMoves;
   /** Data centres whose document has been seen. */
   std::set<std::string> m_seenDataCentres;
   /** Times of recent failures, for the failure rate. */
--- a/fleet/vm_lifecycle.cpp
+++ b/fleet/vm_lifecycle.cpp
@@ -160,6 +160,8 @@
                 ClearMaintenance);
     return;
   }
+  aView.Memory().m_lastMoves[aVm.m_record.m_name] = { aVm.m_record.m_pool,
+                                                      aView.Now() };
   aView.Apply(aVm,
               "reassign",
               PlanReason::Reassigned,
@@ -383,6 +385,9 @@
 AdvanceLifecycles(FleetView& aView)
 {
   ForgetGoneVms(aView);
+  std::erase_if(aView.Memory().m_lastMoves, [&aView](const auto& aMove) {
+    return aView.Now() - aMove.second.m_time >= aView.Spec().m_surplusHold;
+  });
   for (auto& [name, vm] : aView.Vms()) {
     UpdateAddress(aView, vm);
     AdvanceVm(aView, vm);
--- a/fleet/wave_plan.cpp
+++ b/fleet/wave_plan.cpp
@@ -160,14 +160,9 @@
   }
 }
 
-void
-WavePlan::Lend(const BusyPools& aBusy)
+std::map<std::string, WavePlan::PoolWork>
+WavePlan::CountWork() const
 {
-  struct PoolWork
-  {
-    int m_remaining = 0;
-    int m_out = 0;
-  };
   std::map<std::string, PoolWork> work;
   for (const VmView* const vm : m_remaining) {
     ++work[vm->m_record.m_pool].m_remaining;
@@ -177,36 +172,100 @@
       ++work[vm.m_record.m_pool].m_out;
     }
   }
-  for (const auto& [pool, count] : work) {
-    m_loans += m_view.IsSpare(pool) ? 0 : m_view.Budget(pool).m_incoming;
-  }
+  std::erase_if(work, [this](const auto& aEntry) {
+    const auto& [pool, count] = aEntry;
+    return m_view.IsSpare(pool) || !m_view.HasEvictionRoom(pool) ||
+           count.m_remaining <= m_view.Budget(pool).m_incoming;
+  });
+  return work;
+}
+
+int
+WavePlan::LendableSpares() const
+{
   const std::string& sparePool = m_view.Spec().m_sparePool;
-  for (const auto& [pool, count] : work) {
-    const CapacityBudget& budget = m_view.Budget(pool);
-    const int capacity = count.m_out + budget.m_incoming;
-    if (m_view.IsSpare(pool) || !m_view.HasEvictionRoom(pool) ||
-        count.m_remaining <= std::max(capacity, budget.m_incoming)) {
-      continue;
-    }
-    ++m_loansWanted;
-    // A wave that makes no progress may use the reserve, one pool at a time.
-    const bool mayUseReserve = m_out == 0 && m_loans == 0;
-    const bool hasLoan =
-      m_view.Budget(sparePool).Ready() > WorstDomainNeed(m_view);
-    if (!hasLoan && !mayUseReserve) {
-      continue;
-    }
-    MoveRequest request;
-    request.m_pool = pool;
-    request.m_reason = PlanReason::WaveLoan;
-    request.m_explanation = absl::StrCat(
-      "lets pool '", pool, "' release VMs to order ", m_order.m_id);
-    request.m_mayTakeSurplus = true;
-    request.m_preferMaintained = m_order.m_createdMillis;
-    if (MoveInto(m_view, request, aBusy)) {
-      ++m_loans;
+  return m_view.Budget(sparePool).Ready() - WorstDomainNeed(m_view);
+}
+
+int
+WavePlan::CountDonors(const BusyPools& aBusy) const
+{
+  int donors = std::max(0, LendableSpares());
+  for (const auto& [pool, budget] : m_view.Budgets()) {
+    const int surplus = budget.m_members - budget.Workers();
+    const int free = budget.Ready() - budget.Margin() - budget.Promised();
+    if (!m_view.IsSpare(pool) && !aBusy.contains(pool)) {
+      donors += std::max(0, std::min(surplus, free));
     }
   }
+  return donors;
+}
+
+bool
+WavePlan::LendTo(const std::string& aPool,
+                 const BusyPools& aBusy,
+                 bool aMustKeepMargin)
+{
+  MoveRequest request;
+  request.m_pool = aPool;
+  request.m_reason = PlanReason::WaveLoan;
+  request.m_explanation =
+    absl::StrCat("lets pool '", aPool, "' release VMs to order ", m_order.m_id);
+  // A wave that makes no progress may use the reserve, one pool at a time.
+  request.m_mayTakeSpare = LendableSpares() > 0 || (m_out == 0 && m_loans == 0);
+  request.m_mayTakeSurplus = true;
+  request.m_mustKeepMargin = aMustKeepMargin;
+  request.m_preferMaintained = m_order.m_createdMillis;
+  return MoveInto(m_view, request, aBusy);
+}
+
+bool
+WavePlan::LendOnce(std::map<std::string, PoolWork>& aWork,
+                   const BusyPools& aBusy,
+                   bool aMustKeepMargin)
+{
+  // The pool that would take longest gets the next loan.
+  const auto rounds = [this](const auto& aEntry) {
+    const auto& [pool, count] = aEntry;
+    const int capacity = count.m_out + m_view.Budget(pool).m_incoming;
+    constexpr double kNoCapacity = 0.1;
+    return (count.m_remaining + count.m_out) /
+           std::max<double>(capacity, kNoCapacity);
+  };
+  const auto slowest = std::ranges::max_element(aWork, {}, rounds);
+  const std::string pool = slowest->first;
+  if (!LendTo(pool, aBusy, aMustKeepMargin)) {
+    aWork.erase(slowest);
+    return false;
+  }
+  ++m_loans;
+  if (slowest->second.m_remaining <= m_view.Budget(pool).m_incoming) {
+    aWork.erase(slowest);
+  }
+  return true;
+}
+
+void
+WavePlan::Lend(const BusyPools& aBusy)
+{
+  auto work = CountWork();
+  for (const auto& [pool, count] : work) {
+    m_loans += m_view.Budget(pool).m_incoming;
+  }
+  m_loansWanted = static_cast<int>(work.size());
+  auto others = work;
+  bool hasLent = false;
+  while (!work.empty()) {
+    hasLent = LendOnce(work, aBusy, true) || hasLent;
+  }
+  // A loan that enlarges the largest failure domain gives nothing alone, and
+  // all further loans to the same pool give one each.
+  const bool helps = CountDonors(aBusy) >= 2 || (m_out == 0 && m_loans == 0);
+  // Spares that only wait for the eviction limit may keep the margin.
+  const bool hasRoom = m_view.HasEvictionRoom(m_view.Spec().m_sparePool);
+  if (!hasLent && helps && hasRoom && !others.empty()) {
+    LendOnce(others, aBusy, false);
+  }
 }
 
 std::string
--- a/fleet/wave_plan.h
+++ b/fleet/wave_plan.h
@@ -2,6 +2,7 @@
 
 #include "fleet/move_plan.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,25 @@
   bool HasFailed() const;
   bool DrainOne(const std::string& aPool);
   void DrainPools();
+  /** VMs of one pool that the wave has before it or out of service. */
+  struct PoolWork
+  {
+    int m_remaining = 0;
+    int m_out = 0;
+  };
+  /** Work of the pools that a loan would help. */
+  std::map<std::string, PoolWork> CountWork() const;
+  /** Ready spare VMs beyond what the worst failure domain would need. */
+  int LendableSpares() const;
+  /** VMs that could be lent now, from the spares and from other surpluses. */
+  int CountDonors(const BusyPools& aBusy) const;
+  bool LendTo(const std::string& aPool,
+              const BusyPools& aBusy,
+              bool aMustKeepMargin);
+  /** Lends one VM to the slowest pool; drops the pool when it gets none. */
+  bool LendOnce(std::map<std::string, PoolWork>& aWork,
+                const BusyPools& aBusy,
+                bool aMustKeepMargin);
   void Lend(const BusyPools& aBusy);
   void SetState();
   std::string BlockedDetail() const;
--- a/tests/fakes/fleet_model.h
+++ b/tests/fakes/fleet_model.h
@@ -414,9 +414,9 @@
                      ? std::max(outageEnd, m_now + m_options.m_rebootTime)
                      : absl::InfiniteFuture();
     aVm.m_listedUntil = m_now + m_options.m_listLag;
-    aVm.m_listedFrom =
-      fate.m_returns ? m_now + m_options.m_rebootTime + m_options.m_listLag
-                     : absl::InfiniteFuture();
+    aVm.m_listedFrom = fate.m_returns
+                         ? m_now + m_options.m_rebootTime + m_options.m_listLag
+                         : absl::InfiniteFuture();
     if (fate.m_returns && fate.m_failsAfter != absl::InfiniteDuration()) {
       // The VM is up between its return and its failure.
       m_laterFailures.emplace(aVm.m_upFrom + fate.m_failsAfter, aName);
--- a/tests/fakes/random_history.h
+++ b/tests/fakes/random_history.h
@@ -166,7 +166,9 @@
       m_model.Partition(any.m_dataCentre, absl::Seconds(m_model.Pick(5, 60)));
     }
     if (happens(0.02)) {
+      // The hold time between moves is remembered by one decider only.
       m_model.Memory() = PlannerMemory();
+      m_lastMove.clear();
     }
     if (happens(0.03)) {
       m_fault = static_cast<Fault>(m_model.Pick(0, 8));
