Delay loans that enlarge a failure domain while a drain waits

Cause: a pool that had reached its eviction limit in a plan was not considered for loans, so a spare that fitted it went to another pool and raised that pool's margin. Change: such loans are made only in plans in which no pool waits for its eviction limit.

--- a/fleet/wave_plan.cpp
+++ b/fleet/wave_plan.cpp
@@ -261,9 +261,13 @@
   // A loan that enlarges the largest failure domain gives nothing alone, and
   // all further loans to the same pool give one each.
   const bool helps = CountDonors(aBusy) >= 2 || (m_out == 0 && m_loans == 0);
-  // Spares that only wait for the eviction limit may keep the margin.
-  const bool hasRoom = m_view.HasEvictionRoom(m_view.Spec().m_sparePool);
-  if (!hasLent && helps && hasRoom && !others.empty()) {
+  // While a pool waits for its eviction limit, the next plans may still place
+  // every VM without that.
+  const bool isSettled =
+    std::ranges::all_of(m_view.Budgets(), [this](const auto& aEntry) {
+      return m_view.HasEvictionRoom(aEntry.first);
+    });
+  if (!hasLent && helps && isSettled && !others.empty()) {
     LendOnce(others, aBusy, false);
   }
 }
