Let protected pools give VMs to a pool below its promise

Cause: a pool that missed its promise waited when the spares were used up, although other pools had VMs above their promise and margin. Change: such a pool may take a VM from any pool that stays protected. Also adds the bound and the baseline of buffer_cost and the cost of a plan.

--- a/fleet/move_plan.cpp
+++ b/fleet/move_plan.cpp
@@ -42,6 +42,9 @@
   if (aView.IsSpare(from)) {
     return aRequest.m_mayTakeSpare;
   }
+  if (aRequest.m_mayTakeMember) {
+    return true;
+  }
   return aRequest.m_mayTakeSurplus && aView.HasSurplus(from) &&
          !aBusy.contains(from);
 }
@@ -86,6 +89,13 @@
          aBudget.Promised();
 }
 
+/** Whether the pool misses its promise, and not only the margin. */
+bool
+IsShort(const CapacityBudget& aBudget)
+{
+  return aBudget.m_presumedReady + aBudget.m_incoming < aBudget.Promised();
+}
+
 /**
  * VMs that the pool may ask for now. A loss that is certain is replaced at
  * once; without that proof the lack must last, since it may come from missing
@@ -137,6 +147,7 @@
   const auto rank = [&](const VmView& aVm) {
     return std::tuple(HasJustLeft(aView, aVm, aRequest.m_pool),
                       !aView.IsSpare(aVm.m_record.m_pool),
+                      !aView.HasSurplus(aVm.m_record.m_pool),
                       target.PlacedIn(aVm.m_domain),
                       aVm.m_record.m_maintainedMillis <
                         aRequest.m_preferMaintained,
@@ -225,6 +236,7 @@
                                          " VMs");
     request.m_mayTakeSurplus = IsUrgent(budget);
     request.m_mayReturn = IsUrgent(budget);
+    request.m_mayTakeMember = IsShort(budget);
     if (worst.empty() || !MoveInto(aView, request, aBusy)) {
       return;
     }
--- a/fleet/move_plan.h
+++ b/fleet/move_plan.h
@@ -22,6 +22,8 @@
   bool m_mayTakeSpare = true;
   /** Whether a surplus may be taken before its hold time has passed. */
   bool m_mayTakeSurplus = false;
+  /** Whether any pool may give a VM whose own promise stays protected. */
+  bool m_mayTakeMember = false;
   /** Whether a VM may return that left the pool within the hold time. */
   bool m_mayReturn = false;
   /** Whether only VMs help that do not enlarge the largest failure domain. */
--- a/tests/measure/fleet_measure.cpp
+++ b/tests/measure/fleet_measure.cpp
@@ -348,6 +348,61 @@
   return aResult.m_longestMiss <= kRepairTime && !aResult.m_hasOpenOrders;
 }
 
+/**
+ * Least spares in hindsight. Failures: the largest sum over the pools, at any
+ * time, of what outages longer than the repair time leave missing from the
+ * promises. The wave: the least that lets the tightest pool release one VM and
+ * survive the loss of another, in a time without failures.
+ */
+int
+HindsightSpares(const FleetModelOptions& aOptions,
+                const std::vector<Outage>& aOutages,
+                absl::Duration aRun)
+{
+  int most = 0;
+  for (absl::Duration time; time < aRun; time += absl::Seconds(10)) {
+    int missing = 0;
+    for (const ModelPool& pool : aOptions.m_pools) {
+      const int up = pool.m_workers - CountDown(aOutages, pool.m_name, time);
+      missing += std::max(0, Promised(pool) - up);
+    }
+    most = std::max(most, missing);
+  }
+  for (const ModelPool& pool : aOptions.m_pools) {
+    most = std::max(most, Promised(pool) + 2 - pool.m_workers);
+  }
+  return most;
+}
+
+/**
+ * Baseline: the same number of extra VMs in each pool, without spares, and one
+ * VM of the fleet at a time; the smallest total that keeps the guarantee.
+ */
+int
+LeastFixedBuffer(const FleetModelOptions& aOptions,
+                 const std::shared_ptr<const StateChart>& aChart,
+                 const std::vector<Outage>& aOutages,
+                 absl::Duration aRun)
+{
+  constexpr int kMostPerPool = 6;
+  for (int buffer = 0; buffer <= kMostPerPool; ++buffer) {
+    FleetModelOptions options = aOptions;
+    options.m_spares = 0;
+    for (ModelPool& pool : options.m_pools) {
+      // The promise stays that of the configured workers.
+      pool.m_budget =
+        static_cast<double>(Promised(pool)) / (pool.m_workers + buffer);
+      pool.m_workers += buffer;
+    }
+    const RunResult run =
+      RunOutages(options, aChart, NaivePlanner(), aOutages, aRun, true);
+    if (IsEnough(run)) {
+      return buffer * static_cast<int>(options.m_pools.size());
+    }
+  }
+  return kMostPerPool * static_cast<int>(aOptions.m_pools.size());
+}
+
 }
 
 MeasureResult
@@ -364,7 +419,9 @@
   MeasureResult result{
     "buffer_cost", aDeployment, 0, 0, 0, "VM-h", aSeed, ""
   };
-  result.m_broken = "P1: no number of spares was enough";
+  const FleetModelOptions fixed = options;
+  result.m_baseline = hours * LeastFixedBuffer(fixed, aChart, outages, kRun);
+  result.m_bound = hours * HindsightSpares(options, outages, kRun);
   for (int spares = 0; spares <= kMostSpares; ++spares) {
     options.m_spares = spares;
     const RunResult run =
@@ -372,10 +429,91 @@
     if (IsEnough(run)) {
       result.m_chosen = spares * hours;
       result.m_broken = run.m_broken;
-      break;
+      return result;
     }
   }
+  result.m_broken = "P1: no number of spares was enough";
   return result;
 }
 
+namespace {
+
+/** A fleet of a multiple of today's consortium, with the pools in step. */
+FleetModelOptions
+ScaleOptions(int aScale, std::uint64_t aSeed)
+{
+  FleetModelOptions options = MakeOptions("consortium", aSeed);
+  // 24 times today's workers in 28 pools and the spares: 29 pools.
+  constexpr int kDesignScale = 24;
+  constexpr int kDesignPools = 28;
+  const int pools = std::max(4, kDesignPools * aScale / kDesignScale);
+  const int workers = (CountVms(options) - options.m_spares) * aScale / pools;
+  options.m_pools.clear();
+  for (int i = 0; i < pools; ++i) {
+    options.m_pools.push_back({ absl::StrCat("pool", i), workers, 0.8, 1 });
+  }
+  options.m_spares *= aScale;
+  return options;
+}
+
+/** Mean milliseconds of one plan over the next steps of the model. */
+double
+MeanPlanMillis(FleetModel& aModel, double* aPeakBytes)
+{
+  constexpr int kPlans = 60;
+  double seconds = 0;
+  const auto timed = [&](const FleetSnapshot& aSnapshot,
+                         PlannerMemory& aMemory) {
+    const auto start = std::chrono::steady_clock::now();
+    const std::size_t before = mallinfo2().uordblks;
+    FleetPlan plan = PlanFleet(aSnapshot, aMemory);
+    seconds +=
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+        .count();
+    const double held =
+      static_cast<double>(mallinfo2().uordblks) - static_cast<double>(before);
+    *aPeakBytes = std::max(*aPeakBytes, held);
+    return plan;
+  };
+  for (int i = 0; i < kPlans; ++i) {
+    aModel.Step(timed);
+  }
+  return seconds * 1000 / kPlans;
+}
+
+}
+
+std::vector<PlanCost>
+MeasurePlanCost(std::uint64_t aSeed, std::shared_ptr<const StateChart> aChart)
+{
+  std::vector<PlanCost> costs;
+  for (const int scale : { 1, 3, 10, 24 }) {
+    const FleetModelOptions options = ScaleOptions(scale, aSeed);
+    FleetModel model(options, aChart);
+    PlanCost cost;
+    cost.m_scale = scale;
+    cost.m_vms = CountVms(options);
+    cost.m_pools = static_cast<int>(options.m_pools.size()) + 1;
+    cost.m_idleMillis = MeanPlanMillis(model, &cost.m_planBytes);
+    model.AddOrder(OrderKind::Wave, "", "");
+    cost.m_waveMillis = MeanPlanMillis(model, &cost.m_planBytes);
+    std::size_t bytes = 0;
+    for (const auto& [dataCentre, document] : model.Documents()) {
+      bytes += document.Serialize().size();
+    }
+    cost.m_documentBytesPerVm = static_cast<double>(bytes) / cost.m_vms;
+    costs.push_back(cost);
+  }
+  return costs;
+}
+
+double
+PlanCostSlope(const std::vector<PlanCost>& aCosts)
+{
+  const PlanCost& small = aCosts.front();
+  const PlanCost& large = aCosts.back();
+  return (large.m_waveMillis - small.m_waveMillis) * 1000 /
+         (large.m_vms - small.m_vms);
+}
+
 }
--- a/tests/measure/fleet_measure.h
+++ b/tests/measure/fleet_measure.h
@@ -38,8 +38,9 @@
   /** Mean milliseconds of one PlanFleet without and with a running wave. */
   double m_idleMillis = 0;
   double m_waveMillis = 0;
-  /** Largest number of bytes that one PlanFleet holds at a time. */
-  double m_peakBytes = 0;
+  /** Largest number of heap bytes that one plan and the growth of the memory
+   * hold when PlanFleet returns. */
+  double m_planBytes = 0;
   /** Bytes of all serialized documents divided by the VMs. */
   double m_documentBytesPerVm = 0;
 };
