Keep spares for promises before margins

Cause: pools that had lost only their margin took spares that another pool needed for its promise a little later. Change: above its promise, a pool gets a spare only while the spares exceed what the worst single failure domain would need.

--- a/fleet/move_plan.cpp
+++ b/fleet/move_plan.cpp
@@ -1,5 +1,6 @@
 #include "fleet/move_plan.h"
 
+#include "fleet/buffer_size.h"
 #include "fleet/fleet_view.h"
 
 #include <absl/strings/str_cat.h>
@@ -113,6 +114,12 @@
   if (lack <= 0 || (aView.IsPartial() && !isProven)) {
     return 0;
   }
+  // Above the promise, spares that the worst failure domain would need serve
+  // every pool better where they are.
+  const int spares = aView.Budget(spec.m_sparePool).Ready();
+  if (!IsShort(aBudget) && spares <= WorstDomainNeed(aView)) {
+    return 0;
+  }
   if (aLasted >= spec.m_rebootTimeout) {
     return lack;
   }
