--- a/tests/measure/size_report.cpp
+++ b/tests/measure/size_report.cpp
@@ -22,7 +22,7 @@
     aOut << "plan scale=" << cost.m_scale << " vms=" << cost.m_vms
          << " pools=" << cost.m_pools << " idle_ms=" << cost.m_idleMillis
          << " wave_ms=" << cost.m_waveMillis
-         << " peak_bytes=" << cost.m_peakBytes
+         << " plan_bytes=" << cost.m_planBytes
          << " document_bytes_per_vm=" << cost.m_documentBytesPerVm << std::endl;
   }
   aOut << "plan slope_ms_per_1000_vms=" << PlanCostSlope(costs) << std::endl;
