Write responses before a request path stops

Cause: stopping libmicrohttpd closes connections whose response is queued but not written; the test of an immediate stop lost such a response once in 7 runs beside other load.

Change: the destructor waits up to 1 s until every response is written.

Ruled out: a delay in the test, since the daemon would still lose them.

--- a/server/request_path.cpp
+++ b/server/request_path.cpp
@@ -24,7 +24,9 @@
 // Bounds how late a passed deadline is noticed; 50 wake-ups a second cost less
 // than 0.1% of a core.
 constexpr absl::Duration kTickInterval = absl::Milliseconds(20);
-constexpr absl::Duration kDrainPollInterval = absl::Milliseconds(5);
+constexpr absl::Duration kIdlePollInterval = absl::Milliseconds(5);
+// Bounds the wait for callers that do not read their response.
+constexpr absl::Duration kStopWriteTimeout = absl::Seconds(1);
 
 }
 
@@ -49,6 +51,7 @@
   RequestDispatcherHooks DispatcherHooks();
   CallerServerHooks ServerHooks();
   void RunTicker();
+  void WaitUntilIdle(absl::Duration aTimeout);
 };
 
 RequestPath::Impl::Impl(RequestPathSettings aSettings,
@@ -88,9 +91,24 @@
   m_server->StopListening();
   m_dispatcher->AbortAll();
   m_client.Stop();
+  // Stopping the server closes connections, also those whose response is not
+  // written yet.
+  WaitUntilIdle(kStopWriteTimeout);
   m_server->Stop();
 }
 
+void
+RequestPath::Impl::WaitUntilIdle(absl::Duration aTimeout)
+{
+  const absl::Time end = MonotonicNow() + aTimeout;
+  const auto isBusy = [this] {
+    return m_dispatcher->Unfinished() > 0 || m_server->OpenExchanges() > 0;
+  };
+  while (isBusy() && MonotonicNow() < end) {
+    absl::SleepFor(kIdlePollInterval);
+  }
+}
+
 RequestDispatcherHooks
 RequestPath::Impl::DispatcherHooks()
 {
@@ -204,15 +222,8 @@
 void
 RequestPath::Drain(absl::Duration aTimeout)
 {
-  const absl::Time end = MonotonicNow() + aTimeout;
   m_impl->m_dispatcher->StartDraining();
-  const auto isBusy = [this] {
-    return m_impl->m_dispatcher->Unfinished() > 0 ||
-           m_impl->m_server->OpenExchanges() > 0;
-  };
-  while (isBusy() && MonotonicNow() < end) {
-    absl::SleepFor(kDrainPollInterval);
-  }
+  m_impl->WaitUntilIdle(aTimeout);
   m_impl->m_server->StopListening();
 }
 
