--- a/fleet/wave_plan.cpp
+++ b/fleet/wave_plan.cpp
@@ -63,21 +63,20 @@
     (record.m_state == VmState::Ready && aVm.m_health == VmHealth::Failed);
   const bool isMaintained =
     record.m_maintainedMillis >= m_order.m_createdMillis;
+  const bool isSkipped = isLost || record.m_state == VmState::Joining ||
+                         (aVm.m_isMissing && aVm.m_isAbsent);
   if (isTaken && IsOut(record)) {
     ++m_out;
-  } else if (isTaken) {
-    // Also one that is ready again without maintenance: it did not come back
-    // in time, and the wave does not try it twice.
+  } else if (isTaken || (isMaintained && isLost && FailedSoon(aVm))) {
+    // Also a taken VM that is ready again without maintenance: it did not come
+    // back in time, and the wave does not try it twice.
     ++m_failed;
   } else if (isMaintained) {
-    ++(isLost && FailedSoon(aVm) ? m_failed : m_maintained);
-  } else if (isLost) {
+    ++m_maintained;
+  } else if (isSkipped) {
     ++m_skipped;
   } else if (FleetView::IsInService(aVm)) {
     m_remaining.push_back(&aVm);
-  } else if (record.m_state == VmState::Joining ||
-             (aVm.m_isMissing && aVm.m_isAbsent)) {
-    ++m_skipped;
   } else {
     ++m_waiting;
   }
--- a/tests/fleet/test_planner_naive.cpp
+++ b/tests/fleet/test_planner_naive.cpp
@@ -19,7 +19,7 @@
     const std::string naive = RandomHistory(seed, chart).Run(NaivePlanner());
     broken += naive.starts_with("budget") ? 1 : 0;
     if (naive.starts_with("budget")) {
-      CHECK(RandomHistory(seed, chart).Run(PlanFleet) == "");
+      CHECK(RandomHistory(seed, chart).Run(PlanFleet).empty());
     }
   }
   CAPTURE(broken);
@@ -34,5 +34,5 @@
   const std::string naive = RandomHistory(4, chart).Run(NaivePlanner());
   CAPTURE(naive);
   CHECK(naive.starts_with("budget: the drain of"));
-  CHECK(RandomHistory(4, chart).Run(PlanFleet) == "");
+  CHECK(RandomHistory(4, chart).Run(PlanFleet).empty());
 }
--- a/tests/fleet/test_planner_properties.cpp
+++ b/tests/fleet/test_planner_properties.cpp
@@ -20,8 +20,8 @@
     const std::string violation = history.Run(PlanFleet);
     drains += history.Drains();
     made.insert(history.Transitions().begin(), history.Transitions().end());
-    CAPTURE(seed);
-    CHECK(violation == "");
+    CAPTURE(seed, violation);
+    CHECK(violation.empty());
   }
   // Histories in which nothing drains would prove nothing.
   CHECK(drains > static_cast<int>(aCount) * 5);
--- a/tests/measure/fleet_measure.cpp
+++ b/tests/measure/fleet_measure.cpp
@@ -121,7 +121,7 @@
 MeasureResult
 MeasureRolloutTime(const std::string& aDeployment,
                    std::uint64_t aSeed,
-                   std::shared_ptr<const StateChart> aChart)
+                   const std::shared_ptr<const StateChart>& aChart)
 {
   const FleetModelOptions options = MakeOptions(aDeployment, aSeed);
   MeasureResult result{
@@ -165,15 +165,18 @@
   const auto anyPool = [&] {
     return pools[pick(0, static_cast<int>(pools.size()) - 1)];
   };
-  std::vector<Outage> outages;
   // Restarts are back within a few minutes.
-  for (int i = 0; i < 12; ++i) {
+  constexpr int kRestarts = 12;
+  constexpr int kLongFailures = 4;
+  std::vector<Outage> outages;
+  outages.reserve(kRestarts + kLongFailures + aOptions.m_pools.size());
+  for (int i = 0; i < kRestarts; ++i) {
     outages.push_back({ absl::Minutes(pick(0, minutes - 90)),
                         absl::Seconds(pick(40, 240)),
                         anyPool() });
   }
   // Failures that last for hours.
-  for (int i = 0; i < 4; ++i) {
+  for (int i = 0; i < kLongFailures; ++i) {
     outages.push_back({ absl::Minutes(pick(0, minutes / 2)),
                         absl::Minutes(pick(60, 150)),
                         anyPool() });
@@ -227,13 +230,13 @@
 
 RunResult
 RunOutages(const FleetModelOptions& aOptions,
-           std::shared_ptr<const StateChart> aChart,
+           const std::shared_ptr<const StateChart>& aChart,
            const FleetModel::Planner& aPlanner,
            const std::vector<Outage>& aOutages,
            absl::Duration aRun,
            bool aHasWave)
 {
-  FleetModel model(aOptions, std::move(aChart));
+  FleetModel model(aOptions, aChart);
   PlanChecker checker;
   RunResult result;
   model.m_check = [&](const FleetSnapshot& aSnapshot, const FleetPlan& aPlan) {
@@ -313,7 +316,7 @@
 MeasureResult
 MeasureVmMoves(const std::string& aDeployment,
                std::uint64_t aSeed,
-               std::shared_ptr<const StateChart> aChart)
+               const std::shared_ptr<const StateChart>& aChart)
 {
   constexpr absl::Duration kRun = absl::Hours(12);
   FleetModelOptions options = MakeOptions(aDeployment, aSeed);
@@ -427,7 +430,7 @@
 MeasureResult
 MeasureBufferCost(const std::string& aDeployment,
                   std::uint64_t aSeed,
-                  std::shared_ptr<const StateChart> aChart)
+                  const std::shared_ptr<const StateChart>& aChart)
 {
   constexpr absl::Duration kRun = absl::Hours(8);
   constexpr int kMostSpares = 24;
@@ -503,7 +506,8 @@
 }
 
 std::vector<PlanCost>
-MeasurePlanCost(std::uint64_t aSeed, std::shared_ptr<const StateChart> aChart)
+MeasurePlanCost(std::uint64_t aSeed,
+                const std::shared_ptr<const StateChart>& aChart)
 {
   std::vector<PlanCost> costs;
   for (const int scale : { 1, 3, 10, 24 }) {
--- a/tests/measure/fleet_measure.h
+++ b/tests/measure/fleet_measure.h
@@ -18,15 +18,15 @@
 MeasureResult
 MeasureBufferCost(const std::string& aDeployment,
                   std::uint64_t aSeed,
-                  std::shared_ptr<const StateChart> aChart);
+                  const std::shared_ptr<const StateChart>& aChart);
 MeasureResult
 MeasureRolloutTime(const std::string& aDeployment,
                    std::uint64_t aSeed,
-                   std::shared_ptr<const StateChart> aChart);
+                   const std::shared_ptr<const StateChart>& aChart);
 MeasureResult
 MeasureVmMoves(const std::string& aDeployment,
                std::uint64_t aSeed,
-               std::shared_ptr<const StateChart> aChart);
+               const std::shared_ptr<const StateChart>& aChart);
 
 /** Cost of one plan for a fleet of some size. */
 struct PlanCost
@@ -47,7 +47,8 @@
 
 /** Costs at 1, 3, 10 and 24 times today's size. */
 std::vector<PlanCost>
-MeasurePlanCost(std::uint64_t aSeed, std::shared_ptr<const StateChart> aChart);
+MeasurePlanCost(std::uint64_t aSeed,
+                const std::shared_ptr<const StateChart>& aChart);
 
 /** Milliseconds of a plan with a running wave for each further 1,000 VMs,
  * from the smallest and the largest size. */
