Ask the decider for explanations and warn about open prefixes

Cause: only the decider knows the state of a pool's guarantee, but explain showed the answer with the most decisions, which may come from another daemon. A prefix without a final slash, such as /alarms/check, also matches /alarms/checkout; as an idempotent path it would let a request run twice that must run once.

Ruled out: making an open prefix an error, since a single path is a legitimate prefix.

--- a/cli/admin_client.cpp
+++ b/cli/admin_client.cpp
@@ -4,15 +4,13 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <thread>
 
 namespace bramleystall {
 
 namespace {
 
-/** A hook of the daemon may wait for the store, whose calls take at most 2 s
- * by default, and repeat them. */
-constexpr absl::Duration kAdminTimeout = absl::Seconds(10);
 constexpr std::size_t kMaxShownBody = 300;
 
 std::string
@@ -34,13 +32,15 @@
 AdminReply
 AskDaemon(CommandContext& aContext,
           const std::string& aAddress,
-          const ClientRequest& aRequest)
+          const ClientRequest& aRequest,
+          absl::Duration aTimeout)
 {
   AdminReply reply;
   reply.m_address = aAddress;
   ClientRequest request = aRequest;
   request.m_url = absl::StrCat("http://", aAddress, aRequest.m_url);
-  request.m_timeout = kAdminTimeout;
+  request.m_timeout = aTimeout;
+  request.m_connectTimeout = std::min(request.m_connectTimeout, aTimeout);
   try {
     const ClientResponse response = aContext.Environment().m_send(request);
     reply.m_mayHaveBeenSent = true;
@@ -79,4 +79,15 @@
   return replies;
 }
 
+const AdminReply*
+FindDecider(const std::vector<AdminReply>& aStatuses)
+{
+  const auto found =
+    std::ranges::find_if(aStatuses, [](const AdminReply& aStatus) {
+      return aStatus.m_fault.empty() && aStatus.m_body.is_object() &&
+             aStatus.m_body.value("is_decider", nlohmann::json()) == true;
+    });
+  return found == aStatuses.end() ? nullptr : &*found;
+}
+
 }
--- a/cli/admin_client.h
+++ b/cli/admin_client.h
@@ -25,14 +25,26 @@
   bool IsSuccess() const { return m_status >= 200 && m_status < 300; }
 };
 
-/** Sends one request to the admin interface of a daemon. Never throws Error. */
+/** A hook of the daemon may wait for the store, whose calls take at most 2 s by
+ * default, and repeat them. */
+inline constexpr absl::Duration kAdminTimeout = absl::Seconds(10);
+
+/**
+ * Sends one request, whose URL is the path, to the admin interface of a daemon.
+ * Never throws Error.
+ */
 AdminReply
 AskDaemon(CommandContext& aContext,
           const std::string& aAddress,
-          const ClientRequest& aRequest);
+          const ClientRequest& aRequest,
+          absl::Duration aTimeout = kAdminTimeout);
 
 /** Asks all daemons at the same time, in the order of the settings. */
 std::vector<AdminReply>
 AskAllDaemons(CommandContext& aContext, const std::string& aPath);
 
+/** The status of the daemon that says that it is the decider, or null. */
+const AdminReply*
+FindDecider(const std::vector<AdminReply>& aStatuses);
+
 }
--- a/cli/explain_command.cpp
+++ b/cli/explain_command.cpp
@@ -21,25 +21,31 @@
                                                      "wave",
                                                      "service" };
 
-/** The reply with the most decisions: the decider's view is the fullest, and a
- * daemon that was cut off may lack the latest. */
+/**
+ * The decider's reply, since only the decider knows the state of each pool's
+ * guarantee; otherwise the reply with the most decisions, since a daemon that
+ * was cut off may lack the latest. Null when no daemon knows the subject.
+ */
 const AdminReply*
-FindFullest(const std::vector<AdminReply>& aReplies)
+FindBest(const std::vector<AdminReply>& aReplies, const AdminReply* aDecider)
 {
-  const AdminReply* fullest = nullptr;
+  const AdminReply* best = nullptr;
   std::size_t most = 0;
   for (const AdminReply& reply : aReplies) {
     if (!reply.m_fault.empty() || !reply.m_body.is_object()) {
       continue;
     }
+    if (aDecider && aDecider->m_address == reply.m_address) {
+      return &reply;
+    }
     const std::size_t count =
       reply.m_body.value("decisions", nlohmann::json::array()).size();
-    if (!fullest || count > most) {
-      fullest = &reply;
+    if (!best || count > most) {
+      best = &reply;
       most = count;
     }
   }
-  return fullest;
+  return best;
 }
 
 [[noreturn]] void
@@ -75,7 +81,8 @@
   }
   const auto replies = AskAllDaemons(
     aContext, absl::StrCat("/v1/explain/", kind, "/", EncodeUrlPart(name)));
-  const AdminReply* const best = FindFullest(replies);
+  const auto statuses = AskAllDaemons(aContext, "/v1/status");
+  const AdminReply* const best = FindBest(replies, FindDecider(statuses));
   if (!best) {
     ThrowNotExplained(replies, absl::StrCat(kind, " ", name));
   }
--- a/cli/status_command.cpp
+++ b/cli/status_command.cpp
@@ -59,18 +59,22 @@
 const AdminReply*
 FindBest(const std::vector<AdminReply>& aReplies)
 {
-  const AdminReply* best = nullptr;
-  for (const AdminReply& reply : aReplies) {
-    if (!reply.m_fault.empty() || !reply.m_body.is_object()) {
-      continue;
-    }
-    const json isDecider = reply.m_body.value("is_decider", json());
-    if (isDecider == true) {
-      return &reply;
-    }
-    best = best ? best : &reply;
+  if (const AdminReply* const decider = FindDecider(aReplies)) {
+    return decider;
   }
-  return best;
+  const auto first =
+    std::ranges::find_if(aReplies, [](const AdminReply& aReply) {
+      return aReply.m_fault.empty() && aReply.m_body.is_object();
+    });
+  return first == aReplies.end() ? nullptr : &*first;
+}
+
+std::string
+DeciderLine(const std::vector<AdminReply>& aReplies)
+{
+  return FindDecider(aReplies)
+           ? ""
+           : "no daemon here is the decider: moves, waves and orders wait\n";
 }
 
 std::string
@@ -173,6 +177,7 @@
     { { "daemons", RepliesToJson(replies) }, { "orders", orders } },
     absl::StrCat(DaemonTable(replies),
                  FaultLines(replies),
+                 DeciderLine(replies),
                  best ? PoolTable(best->m_body) : "",
                  OrderTable(orders)));
   const bool isComplete = std::ranges::all_of(
--- a/cli/version_wait.cpp
+++ b/cli/version_wait.cpp
@@ -7,6 +7,7 @@
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace bramleystall {
@@ -66,7 +67,12 @@
   ClientRequest request;
   request.m_url = "/v1/status";
   while (true) {
-    const AdminReply reply = AskDaemon(aContext, aDaemon.m_address, request);
+    // A daemon that accepts the connection and stays silent must not make the
+    // wait longer than the operator asked for.
+    const absl::Duration timeout =
+      std::clamp(aDeadline - MonotonicNow(), kPollInterval, kAdminTimeout);
+    const AdminReply reply =
+      AskDaemon(aContext, aDaemon.m_address, request, timeout);
     try {
       Update(reply, aConfiguration, aDaemon);
     } catch (const nlohmann::json::exception&) {
--- a/core/configuration_check.cpp
+++ b/core/configuration_check.cpp
@@ -1,5 +1,7 @@
 #include "core/configuration_check.h"
 
+#include "core/json_schema.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -19,6 +21,9 @@
 /** Sums of decimal fractions such as 0.1 + 0.2 exceed 1 by rounding alone. */
 constexpr double kRounding = 1e-9;
 
+/** The schema does not restrict the names of teams. */
+constexpr std::size_t kMaxShownTeam = 100;
+
 /** Runs the checks and collects their findings. */
 class Checker
 {
@@ -35,6 +40,7 @@
     CheckNames();
     CheckOwners();
     CheckRoutes();
+    CheckPrefixes();
     CheckTeams();
     CheckQuotas();
     CheckDeadlines();
@@ -185,6 +191,57 @@
     }
   }
 
+  void AddPrefixWarning(std::size_t aService,
+                        const std::string& aPointer,
+                        const std::string& aPrefix,
+                        const std::string& aText)
+  {
+    m_findings.m_warnings.push_back(
+      absl::StrCat(m_sources.m_serviceFiles[aService],
+                   ": ",
+                   aPointer,
+                   ": value ",
+                   Quote(aPrefix),
+                   " ",
+                   aText));
+  }
+
+  /** A prefix without a final slash also matches longer names. For idempotent
+   * paths that could repeat a request that must run once. */
+  void CheckPrefixes()
+  {
+    const auto warnOpen = [this](std::size_t aService,
+                                 const std::string& aPointer,
+                                 const std::string& aPrefix) {
+      if (!aPrefix.empty() && !aPrefix.ends_with('/')) {
+        AddPrefixWarning(
+          aService,
+          aPointer,
+          aPrefix,
+          absl::StrCat("also matches ", aPrefix, "..., expected a final /"));
+      }
+    };
+    for (std::size_t i = 0; i < Services().size(); ++i) {
+      const ServiceSpec& service = Services()[i];
+      warnOpen(i, "/path_prefix", service.m_pathPrefix);
+      for (std::size_t p = 0; p < service.m_idempotentPaths.size(); ++p) {
+        const std::string& path = service.m_idempotentPaths[p];
+        const std::string pointer = absl::StrCat("/idempotent/paths/", p);
+        warnOpen(i, pointer, path);
+        if (service.m_hosts.empty() &&
+            !path.starts_with(service.m_pathPrefix)) {
+          AddPrefixWarning(
+            i,
+            pointer,
+            path,
+            absl::StrCat("matches no request of the service, expected a path "
+                         "under ",
+                         service.m_pathPrefix));
+        }
+      }
+    }
+  }
+
   void CheckTeams()
   {
     const auto& quotas = m_configuration.m_fleet.m_teamQuotas;
@@ -205,7 +262,7 @@
         m_findings.m_warnings.push_back(
           absl::StrCat(m_sources.m_fleetFile,
                        ": /team_quotas/",
-                       team,
+                       OneLine(team, kMaxShownTeam),
                        ": no service names this team"));
       }
     }
--- a/server/admin_server.cpp
+++ b/server/admin_server.cpp
@@ -240,6 +240,11 @@
   }
   MHD_add_response_header(
     reply, MHD_HTTP_HEADER_CONTENT_TYPE, response.m_contentType.c_str());
+  if (response.m_status == MHD_HTTP_METHOD_NOT_ALLOWED) {
+    const std::string methods =
+      self->FindRoute(aMethod, aUrl, request->m_body).m_methods;
+    MHD_add_response_header(reply, MHD_HTTP_HEADER_ALLOW, methods.c_str());
+  }
   const MHD_Result result = MHD_queue_response(
     aConnection, static_cast<unsigned>(response.m_status), reply);
   MHD_destroy_response(reply);
--- a/tests/cli/test_operator_commands.cpp
+++ b/tests/cli/test_operator_commands.cpp
@@ -180,6 +180,7 @@
                   "true\n") != std::string::npos);
   CHECK(text.find("no status: 127.0.0.1:24902: the response is not JSON\n") !=
         std::string::npos);
+  CHECK(text.find("no daemon here is the decider") == std::string::npos);
   CHECK(text.find("alarms  10        12     2") != std::string::npos);
   CHECK(text.find("order-0") != std::string::npos);
   CHECK(text.find("order-2") == std::string::npos);
@@ -199,6 +200,9 @@
   m_answer = [](const std::string& aAddress,
                 const std::string& aCall,
                 const std::string&) {
+    if (aCall == "GET /v1/status") {
+      return Reply(200, json::object());
+    }
     CHECK(aCall == "GET /v1/explain/vm/vm%201");
     json decisions = json::array();
     if (aAddress == "127.0.0.1:24902") {
@@ -211,6 +215,22 @@
   CHECK(m_out.str() == "decisions:\n  -\n    reason: maintenance\n"
                        "summary: is draining\n"
                        "(answered by 127.0.0.1:24902)\n");
+  // The decider's answer counts more than the number of decisions.
+  m_answer = [](const std::string& aAddress,
+                const std::string& aCall,
+                const std::string&) {
+    const bool isDecider = aAddress == "127.0.0.1:24902";
+    if (aCall == "GET /v1/status") {
+      return Reply(200, { { "is_decider", isDecider } });
+    }
+    return Reply(
+      200,
+      { { "summary", isDecider ? "from the decider" : "from another" },
+        { "decisions",
+          isDecider ? json::array() : json::array({ "older" }) } });
+  };
+  CHECK(Run({ "explain", "pool", "p" }) == ExitCode::Success);
+  CHECK(m_out.str().find("from the decider") != std::string::npos);
   m_answer = [](const auto&, const auto&, const auto&) {
     return Reply(404, { { "message", "no such VM" } });
   };
--- a/tests/core/test_service_file.cpp
+++ b/tests/core/test_service_file.cpp
@@ -226,6 +226,24 @@
         std::string::npos);
 }
 
+// Guards against a prefix that takes the requests of a longer name, which for
+// an idempotent path could run a charge twice.
+TEST_CASE("A prefix without a final slash gives a warning", "[core]")
+{
+  ServiceFolder folder;
+  folder.m_b["team"] = "team-b";
+  folder.m_a["path_prefix"] = "/a";
+  folder.m_a["idempotent"] = { { "paths", { "/a/check", "/c/" } } };
+  const auto warnings = folder.Load().m_warnings;
+  REQUIRE(warnings.size() == 3);
+  CHECK(warnings[0].find("/path_prefix: value \"/a\" also matches /a...") !=
+        std::string::npos);
+  CHECK(warnings[1].find("/idempotent/paths/0: value \"/a/check\"") !=
+        std::string::npos);
+  CHECK(warnings[2].find("/idempotent/paths/1: value \"/c/\" matches no "
+                         "request of the service") != std::string::npos);
+}
+
 // Guards against a misspelt file name that leaves a service out.
 TEST_CASE("A JSON file with another name gives a warning", "[core]")
 {
--- a/tests/server/test_admin_server.cpp
+++ b/tests/server/test_admin_server.cpp
@@ -85,6 +85,7 @@
   CHECK(Send("GET", "/v1/orders").m_status == 404);
   CHECK(Send("GET", "/v1/explain/vm").m_status == 400);
   CHECK(Send("GET", "/v1/explain/vm/").m_status == 400);
+  CHECK(Send("DELETE", "/v1/orders").m_headers.at("allow") == "GET, POST");
   CHECK(Send("DELETE", "/v1/orders").m_status == 405);
   CHECK(Send("POST", "/healthz", "x").m_status == 405);
   CHECK(
