--- a/fleet/move_plan.cpp
+++ b/fleet/move_plan.cpp
@@ -1,5 +1,6 @@
 #include "fleet/move_plan.h"
 
+#include "fleet/buffer_size.h"
 #include "fleet/fleet_view.h"
 
 #include <absl/strings/str_cat.h>
@@ -12,6 +13,15 @@
 
 namespace {
 
+bool
+HasJustLeft(FleetView& aView, const VmView& aVm, const std::string& aPool)
+{
+  const auto& moves = aView.Memory().m_lastMoves;
+  const auto last = moves.find(aVm.m_record.m_name);
+  return last != moves.end() && last->second.m_fromPool == aPool &&
+         aView.Now() - last->second.m_time < aView.Spec().m_surplusHold;
+}
+
 bool
 MayDonate(FleetView& aView,
           const VmView& aVm,
@@ -23,9 +33,21 @@
       !aView.MayLeave(aVm)) {
     return false;
   }
-  return aView.IsSpare(from) ||
-         (aRequest.m_mayTakeSurplus && aView.HasSurplus(from) &&
-          !aBusy.contains(from));
+  if (!aRequest.m_mayReturn && HasJustLeft(aView, aVm, aRequest.m_pool)) {
+    return false;
+  }
+  if (aRequest.m_mustKeepMargin &&
+      aView.Budget(aRequest.m_pool).RaisesMargin(aVm.m_domain)) {
+    return false;
+  }
+  if (aView.IsSpare(from)) {
+    return aRequest.m_mayTakeSpare;
+  }
+  if (aRequest.m_mayTakeMember) {
+    return true;
+  }
+  return aRequest.m_mayTakeSurplus && aView.HasSurplus(from) &&
+         !aBusy.contains(from);
 }
 
 /** Time that a condition has lasted; the memory holds since when. */
@@ -68,6 +90,13 @@
          aBudget.Promised();
 }
 
+/** Whether the pool misses its promise, and not only the margin. */
+bool
+IsShort(const CapacityBudget& aBudget)
+{
+  return aBudget.m_presumedReady + aBudget.m_incoming < aBudget.Promised();
+}
+
 /**
  * VMs that the pool may ask for now. A loss that is certain is replaced at
  * once; without that proof the lack must last, since it may come from missing
@@ -85,6 +114,12 @@
   if (lack <= 0 || (aView.IsPartial() && !isProven)) {
     return 0;
   }
+  // Above the promise, spares that the worst failure domain would need serve
+  // every pool better where they are.
+  const int spares = aView.Budget(spec.m_sparePool).Ready();
+  if (!IsShort(aBudget) && spares <= WorstDomainNeed(aView)) {
+    return 0;
+  }
   if (aLasted >= spec.m_rebootTimeout) {
     return lack;
   }
@@ -117,8 +152,10 @@
 {
   const CapacityBudget& target = aView.Budget(aRequest.m_pool);
   const auto rank = [&](const VmView& aVm) {
-    return std::tuple(!aView.IsSpare(aVm.m_record.m_pool),
-                      target.ReadyIn(aVm.m_domain),
+    return std::tuple(HasJustLeft(aView, aVm, aRequest.m_pool),
+                      !aView.IsSpare(aVm.m_record.m_pool),
+                      !aView.HasSurplus(aVm.m_record.m_pool),
+                      target.PlacedIn(aVm.m_domain),
                       aVm.m_record.m_maintainedMillis <
                         aRequest.m_preferMaintained,
                       aVm.m_record.m_name);
@@ -205,6 +242,8 @@
                                          budget.Workers(),
                                          " VMs");
     request.m_mayTakeSurplus = IsUrgent(budget);
+    request.m_mayReturn = IsUrgent(budget);
+    request.m_mayTakeMember = IsShort(budget);
     if (worst.empty() || !MoveInto(aView, request, aBusy)) {
       return;
     }
--- a/fleet/vm_lifecycle.cpp
+++ b/fleet/vm_lifecycle.cpp
@@ -160,6 +160,8 @@
                 ClearMaintenance);
     return;
   }
+  aView.Memory().m_lastMoves[aVm.m_record.m_name] = { aVm.m_record.m_pool,
+                                                      aView.Now() };
   aView.Apply(aVm,
               "reassign",
               PlanReason::Reassigned,
@@ -189,9 +191,10 @@
 void
 AdvanceRebooting(FleetView& aView, VmView& aVm)
 {
-  const bool isDown = aVm.m_health == VmHealth::Failed ||
-                      (aVm.m_observation && !aVm.m_observation->m_isHealthy) ||
-                      (aView.HasList() && !aVm.m_listing);
+  const bool isDown =
+    aVm.m_health == VmHealth::Failed ||
+    (aVm.m_observation && !aVm.m_observation->m_isHealthy) ||
+    (aView.HasList() && (!aVm.m_listing || aVm.m_listing->m_isLeaving));
   const bool wasDown = HasReason(aVm, PlanReason::RebootObservedDown);
   if (isDown && !wasDown) {
     aView.Note(aVm,
@@ -383,6 +386,9 @@
 AdvanceLifecycles(FleetView& aView)
 {
   ForgetGoneVms(aView);
+  std::erase_if(aView.Memory().m_lastMoves, [&aView](const auto& aMove) {
+    return aView.Now() - aMove.second.m_time >= aView.Spec().m_surplusHold;
+  });
   for (auto& [name, vm] : aView.Vms()) {
     UpdateAddress(aView, vm);
     AdvanceVm(aView, vm);
