--- a/tests/fakes/child_process.cpp
+++ b/tests/fakes/child_process.cpp
@@ -148,6 +148,14 @@
   return m_output;
 }
 
+std::string
+ChildProcess::FinalOutput()
+{
+  std::unique_lock lock(m_mutex);
+  m_changed.wait(lock, [this] { return m_isClosed; });
+  return m_output;
+}
+
 std::string
 BuiltProgram(const std::string& aName)
 {
--- a/tests/fakes/child_process.h
+++ b/tests/fakes/child_process.h
@@ -43,6 +43,9 @@
   /** What the program wrote to its standard output so far. */
   std::string Output() const;
 
+  /** All of the output; waits until the program has closed it. */
+  std::string FinalOutput();
+
 private:
   void ReadOutput(int aPipe);
 
