Explore the interleavings of two publishes

Cause: the exploration covered the fenced writer but not the publisher that operators use. Change: two publishes of different configurations in every order of their store calls, with up to two responses lost or writes late; notes on how the watcher and the lease are stopped.

--- a/cluster/decider_lease.h
+++ b/cluster/decider_lease.h
@@ -86,7 +86,10 @@
 
   /** Runs the steps in a thread of its own until Stop. */
   void Start();
-  /** Ends the thread and releases the lease. */
+  /**
+   * Ends the thread and releases the lease. A follower first waits for the end
+   * of its watch, which PlatformStore::StopWatches shortens.
+   */
   void Stop();
 
   /**
--- a/cluster/document_watcher.h
+++ b/cluster/document_watcher.h
@@ -54,6 +54,7 @@
   DocumentWatcher& operator=(const DocumentWatcher&) = delete;
 
   void Start();
+  /** Waits for the end of the current watch; see PlatformStore::StopWatches. */
   void Stop();
 
   /** Monotonic time of the last answer of the store. */
--- /dev/null
+++ b/tests/platform/test_publish_interleavings.cpp
@@ -0,0 +1,123 @@
+#include "core/error.h"
+#include "platform/configuration_publisher.h"
+#include "tests/fakes/fake_platform_store.h"
+#include "tests/fakes/interleaving.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <string>
+
+using namespace bramleystall;
+
+namespace {
+
+/** What an operator was told. */
+enum class Report
+{
+  Accepted,
+  NotWritten,
+  Unknown,
+};
+
+struct PublishFindings
+{
+  int m_wrongReports = 0;
+  int m_brokenHistories = 0;
+  std::map<Report, int> m_reports;
+};
+
+/** Two operators publish different configurations at the same time. */
+class PublishScenario : public InterleavingScenario
+{
+public:
+  explicit PublishScenario(PublishFindings& aFindings)
+    : m_findings(aFindings)
+  {
+  }
+
+  FakePlatformStore& Store() override { return m_store; }
+
+  std::vector<Actor> Actors() override
+  {
+    return { [this](PlatformStore& aStore) { Publish(aStore, "first", 1); },
+             [this](PlatformStore& aStore) { Publish(aStore, "second", 2); } };
+  }
+
+  std::string StateText() const override { return {}; }
+  void AfterStep() override {}
+
+  void AfterRun() override
+  {
+    ConfigurationPublisher reader(m_store, {});
+    const auto history = reader.ReadHistory();
+    const auto current = reader.ReadCurrent();
+    for (const auto& [token, report] : m_reports) {
+      const bool isAccepted =
+        std::ranges::find(history, token, &HistoryEntry::m_writerToken) !=
+        history.end();
+      const bool isWrong = (report == Report::Accepted && !isAccepted) ||
+                           (report == Report::NotWritten && isAccepted);
+      m_findings.m_wrongReports += isWrong ? 1 : 0;
+      ++m_findings.m_reports[report];
+    }
+    std::uint64_t version = 0;
+    for (const auto& entry : history) {
+      m_findings.m_brokenHistories += entry.m_version == ++version ? 0 : 1;
+    }
+    const std::string last =
+      history.empty() ? std::string() : history.back().m_writerToken;
+    m_findings.m_brokenHistories +=
+      (current ? current->m_writerToken : std::string()) == last ? 0 : 1;
+  }
+
+private:
+  void Publish(PlatformStore& aStore, const std::string& aToken, int aSpares)
+  {
+    WriterHooks hooks;
+    hooks.m_makeToken = [aToken] { return aToken; };
+    hooks.m_now = [] { return absl::UnixEpoch(); };
+    hooks.m_sleep = [](absl::Duration) {};
+    Configuration content;
+    content.m_fleet.m_spareWorkers = aSpares;
+    try {
+      ConfigurationPublisher(aStore, hooks).Publish(content, aToken);
+      m_reports[aToken] = Report::Accepted;
+    } catch (const Error& error) {
+      m_reports[aToken] = error.Code() == ErrorCode::OutcomeUnknown
+                            ? Report::Unknown
+                            : Report::NotWritten;
+    }
+  }
+
+  PublishFindings& m_findings;
+  FakePlatformStore m_store;
+  std::map<std::string, Report> m_reports;
+};
+
+}
+
+// Guards against an operator who is told that a configuration was accepted or
+// rejected when the opposite is true, in any order of the store calls and with
+// responses that are lost or writes that take effect late.
+TEST_CASE("No publish is reported wrongly in any interleaving", "[platform]")
+{
+  PublishFindings findings;
+  ExplorationLimits limits;
+  limits.m_maxFaults = 2;
+  const auto result = ExploreInterleavings(
+    [&] { return std::make_unique<PublishScenario>(findings); }, limits);
+  std::cout << "interleavings of two publishes: states=" << result.m_states
+            << " store_calls=" << result.m_transitions
+            << " complete_runs=" << result.m_completeRuns
+            << " accepted=" << findings.m_reports[Report::Accepted]
+            << " not_written=" << findings.m_reports[Report::NotWritten]
+            << " unknown=" << findings.m_reports[Report::Unknown] << "\n";
+  CHECK(result.m_states > 100);
+  CHECK(findings.m_wrongReports == 0);
+  CHECK(findings.m_brokenHistories == 0);
+  CHECK(findings.m_reports[Report::Accepted] > 0);
+  CHECK(findings.m_reports[Report::NotWritten] > 0);
+}
