Take out targets that alone give error responses

Cause: a worker that fails everything it starts answers fast with status 500, so choosing by requests in flight sends it more work than the others.

Change: five error responses in a row take a target out when the last attempt succeeded at half or more of the pool's other targets; its responses still reach their callers.

Ruled out: counting error responses like failed connections, since a bad job would then take the good workers out; a test covers it.

--- a/dispatch/target_health.cpp
+++ b/dispatch/target_health.cpp
@@ -20,17 +20,42 @@
   return m_state != HealthState::Out && m_failures >= threshold;
 }
 
+bool
+TargetHealth::ShouldTakeOutIfOthersSucceed() const
+{
+  const int threshold =
+    m_state == HealthState::Returning ? 1 : kErrorResponsesToTakeOut;
+  return m_state != HealthState::Out && m_errorResponses >= threshold;
+}
+
 void
 TargetHealth::OnOutcome(TargetOutcome aOutcome)
 {
   if (m_state == HealthState::Out) {
     return;
   }
-  if (aOutcome != TargetOutcome::Success) {
-    ++m_failures;
-    return;
+  m_lastSucceeded = aOutcome == TargetOutcome::Success;
+  switch (aOutcome) {
+    case TargetOutcome::Success:
+      OnSuccess();
+      return;
+    case TargetOutcome::ErrorResponse:
+      // The connection works, so connection failures are not consecutive.
+      m_failures = 0;
+      ++m_errorResponses;
+      return;
+    case TargetOutcome::Failure:
+    case TargetOutcome::Timeout:
+      ++m_failures;
+      return;
   }
+}
+
+void
+TargetHealth::OnSuccess()
+{
   m_failures = 0;
+  m_errorResponses = 0;
   if (m_state != HealthState::Returning) {
     return;
   }
@@ -87,6 +112,7 @@
   }
   m_state = HealthState::Returning;
   m_failures = 0;
+  m_errorResponses = 0;
   m_returnLimit = 1;
   m_returnSuccesses = 0;
 }
--- a/dispatch/target_health.h
+++ b/dispatch/target_health.h
@@ -29,6 +29,8 @@
   /** Refused connection, closed connection or truncated response. */
   Failure,
   Timeout,
+  /** Complete response with a server error (5xx). */
+  ErrorResponse,
 };
 
 /** Health of one target, from its attempts and probes. */
@@ -37,6 +39,10 @@
 public:
   /** Consecutive failures after which a target is taken out. */
   static constexpr int kFailuresToTakeOut = 3;
+  /** Consecutive error responses after which a target is taken out when other
+   * targets of the pool succeed. More than for failures, since the cause may be
+   * the requests. */
+  static constexpr int kErrorResponsesToTakeOut = 5;
   /** Consecutive passed probes after which a target returns. */
   static constexpr int kProbesToReturn = 3;
   /** Time between probes; it doubles with each failed probe. */
@@ -44,11 +50,17 @@
   static constexpr absl::Duration kMaxProbeDelay = absl::Seconds(15);
 
   HealthState State() const { return m_state; }
-  int ConsecutiveFailures() const { return m_failures; }
 
   /** Whether the failures justify taking the target out. */
   bool ShouldTakeOut() const;
 
+  /** Whether the error responses justify taking the target out, provided that
+   * other targets of the pool succeed. */
+  bool ShouldTakeOutIfOthersSucceed() const;
+
+  /** Whether the last attempt succeeded. */
+  bool LastSucceeded() const { return m_lastSucceeded; }
+
   /** Records the result of an attempt at a target that is not out. */
   void OnOutcome(TargetOutcome aOutcome);
 
@@ -64,8 +76,12 @@
   int InFlightLimit(int aAllowance) const;
 
 private:
+  void OnSuccess();
+
   HealthState m_state = HealthState::Healthy;
   int m_failures = 0;
+  int m_errorResponses = 0;
+  bool m_lastSucceeded = false;
   int m_passedProbes = 0;
   /** Requests in flight allowed while returning; doubles with each full round
    * of successes. */
--- a/dispatch/target_set.cpp
+++ b/dispatch/target_set.cpp
@@ -96,8 +96,8 @@
   if (second >= first) {
     ++second;
   }
-  const auto rank = [](const Target* aTarget) {
-    return std::pair(aTarget->m_health.ShouldTakeOut(), aTarget->m_inFlight);
+  const auto rank = [this](const Target* aTarget) {
+    return std::pair(IsFailing(*aTarget), aTarget->m_inFlight);
   };
   Target* const one = aCandidates[first];
   Target* const other = aCandidates[second];
@@ -141,12 +141,39 @@
 void
 TargetSet::TakeOutIfFailing(Target& aTarget, absl::Time aNow)
 {
-  if (aTarget.m_eligible && aTarget.m_health.ShouldTakeOut() &&
+  if (aTarget.m_eligible && IsFailing(aTarget) &&
       MayTakeOut(aTarget.m_info.m_pool)) {
     aTarget.m_health.TakeOut(aNow);
   }
 }
 
+bool
+TargetSet::IsFailing(const Target& aTarget) const
+{
+  return aTarget.m_health.ShouldTakeOut() ||
+         (aTarget.m_health.ShouldTakeOutIfOthersSucceed() &&
+          OthersSucceed(aTarget));
+}
+
+bool
+TargetSet::OthersSucceed(const Target& aTarget) const
+{
+  const auto pool = m_eligibleByPool.find(aTarget.m_info.m_pool);
+  if (pool == m_eligibleByPool.end()) {
+    return false;
+  }
+  int others = 0;
+  int succeeding = 0;
+  for (const Target* const other : pool->second) {
+    if (other == &aTarget || other->m_health.State() == HealthState::Out) {
+      continue;
+    }
+    ++others;
+    succeeding += other->m_health.LastSucceeded() ? 1 : 0;
+  }
+  return succeeding > 0 && 2 * succeeding >= others;
+}
+
 bool
 TargetSet::MayTakeOut(const std::string& aPool) const
 {
--- a/dispatch/target_set.h
+++ b/dispatch/target_set.h
@@ -102,6 +102,10 @@
   bool HasFreeSlot(const Target& aTarget) const;
   Target* Pick(const std::vector<Target*>& aCandidates);
   void TakeOutIfFailing(Target& aTarget, absl::Time aNow);
+  bool IsFailing(const Target& aTarget) const;
+  /** Whether the last attempt succeeded at half or more of the other targets of
+   * the pool: then the target is bad, and not the requests. */
+  bool OthersSucceed(const Target& aTarget) const;
   bool MayTakeOut(const std::string& aPool) const;
   void ReleaseSlot(Target& aTarget);
 
--- a/server/request_dispatcher.cpp
+++ b/server/request_dispatcher.cpp
@@ -690,9 +690,14 @@
     aJob.m_tried.push_back(vm);
   }
   switch (aResult.m_failure) {
-    case AttemptFailure::None:
-      m_targets.Finish(vm, TargetOutcome::Success, now);
+    case AttemptFailure::None: {
+      const bool isError = aResult.m_response.m_status >= kServerError;
+      m_targets.Finish(vm,
+                       isError ? TargetOutcome::ErrorResponse
+                               : TargetOutcome::Success,
+                       now);
       return;
+    }
     case AttemptFailure::ResponseTooLarge:
     case AttemptFailure::Stopped:
       m_targets.Release(vm);
@@ -720,7 +725,7 @@
                                     HttpResponse aResponse,
                                     Actions& aActions)
 {
-  if (aJob.m_attempts == 1) {
+  if (aJob.m_attempts == 1 && aResponse.m_status < kServerError) {
     m_retryBudgets[aJob.m_service->m_name].OnFirstAttemptSucceeded();
   }
   aJob.m_attempt.Fire(AttemptEvent::Respond);
--- a/tests/dispatch/test_target_set.cpp
+++ b/tests/dispatch/test_target_set.cpp
@@ -204,6 +204,33 @@
         std::map<std::string, int>{ { "vm0", 1 }, { "vm1", 1 } });
 }
 
+// Guards against a worker that fails everything it starts: its requests end
+// quickly, so it would get more of them than the others.
+TEST_CASE("A target that alone gives error responses is taken out",
+          "[dispatch]")
+{
+  TargetSet set = MakeSet(3, 8);
+  for (int i = 0; i < 30; ++i) {
+    const std::string vm = set.Reserve("pool")->m_vm;
+    set.Finish(vm,
+               vm == "vm0" ? TargetOutcome::ErrorResponse
+                           : TargetOutcome::Success,
+               kStart);
+  }
+  CHECK(OutCount(set) == 1);
+  CHECK(set.Status().at(0).m_health == HealthState::Out);
+}
+
+// Guards against a bad job taking the good workers out.
+TEST_CASE("Targets that all give error responses stay", "[dispatch]")
+{
+  TargetSet set = MakeSet(3, 8);
+  for (int i = 0; i < 100; ++i) {
+    set.Finish(set.Reserve("pool")->m_vm, TargetOutcome::ErrorResponse, kStart);
+  }
+  CHECK(OutCount(set) == 0);
+}
+
 // Guards against a VM that was replaced inheriting the health of the old one.
 TEST_CASE("A target with a new address starts healthy", "[dispatch]")
 {
--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -292,6 +292,10 @@
               "HTTP/1.1 302 Found\r\nLocation: /other\r\n"
               "Content-Length: 0\r\n\r\n");
       return true;
+    case FakeBehaviour::Error:
+      SendAll(aSocket,
+              "HTTP/1.1 500 Internal Server Error\r\n" + length + body);
+      return true;
   }
   return false;
 }
--- a/tests/fakes/fake_target.h
+++ b/tests/fakes/fake_target.h
@@ -30,6 +30,8 @@
   /** A body that only the end of the connection delimits. */
   CloseDelimited,
   Redirect,
+  /** Status 500 with a complete body. */
+  Error,
 };
 
 /** A request as a FakeTarget received it. */
--- a/tests/server/test_request_path.cpp
+++ b/tests/server/test_request_path.cpp
@@ -681,6 +681,23 @@
   CHECK(first.RunCount() > before);
 }
 
+// Guards against a worker that fails everything it starts keeping its share of
+// the work; its error responses still reach their callers.
+TEST_CASE("A target with only error responses leaves the rotation", "[server]")
+{
+  PathFixture fixture;
+  FakeTarget bad([](const FakeRequest&) { return FakeBehaviour::Error; });
+  FakeTarget good;
+  fixture.SetTargets({ &bad, &good });
+  int errors = 0;
+  for (int i = 0; i < 60; ++i) {
+    errors += fixture.Get().m_status == 500 ? 1 : 0;
+  }
+  CHECK(errors == bad.RunCount());
+  CHECK(errors >= TargetHealth::kErrorResponsesToTakeOut);
+  CHECK(errors < 2 * TargetHealth::kErrorResponsesToTakeOut);
+}
+
 // Guards against requests of a removed service waiting until their deadline.
 TEST_CASE("Requests of a removed service are refused", "[server]")
 {
