--- a/cluster/decider_lease.h
+++ b/cluster/decider_lease.h
@@ -118,6 +118,7 @@
   std::string LastSeenHolder() const;
 
 private:
+  absl::Duration StepState();
   absl::Duration StepFollower();
   absl::Duration StepCandidate();
   absl::Duration StepConfirming();
@@ -151,9 +152,13 @@
   absl::Time m_deadline = absl::InfinitePast();
   std::uint64_t m_term = 0;
   std::string m_holder;
+  /** Whether the key was read since the start. */
+  bool m_hasRead = false;
   /** Last reading of the key, where the next watch continues. */
   std::uint64_t m_revision = 0;
   std::uint64_t m_lockCount = 0;
+  /** Whether the last step failed; only the first failure is logged. */
+  bool m_isFailing = false;
   std::jthread m_thread;
 };
 
--- a/fleet/vm_lifecycle.cpp
+++ b/fleet/vm_lifecycle.cpp
@@ -95,16 +95,22 @@
 }
 
 /**
- * Number of VMs of a pool that are set aside. It bounds what false
- * observations can remove, however many plans they last.
+ * Number of VMs of a pool that are set aside or under repair. It bounds what
+ * false observations can remove, however many plans they last.
  */
 int
 CountSetAside(FleetView& aView, const std::string& aPool)
 {
+  const auto isSetAside = [](const VmRecord& aVm) {
+    const bool isUnderRepair =
+      aVm.m_wave.empty() &&
+      (aVm.m_state == VmState::Rebooting || aVm.m_state == VmState::Probation);
+    return aVm.m_state == VmState::SetAside || isUnderRepair;
+  };
   return static_cast<int>(
-    std::ranges::count_if(aView.Vms(), [&aPool](const auto& aEntry) {
+    std::ranges::count_if(aView.Vms(), [&](const auto& aEntry) {
       const VmRecord& record = aEntry.second.m_record;
-      return record.m_pool == aPool && record.m_state == VmState::SetAside;
+      return record.m_pool == aPool && isSetAside(record);
     }));
 }
 
@@ -160,6 +166,8 @@
                 ClearMaintenance);
     return;
   }
+  aView.Memory().m_lastMoves[aVm.m_record.m_name] = { aVm.m_record.m_pool,
+                                                      aView.Now() };
   aView.Apply(aVm,
               "reassign",
               PlanReason::Reassigned,
@@ -189,9 +197,10 @@
 void
 AdvanceRebooting(FleetView& aView, VmView& aVm)
 {
-  const bool isDown = aVm.m_health == VmHealth::Failed ||
-                      (aVm.m_observation && !aVm.m_observation->m_isHealthy) ||
-                      (aView.HasList() && !aVm.m_listing);
+  const bool isDown =
+    aVm.m_health == VmHealth::Failed ||
+    (aVm.m_observation && !aVm.m_observation->m_isHealthy) ||
+    (aView.HasList() && (!aVm.m_listing || aVm.m_listing->m_isLeaving));
   const bool wasDown = HasReason(aVm, PlanReason::RebootObservedDown);
   if (isDown && !wasDown) {
     aView.Note(aVm,
@@ -383,6 +392,9 @@
 AdvanceLifecycles(FleetView& aView)
 {
   ForgetGoneVms(aView);
+  std::erase_if(aView.Memory().m_lastMoves, [&aView](const auto& aMove) {
+    return aView.Now() - aMove.second.m_time >= aView.Spec().m_surplusHold;
+  });
   for (auto& [name, vm] : aView.Vms()) {
     UpdateAddress(aView, vm);
     AdvanceVm(aView, vm);
