Measure throughput with an echo server of one thread

Cause: the echo server started a thread for each connection and joined it only at its end; with a new connection for each request the path stalled for 0.6 s (224 requests a second, p99 601 ms).

Change: one thread serves all connections. Runs with new connections send at most 250 requests for each caller, since 22,000 local ports were left in TIME_WAIT before.

Conclusion: the stall came from the measurement.

--- a/tests/measure/echo_server.cpp
+++ b/tests/measure/echo_server.cpp
@@ -4,10 +4,12 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <string_view>
 
 namespace bramleystall {
@@ -15,15 +17,26 @@
 namespace {
 
 constexpr int kBacklog = 1024;
-constexpr int kAcceptPollMs = 20;
+constexpr std::size_t kEventsPerWait = 64;
 constexpr std::string_view kResponse =
   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+bool
+Watch(int aEpoll, int aDescriptor)
+{
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = aDescriptor;
+  return epoll_ctl(aEpoll, EPOLL_CTL_ADD, aDescriptor, &event) == 0;
+}
+
 }
 
 EchoServer::EchoServer()
+  : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
+  , m_epoll(epoll_create1(EPOLL_CLOEXEC))
+  , m_stopEvent(eventfd(0, EFD_CLOEXEC))
 {
-  m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -31,66 +44,77 @@
   auto* const generic = reinterpret_cast<sockaddr*>(&address);
   if (bind(m_listener, generic, size) != 0 ||
       listen(m_listener, kBacklog) != 0 ||
-      getsockname(m_listener, generic, &size) != 0) {
+      getsockname(m_listener, generic, &size) != 0 ||
+      !Watch(m_epoll, m_listener) || !Watch(m_epoll, m_stopEvent)) {
     throw Error(ErrorCode::Unavailable, "echo server: cannot listen");
   }
   m_port = ntohs(address.sin_port);
-  m_acceptor = std::thread([this] { AcceptAll(); });
+  m_thread = std::thread([this] { Run(); });
 }
 
 EchoServer::~EchoServer()
 {
-  m_stopping = true;
-  m_acceptor.join();
-  close(m_listener);
-  {
-    const std::lock_guard lock(m_mutex);
-    for (const int descriptor : m_sockets) {
-      shutdown(descriptor, SHUT_RDWR);
-    }
+  eventfd_write(m_stopEvent, 1);
+  m_thread.join();
+  for (const auto& [connection, received] : m_received) {
+    close(connection);
   }
-  for (std::thread& connection : m_connections) {
-    connection.join();
+  for (const int descriptor : { m_listener, m_epoll, m_stopEvent }) {
+    close(descriptor);
   }
 }
 
 void
-EchoServer::AcceptAll()
+EchoServer::Run()
 {
-  while (!m_stopping) {
-    pollfd waiting{ m_listener, POLLIN, 0 };
-    if (poll(&waiting, 1, kAcceptPollMs) <= 0) {
-      continue;
-    }
-    const int connection = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-    if (connection < 0) {
-      continue;
+  std::array<epoll_event, kEventsPerWait> events{};
+  while (true) {
+    const int count =
+      epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), -1);
+    for (int i = 0; i < count; ++i) {
+      const int descriptor = events.at(i).data.fd;
+      if (descriptor == m_stopEvent) {
+        return;
+      }
+      if (descriptor == m_listener) {
+        AcceptAll();
+      } else {
+        Serve(descriptor);
+      }
     }
+  }
+}
+
+void
+EchoServer::AcceptAll()
+{
+  int connection = -1;
+  while ((connection = accept4(
+            m_listener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
     const int on = 1;
     setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const std::lock_guard lock(m_mutex);
-    m_sockets.push_back(connection);
-    m_connections.emplace_back([this, connection] { Serve(connection); });
+    m_received[connection].clear();
+    Watch(m_epoll, connection);
   }
 }
 
 void
 EchoServer::Serve(int aSocket)
 {
-  std::string buffer;
+  std::string& received = m_received[aSocket];
   char data[4096];
-  ssize_t got = 0;
-  while ((got = recv(aSocket, data, sizeof data, 0)) > 0) {
-    buffer.append(data, static_cast<std::size_t>(got));
-    std::size_t end = 0;
-    while ((end = buffer.find("\r\n\r\n")) != std::string::npos) {
-      buffer.erase(0, end + 4);
-      send(aSocket, kResponse.data(), kResponse.size(), MSG_NOSIGNAL);
-    }
+  const ssize_t got = recv(aSocket, data, sizeof data, 0);
+  if (got <= 0) {
+    m_received.erase(aSocket);
+    close(aSocket);
+    return;
+  }
+  received.append(data, static_cast<std::size_t>(got));
+  std::size_t end = 0;
+  while ((end = received.find("\r\n\r\n")) != std::string::npos) {
+    received.erase(0, end + 4);
+    send(aSocket, kResponse.data(), kResponse.size(), MSG_NOSIGNAL);
   }
-  const std::lock_guard lock(m_mutex);
-  std::erase(m_sockets, aSocket);
-  close(aSocket);
 }
 
 }
--- a/tests/measure/echo_server.h
+++ b/tests/measure/echo_server.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include <atomic>
-#include <mutex>
 #include <string>
 #include <thread>
-#include <vector>
+#include <unordered_map>
 
 namespace bramleystall {
 
 /**
  * HTTP/1.1 target that answers each request without a body at once with a fixed
- * response, one thread for each connection. For throughput measurements only.
+ * response. One thread serves all connections, so that measurements with a new
+ * connection for each request do not measure the start of threads. For
+ * throughput measurements only.
  */
 class EchoServer
 {
@@ -24,16 +24,17 @@
   int Port() const { return m_port; }
 
 private:
+  void Run();
   void AcceptAll();
   void Serve(int aSocket);
 
   int m_listener = -1;
+  int m_epoll = -1;
+  int m_stopEvent = -1;
   int m_port = 0;
-  std::atomic<bool> m_stopping = false;
-  std::mutex m_mutex;
-  std::vector<int> m_sockets;
-  std::vector<std::thread> m_connections;
-  std::thread m_acceptor;
+  /** Bytes received of the next request, by connection. */
+  std::unordered_map<int, std::string> m_received;
+  std::thread m_thread;
 };
 
 }
--- a/tests/measure/throughput_measure.cpp
+++ b/tests/measure/throughput_measure.cpp
@@ -24,6 +24,10 @@
 constexpr int kCallers = 16;
 constexpr int kTargets = 4;
 constexpr int kSlots = 8;
+// Bounds the load on this machine. Each request on a new connection leaves a
+// local port unusable for a minute, and a target has about 28,000.
+constexpr std::size_t kMaxRequests = 50000;
+constexpr std::size_t kMaxRequestsOnNewConnections = 250;
 
 using Clock = std::chrono::steady_clock;
 
@@ -79,8 +83,10 @@
 RunCaller(int aPort, bool aIdempotent, Clock::time_point aEnd)
 {
   CallerRecord record;
+  const std::size_t limit =
+    aIdempotent ? kMaxRequests : kMaxRequestsOnNewConnections;
   const int connection = Connect(aPort);
-  while (Clock::now() < aEnd) {
+  while (Clock::now() < aEnd && record.m_micros.size() < limit) {
     const std::string request =
       std::string(aIdempotent ? "GET" : "DELETE") +
       " /work HTTP/1.1\r\nHost: target\r\nX-Request-Id: " + NewRequestId() +
--- a/tests/measure/throughput_measure.h
+++ b/tests/measure/throughput_measure.h
@@ -30,7 +30,7 @@
 
 /**
  * Measures 1, 2 and 4 HTTP threads with 16 callers on connections that they
- * keep, each for aPerRun, with idempotent and other requests.
+ * keep, each for at most aPerRun, with idempotent and other requests.
  *
  * @param aChartFile file of the chart `request_attempt`
  */
