--- a/tests/measure/main.cpp
+++ b/tests/measure/main.cpp
@@ -64,7 +64,7 @@
 Measurement
 FleetPart(MeasureResult (*aMeasure)(const std::string&,
                                     std::uint64_t,
-                                    std::shared_ptr<const StateChart>))
+                                    const std::shared_ptr<const StateChart>&))
 {
   return [aMeasure](const std::string& aDeployment, std::uint64_t aSeed) {
     return std::vector{ aMeasure(aDeployment, aSeed, LifecycleChart()) };
