Check cheap conditions first when looking for a VM to move

Cause: each loan checked the budget of every VM of the fleet. Change: the pool and the state are checked before the failure domains, and the VMs out of service are counted once for each wave.

--- a/fleet/move_plan.cpp
+++ b/fleet/move_plan.cpp
@@ -22,15 +22,32 @@
          aView.Now() - last->second.m_time < aView.Spec().m_surplusHold;
 }
 
+/** Whether a pool may give VMs; cheap, since it is asked for every VM. */
+bool
+MayPoolDonate(FleetView& aView,
+              const std::string& aFrom,
+              const MoveRequest& aRequest,
+              const BusyPools& aBusy)
+{
+  if (aFrom == aRequest.m_pool) {
+    return false;
+  }
+  if (aView.IsSpare(aFrom)) {
+    return aRequest.m_mayTakeSpare;
+  }
+  return aRequest.m_mayTakeMember ||
+         (aRequest.m_mayTakeSurplus && aView.HasSurplus(aFrom) &&
+          !aBusy.contains(aFrom));
+}
+
 bool
 MayDonate(FleetView& aView,
           const VmView& aVm,
           const MoveRequest& aRequest,
           const BusyPools& aBusy)
 {
-  const std::string& from = aVm.m_record.m_pool;
-  if (from == aRequest.m_pool || !FleetView::IsInService(aVm) ||
-      !aView.MayLeave(aVm)) {
+  if (!FleetView::IsInService(aVm) ||
+      !MayPoolDonate(aView, aVm.m_record.m_pool, aRequest, aBusy)) {
     return false;
   }
   if (!aRequest.m_mayReturn && HasJustLeft(aView, aVm, aRequest.m_pool)) {
@@ -40,14 +57,7 @@
       aView.Budget(aRequest.m_pool).RaisesMargin(aVm.m_domain)) {
     return false;
   }
-  if (aView.IsSpare(from)) {
-    return aRequest.m_mayTakeSpare;
-  }
-  if (aRequest.m_mayTakeMember) {
-    return true;
-  }
-  return aRequest.m_mayTakeSurplus && aView.HasSurplus(from) &&
-         !aBusy.contains(from);
+  return aView.MayLeave(aVm);
 }
 
 /** Time that a condition has lasted; the memory holds since when. */
--- a/fleet/wave_plan.cpp
+++ b/fleet/wave_plan.cpp
@@ -36,6 +36,7 @@
   , m_order(aOrder)
 {
   for (auto& [name, vm] : aView.Vms()) {
+    m_outInDataCentre[vm.m_dataCentre] += IsOut(vm.m_record) ? 1 : 0;
     if (IsInScope(vm)) {
       Classify(vm);
     }
@@ -119,13 +120,9 @@
   if (isSpare && m_out > 0 && budget.Ready() <= WorstDomainNeed(m_view)) {
     return false;
   }
-  std::map<std::string, int> outInDataCentre;
-  for (const auto& [name, vm] : m_view.Vms()) {
-    outInDataCentre[vm.m_dataCentre] += IsOut(vm.m_record) ? 1 : 0;
-  }
   const auto rank = [&](const VmView* aVm) {
     return std::tuple(-budget.ReadyIn(aVm->m_domain),
-                      outInDataCentre[aVm->m_dataCentre],
+                      m_outInDataCentre[aVm->m_dataCentre],
                       aVm->m_record.m_name);
   };
   VmView* best = nullptr;
@@ -144,6 +141,7 @@
     return false;
   }
   std::erase(m_remaining, best);
+  ++m_outInDataCentre[best->m_dataCentre];
   ++m_out;
   return true;
 }
--- a/fleet/wave_plan.h
+++ b/fleet/wave_plan.h
@@ -62,6 +62,8 @@
   Order& m_order;
   /** VMs that can be drained when the budget allows. */
   std::vector<VmView*> m_remaining;
+  /** VMs that drain, reboot or are in probation, whatever took them. */
+  std::map<std::string, int> m_outInDataCentre;
   int m_waiting = 0;
   int m_out = 0;
   int m_maintained = 0;
