--- a/cli/text_table.cpp
+++ b/cli/text_table.cpp
@@ -17,7 +17,13 @@
 ScalarText(const json& aValue)
 {
   if (aValue.is_string()) {
-    return aValue.get<std::string>();
+    // A line break or an escape sequence would damage the operator's screen.
+    std::string text = aValue.get<std::string>();
+    std::ranges::replace_if(
+      text,
+      [](unsigned char aChar) { return aChar < ' ' || aChar == 127; },
+      '?');
+    return text;
   }
   return aValue.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/tests/cli/test_publish_process.cpp
+++ b/tests/cli/test_publish_process.cpp
@@ -1,8 +1,10 @@
+#include "core/clock.h"
 #include "platform/http_client.h"
 #include "tests/cli/tool_fixture.h"
 #include "tests/fakes/child_process.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -35,7 +37,7 @@
   /** Folder with one service of a name. */
   std::string MakeFolder(const std::string& aService) const
   {
-    const std::string folder = m_folder.Path(aService);
+    std::string folder = m_folder.Path(aService);
     std::filesystem::create_directories(folder);
     m_folder.Write(absl::StrCat(aService, "/fleet.json"),
                    ToolFixture::MakeFleet().dump());
@@ -60,11 +62,26 @@
     return aProcess.Wait(absl::Seconds(30)).value_or(-1);
   }
 
+  /**
+   * The JSON object that an ended process printed. Its output may arrive
+   * shortly after its end.
+   */
+  static json OutputOf(const ChildProcess& aProcess)
+  {
+    const absl::Time end = MonotonicNow() + absl::Seconds(10);
+    while (!json::accept(aProcess.Output()) && MonotonicNow() < end) {
+      absl::SleepFor(absl::Milliseconds(5));
+    }
+    INFO(aProcess.Output());
+    REQUIRE(json::accept(aProcess.Output()));
+    return json::parse(aProcess.Output());
+  }
+
   json History() const
   {
     const auto process = Start("ana", { "config", "history" });
     REQUIRE(ExitCodeOf(*process) == 0);
-    return json::parse(process->Output())["versions"];
+    return OutputOf(*process)["versions"];
   }
 
   void SetFaults(const std::string& aJson)
@@ -101,7 +118,7 @@
     const std::array processes = { start("ana"), start("bo") };
     std::array codes = { ExitCodeOf(*processes[0]), ExitCodeOf(*processes[1]) };
     const std::size_t loser = codes[0] == 0 ? 1 : 0;
-    const json error = json::parse(processes[loser]->Output());
+    const json error = OutputOf(*processes[loser]);
     const std::string winner = loser == 0 ? "bo" : "ana";
     CHECK(error["error"] == "conflict");
     CHECK(error["messages"][0].get<std::string>().find(absl::StrCat(
@@ -121,7 +138,7 @@
   SetFaults(R"({"lose_write_responses": 1})");
   const auto process = Start("ana", { "publish", MakeFolder("a") });
   CHECK(ExitCodeOf(*process) == 0);
-  CHECK(json::parse(process->Output())["version"] == 1);
+  CHECK(OutputOf(*process)["version"] == 1);
   CHECK(History().size() == 1);
 }
 
--- a/tests/platform/test_order_writer.cpp
+++ b/tests/platform/test_order_writer.cpp
@@ -135,7 +135,32 @@
   m_store.Put(OrderWriter::kKey, document.Serialize());
   auto writer = MakeWriter();
   CHECK(CodeOf(writer, MakeDrain("new", "vm")) == ErrorCode::Conflict);
-  CHECK(document.Serialize().size() < 500'000);
+}
+
+// Guards against an order document that the store refuses, after which no
+// progress of any order could be recorded.
+TEST_CASE_METHOD(OrderWriterFixture,
+                 "Large orders leave room for the decider",
+                 "[platform]")
+{
+  OrderDocument document;
+  for (std::size_t i = 0; i < kMaxOpenOrders - 100; ++i) {
+    document.m_orders.push_back(
+      MakeDrain(absl::StrCat("o", i), std::string(253, 'v')));
+    document.m_orders.back().m_pool = std::string(253, 'p');
+    document.m_orders.back().m_wave = std::string(253, 'w');
+  }
+  m_store.Put(OrderWriter::kKey, document.Serialize());
+  auto writer = MakeWriter();
+  CHECK(CodeOf(writer, MakeDrain("new", "vm")) == ErrorCode::Conflict);
+  document.m_orders.resize(10);
+  m_store.Put(OrderWriter::kKey, document.Serialize());
+  Order order = MakeDrain("new", "vm");
+  order.m_detail = std::string(60'000, 'd');
+  order.m_state = OrderState::Done;
+  writer.Append(order);
+  CHECK(writer.Read().m_orders.back().m_detail.empty());
+  CHECK(writer.Read().m_orders.back().m_state == OrderState::Pending);
 }
 
 // Guards against an order that is reported as refused although it may run.
