--- a/tests/stand_ins/platform/platform_state.h
+++ b/tests/stand_ins/platform/platform_state.h
@@ -99,6 +99,8 @@
   std::uint64_t m_sessionCount = 0;
   int m_pendingWatches = 0;
   bool m_isCut = false;
+  /** Grows with each cut, so that a waiting read notices a short one. */
+  std::uint64_t m_cutCount = 0;
 };
 
 }
