Bound the time that closing sockets takes

In 2 of about 8 runs with 9 to 32 daemons nng_close of nng 1.5.2 never returned: a stack showed a stopping node that waits in nng_close while all threads of nng were idle. A daemon that gets SIGTERM would not end, and a tick that closes the socket of a replaced member would stop.

Sockets are now closed in threads of their own; a daemon that stops waits for them 1 s at most. Waiting without a limit and closing under the lock of the node were ruled out. A test starts and ends daemons while others connect and bounds the time; it does not reproduce the hang itself.

--- a/cluster/peer_sockets.cpp
+++ b/cluster/peer_sockets.cpp
@@ -6,7 +6,12 @@
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
-#include <atomic>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <thread>
+#include <utility>
+#include <vector>
 
 namespace bramleystall {
 
@@ -36,6 +41,20 @@
   }
 }
 
+/**
+ * Runs a call to nng_close in a thread of its own. nng 1.5.2 sometimes never
+ * returns from it while a peer connects, which must stop neither the ticks
+ * nor the end of the process.
+ */
+std::future<void>
+CloseInBackground(std::function<void()> aClose)
+{
+  std::packaged_task<void()> task(std::move(aClose));
+  std::future<void> done = task.get_future();
+  std::thread(std::move(task)).detach();
+  return done;
+}
+
 }
 
 struct PeerSockets::Outgoing
@@ -81,14 +100,30 @@
     nng_close(m_listener);
   }
   Check(result, "cannot listen on", aListenAddress);
+  m_isListening = true;
 }
 
 PeerSockets::~PeerSockets()
 {
-  m_outgoing.clear();
+  std::vector<std::future<void>> closing;
+  for (auto& [address, outgoing] : m_outgoing) {
+    closing.push_back(Close(std::move(outgoing)));
+  }
+  const auto deadline = std::chrono::steady_clock::now() +
+                        absl::ToChronoMilliseconds(kCloseTimeout);
+  for (const auto& done : closing) {
+    done.wait_until(deadline);
+  }
   CloseListener();
 }
 
+std::future<void>
+PeerSockets::Close(std::unique_ptr<Outgoing> aOutgoing)
+{
+  return CloseInBackground([outgoing = std::shared_ptr<Outgoing>(std::move(
+                              aOutgoing))]() mutable { outgoing.reset(); });
+}
+
 SendResult
 PeerSockets::Send(const std::string& aAddress, const std::string& aBytes)
 {
@@ -130,15 +165,24 @@
 void
 PeerSockets::KeepOnly(const std::set<std::string>& aAddresses)
 {
-  std::erase_if(m_outgoing, [&aAddresses](const auto& aOutgoing) {
-    return !aAddresses.contains(aOutgoing.first);
-  });
+  for (auto next = m_outgoing.begin(); next != m_outgoing.end();) {
+    const auto outgoing = next++;
+    if (!aAddresses.contains(outgoing->first)) {
+      Close(std::move(outgoing->second));
+      m_outgoing.erase(outgoing);
+    }
+  }
 }
 
 void
 PeerSockets::CloseListener()
 {
-  nng_close(m_listener);
+  if (!m_isListening.exchange(false)) {
+    return;
+  }
+  CloseInBackground([listener = m_listener] {
+    nng_close(listener);
+  }).wait_for(absl::ToChronoMilliseconds(kCloseTimeout));
 }
 
 }
--- a/cluster/peer_sockets.h
+++ b/cluster/peer_sockets.h
@@ -5,6 +5,8 @@
 #include <absl/time/time.h>
 #include <nng/nng.h>
 
+#include <atomic>
+#include <future>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,6 +30,9 @@
   { SendResult::QueueFull, "queue_full" },
 } };
 
+/** Longest time that closing sockets delays a daemon that stops. */
+inline constexpr absl::Duration kCloseTimeout = absl::Seconds(1);
+
 /**
  * nng sockets of one daemon: a pull socket that all peers send to, and a push
  * socket for each peer. Sending never blocks, so a dead or frozen peer delays
@@ -51,13 +56,17 @@
   /** Closes the connections to all other addresses. */
   void KeepOnly(const std::set<std::string>& aAddresses);
 
-  /** Ends Receive. Thread-safe. */
+  /** Ends Receive. Thread-safe; waits kCloseTimeout at most. */
   void CloseListener();
 
 private:
   struct Outgoing;
 
+  /** Closes a socket without waiting for it. */
+  static std::future<void> Close(std::unique_ptr<Outgoing> aOutgoing);
+
   nng_socket m_listener = NNG_SOCKET_INITIALIZER;
+  std::atomic<bool> m_isListening = false;
   std::map<std::string, std::unique_ptr<Outgoing>> m_outgoing;
 };
 
--- a/cluster/slot_ledger.h
+++ b/cluster/slot_ledger.h
@@ -54,7 +54,9 @@
  * replies to earlier ones, so that lost messages lose no tokens.
  *
  * Tokens of dead daemons are quarantined until their last request must have
- * ended. Not thread-safe.
+ * ended. When all daemons of a data centre fail at once, nobody is left who
+ * knows them, and a daemon that starts then lends tokens that may still be in
+ * use until the longest deadline. Not thread-safe.
  */
 class SlotLedger
 {
--- a/tests/cluster/test_cluster_node.cpp
+++ b/tests/cluster/test_cluster_node.cpp
@@ -1,4 +1,5 @@
 #include "cluster/peer_sockets.h"
+#include "core/clock.h"
 #include "tests/fakes/fake_daemon.h"
 
 #include <absl/strings/str_cat.h>
@@ -132,6 +133,22 @@
   }));
 }
 
+// Guards against a daemon that cannot end because closing a socket of nng
+// does not return, which happened once in some runs with 9 to 32 daemons.
+TEST_CASE("Daemons end in bounded time while others connect", "[cluster]")
+{
+  for (int round = 0; round < 5; ++round) {
+    Daemons daemons = StartDaemons(6, 23050 + 10 * round);
+    absl::SleepFor(absl::Milliseconds(50 * round));
+    while (!daemons.empty()) {
+      const absl::Time start = MonotonicNow();
+      daemons.back()->Vanish();
+      CHECK(MonotonicNow() - start < 3 * kCloseTimeout);
+      daemons.pop_back();
+    }
+  }
+}
+
 // Guards against a daemon that fails on bytes of another program.
 TEST_CASE("Malformed bytes are counted and dropped", "[cluster]")
 {
--- a/tests/measure/cluster_measure.h
+++ b/tests/measure/cluster_measure.h
@@ -49,8 +49,8 @@
 /**
  * Runs daemons on loopback with a load that moves between pools of ten
  * workers, for a time after they joined. Uses one port for each daemon from
- * `aFirstPort`. Throws Error when they do not join within 10 s, or when the
- * configuration does not reach every daemon within 10 s.
+ * `aFirstPort`. Throws Error when they do not join within 30 s, or when the
+ * configuration does not reach every daemon within 30 s.
  */
 ClusterCost
 MeasureClusterCost(const ClusterSize& aSize,
