--- a/cluster/cluster_protocol.cpp
+++ b/cluster/cluster_protocol.cpp
@@ -81,6 +81,7 @@
            aMember.m_state.m_configurationDigest,
            aMember.m_state.m_fleetRevision,
            aMember.m_state.m_inFlight,
+           aMember.m_state.m_probeStates,
            aMember.m_lastHeard };
 }
 
--- /dev/null
+++ b/fleet/wave_plan.cpp
@@ -0,0 +1,339 @@
+#include "fleet/wave_plan.h"
+
+#include "core/order_document.h"
+#include "fleet/buffer_size.h"
+#include "fleet/fleet_view.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace bramleystall {
+
+namespace {
+
+/** A single failure may be chance; the wave only sets that VM aside. */
+constexpr int kMinWaveFailures = 2;
+
+/** The limit is not applied to fewer VMs than this. */
+constexpr int kMinWaveSample = 5;
+
+bool
+IsOut(const VmRecord& aRecord)
+{
+  return aRecord.m_state == VmState::Draining ||
+         aRecord.m_state == VmState::Drained ||
+         aRecord.m_state == VmState::Rebooting ||
+         aRecord.m_state == VmState::Probation;
+}
+
+}
+
+WavePlan::WavePlan(FleetView& aView, Order& aOrder)
+  : m_view(aView)
+  , m_order(aOrder)
+{
+  for (auto& [name, vm] : aView.Vms()) {
+    m_outInDataCentre[vm.m_dataCentre] += IsOut(vm.m_record) ? 1 : 0;
+    if (IsInScope(vm)) {
+      Classify(vm);
+    }
+  }
+}
+
+bool
+WavePlan::IsInScope(const VmView& aVm) const
+{
+  const VmRecord& record = aVm.m_record;
+  if (m_order.m_kind == OrderKind::Drain) {
+    return record.m_name == m_order.m_vm;
+  }
+  return m_order.m_pool.empty() || record.m_pool == m_order.m_pool ||
+         record.m_wave == m_order.m_id;
+}
+
+void
+WavePlan::Classify(VmView& aVm)
+{
+  const VmRecord& record = aVm.m_record;
+  const bool isTaken = record.m_wave == m_order.m_id;
+  const bool isLost =
+    record.m_state == VmState::SetAside || record.m_state == VmState::Gone ||
+    (record.m_state == VmState::Ready && aVm.m_health == VmHealth::Failed);
+  const bool isMaintained =
+    record.m_maintainedMillis >= m_order.m_createdMillis;
+  const bool isSkipped = isLost || record.m_state == VmState::Joining ||
+                         (aVm.m_isMissing && aVm.m_isAbsent);
+  if (isTaken && IsOut(record)) {
+    ++m_out;
+  } else if (isTaken || (isMaintained && isLost && FailedSoon(aVm))) {
+    // Also a taken VM that is ready again without maintenance: it did not come
+    // back in time, and the wave does not try it twice.
+    ++m_failed;
+  } else if (isMaintained) {
+    ++m_maintained;
+  } else if (isSkipped) {
+    ++m_skipped;
+  } else if (FleetView::IsInService(aVm)) {
+    m_remaining.push_back(&aVm);
+  } else {
+    ++m_waiting;
+  }
+}
+
+bool
+WavePlan::FailedSoon(const VmView& aVm) const
+{
+  const std::int64_t failed = aVm.m_record.m_state == VmState::Ready
+                                ? m_view.NowMillis()
+                                : aVm.m_record.m_sinceMillis;
+  return absl::Milliseconds(failed - aVm.m_record.m_maintainedMillis) <=
+         m_view.Spec().m_rebootTimeout;
+}
+
+bool
+WavePlan::HasFailed() const
+{
+  const int rebooted = std::max(kMinWaveSample, m_maintained + m_failed);
+  return m_order.m_kind == OrderKind::Wave && m_failed >= kMinWaveFailures &&
+         m_failed > m_view.Spec().m_waveFailureLimit * rebooted;
+}
+
+void
+WavePlan::AddBusyPools(BusyPools& aBusy) const
+{
+  if (HasFailed()) {
+    return;
+  }
+  for (const VmView* const vm : m_remaining) {
+    aBusy.insert(vm->m_record.m_pool);
+  }
+}
+
+bool
+WavePlan::DrainOne(const std::string& aPool)
+{
+  const CapacityBudget& budget = m_view.Budget(aPool);
+  const bool isSpare = m_view.IsSpare(aPool);
+  if (isSpare && m_out > 0 && budget.Ready() <= WorstDomainNeed(m_view)) {
+    return false;
+  }
+  const auto rank = [&](const VmView* aVm) {
+    return std::tuple(-budget.ReadyIn(aVm->m_domain),
+                      m_outInDataCentre[aVm->m_dataCentre],
+                      aVm->m_record.m_name);
+  };
+  VmView* best = nullptr;
+  for (VmView* const vm : m_remaining) {
+    if (vm->m_record.m_pool == aPool && FleetView::IsInService(*vm) &&
+        m_view.MayLeave(*vm) && (!best || rank(vm) < rank(best))) {
+      best = vm;
+    }
+  }
+  if (!best ||
+      !m_view.Drain(*best,
+                    "",
+                    m_order.m_id,
+                    PlanReason::Maintenance,
+                    absl::StrCat("maintenance by order ", m_order.m_id))) {
+    return false;
+  }
+  std::erase(m_remaining, best);
+  ++m_outInDataCentre[best->m_dataCentre];
+  ++m_out;
+  return true;
+}
+
+void
+WavePlan::DrainPools()
+{
+  BusyPools pools;
+  AddBusyPools(pools);
+  for (const std::string& pool : pools) {
+    while (DrainOne(pool)) {
+    }
+  }
+}
+
+std::map<std::string, WavePlan::PoolWork>
+WavePlan::CountWork() const
+{
+  std::map<std::string, PoolWork> work;
+  for (const VmView* const vm : m_remaining) {
+    ++work[vm->m_record.m_pool].m_remaining;
+  }
+  for (const auto& [name, vm] : m_view.Vms()) {
+    if (vm.m_record.m_wave == m_order.m_id && IsOut(vm.m_record)) {
+      ++work[vm.m_record.m_pool].m_out;
+    }
+  }
+  std::erase_if(work, [this](const auto& aEntry) {
+    const auto& [pool, count] = aEntry;
+    return m_view.IsSpare(pool) || !m_view.HasEvictionRoom(pool) ||
+           count.m_remaining <= m_view.Budget(pool).m_incoming;
+  });
+  return work;
+}
+
+int
+WavePlan::LendableSpares() const
+{
+  const std::string& sparePool = m_view.Spec().m_sparePool;
+  return m_view.Budget(sparePool).Ready() - WorstDomainNeed(m_view);
+}
+
+int
+WavePlan::CountDonors(const BusyPools& aBusy) const
+{
+  int donors = std::max(0, LendableSpares());
+  for (const auto& [pool, budget] : m_view.Budgets()) {
+    const int surplus = budget.m_members - budget.Workers();
+    const int free = budget.Ready() - budget.Margin() - budget.Promised();
+    if (!m_view.IsSpare(pool) && !aBusy.contains(pool)) {
+      donors += std::max(0, std::min(surplus, free));
+    }
+  }
+  return donors;
+}
+
+bool
+WavePlan::LendTo(const std::string& aPool,
+                 const BusyPools& aBusy,
+                 bool aMustKeepMargin)
+{
+  MoveRequest request;
+  request.m_pool = aPool;
+  request.m_reason = PlanReason::WaveLoan;
+  request.m_explanation =
+    absl::StrCat("lets pool '", aPool, "' release VMs to order ", m_order.m_id);
+  // A wave that makes no progress may use the reserve, one pool at a time.
+  request.m_mayTakeSpare = LendableSpares() > 0 || (m_out == 0 && m_loans == 0);
+  request.m_mayTakeSurplus = true;
+  request.m_mustKeepMargin = aMustKeepMargin;
+  request.m_preferMaintained = m_order.m_createdMillis;
+  return MoveInto(m_view, request, aBusy);
+}
+
+bool
+WavePlan::LendOnce(std::map<std::string, PoolWork>& aWork,
+                   const BusyPools& aBusy,
+                   bool aMustKeepMargin)
+{
+  // The pool that would take longest gets the next loan.
+  const auto rounds = [this](const auto& aEntry) {
+    const auto& [pool, count] = aEntry;
+    const int capacity = count.m_out + m_view.Budget(pool).m_incoming;
+    constexpr double kNoCapacity = 0.1;
+    return (count.m_remaining + count.m_out) /
+           std::max<double>(capacity, kNoCapacity);
+  };
+  const auto slowest = std::ranges::max_element(aWork, {}, rounds);
+  const std::string pool = slowest->first;
+  if (!LendTo(pool, aBusy, aMustKeepMargin)) {
+    aWork.erase(slowest);
+    return false;
+  }
+  ++m_loans;
+  if (slowest->second.m_remaining <= m_view.Budget(pool).m_incoming) {
+    aWork.erase(slowest);
+  }
+  return true;
+}
+
+void
+WavePlan::Lend(const BusyPools& aBusy)
+{
+  auto work = CountWork();
+  for (const auto& [pool, count] : work) {
+    m_loans += m_view.Budget(pool).m_incoming;
+  }
+  m_loansWanted = static_cast<int>(work.size());
+  auto others = work;
+  bool hasLent = false;
+  while (!work.empty()) {
+    hasLent = LendOnce(work, aBusy, true) || hasLent;
+  }
+  // A loan that enlarges the largest failure domain gives nothing alone, and
+  // all further loans to the same pool give one each.
+  const bool helps = CountDonors(aBusy) >= 2 || (m_out == 0 && m_loans == 0);
+  // While a pool waits for its eviction limit, the next plans may still place
+  // every VM without that.
+  const bool isSettled =
+    std::ranges::all_of(m_view.Budgets(), [this](const auto& aEntry) {
+      return m_view.HasEvictionRoom(aEntry.first);
+    });
+  if (!hasLent && helps && isSettled && !others.empty()) {
+    LendOnce(others, aBusy, false);
+  }
+}
+
+std::string
+WavePlan::Progress() const
+{
+  return absl::StrCat(m_maintained,
+                      " maintained, ",
+                      m_out,
+                      " out of service, ",
+                      m_remaining.size() + m_waiting,
+                      " to do, ",
+                      m_failed,
+                      " failed, ",
+                      m_skipped,
+                      " skipped");
+}
+
+std::string
+WavePlan::BlockedDetail() const
+{
+  if (m_remaining.empty()) {
+    return m_view.IsPartial()
+             ? "the document of a data centre cannot be read"
+             : absl::StrCat(m_waiting, " VMs have no usable observation");
+  }
+  const std::string& pool = m_remaining.front()->m_record.m_pool;
+  const CapacityBudget& budget = m_view.Budget(pool);
+  return absl::StrCat("pool '",
+                      pool,
+                      "' has ",
+                      budget.Ready(),
+                      " ready VMs, ",
+                      budget.Promised(),
+                      " promised and a margin of ",
+                      budget.Margin(),
+                      "; one more ready VM or a free spare is needed");
+}
+
+void
+WavePlan::SetState()
+{
+  const bool isDone = m_remaining.empty() && m_waiting == 0 && m_out == 0;
+  const bool mayHaveMore =
+    m_view.IsPartial() && m_order.m_kind == OrderKind::Wave;
+  if (isDone && !mayHaveMore) {
+    m_order.m_state = OrderState::Done;
+    m_order.m_detail = Progress();
+    return;
+  }
+  const bool isBlocked = m_out == 0 && m_loans == 0;
+  m_order.m_state = isBlocked ? OrderState::Paused : OrderState::Running;
+  m_order.m_detail = isBlocked
+                       ? absl::StrCat(Progress(), "; paused: ", BlockedDetail())
+                       : Progress();
+}
+
+void
+WavePlan::Advance(const BusyPools& aBusy)
+{
+  if (HasFailed()) {
+    m_order.m_state = OrderState::Done;
+    m_order.m_detail = absl::StrCat("stopped: rebooted VMs fail; ", Progress());
+    return;
+  }
+  DrainPools();
+  Lend(aBusy);
+  SetState();
+}
+
+}
