Give back VMs that the spares have not just lent

Cause: in history 7173 a pool whose surplus had lasted for the hold time gave back a VM that had come from the spares 60 s earlier, so that VM returned within the hold time. Change: such a VM stays; another VM of the pool is given back.

--- a/fleet/move_plan.cpp
+++ b/fleet/move_plan.cpp
@@ -286,6 +286,7 @@
       const CapacityBudget& budget = aView.Budget(pool);
       if (vm.m_record.m_pool == pool && FleetView::IsInService(vm) &&
           aView.HasSurplus(pool) && aView.MayLeave(vm) &&
+          !HasJustLeft(aView, vm, spec.m_sparePool) &&
           (!best ||
            budget.ReadyIn(vm.m_domain) > budget.ReadyIn(best->m_domain))) {
         best = &vm;
