End pending watches first in a graceful shutdown

Cause: the lease and the watchers could wait up to 30 s for a pending watch. Change: the daemon calls StopWatches before it stops them. Conclusion: the stop takes as long as the requests in flight need.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -265,6 +265,8 @@
 Daemon::Impl::Shutdown()
 {
   m_isStopping = true;
+  // Pending watches would otherwise delay the stop by up to their length.
+  m_store.StopWatches();
   m_decider.Stop();
   m_requestPath.Drain(m_settings.m_drainTimeout);
   m_housekeeper.request_stop();
