Start no work while the daemon may have lost its slot tokens

Cause: a daemon that wakes from a pause kept its old slot allowance until the next tick, and others may have been lent those slots. Change: the request path asks whether work may start; the daemon answers from a readiness time that a pause makes old, without taking a lock. Ruled out: asking the node directly, which holds its lock while it sets allowances. Conclusion: a test holds work back until the daemon is ready.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -33,8 +33,12 @@
 
 namespace {
 
-/** Interval at which the VMs to probe follow the membership. */
-constexpr absl::Duration kHousekeepingInterval = absl::Milliseconds(500);
+/** Interval at which readiness and the VMs to probe follow the membership. */
+constexpr absl::Duration kHousekeepingInterval = absl::Milliseconds(250);
+
+/** How long the node's readiness counts. Others lend the tokens of a paused
+ * daemon after 3 s at the earliest, when they regard it as dead. */
+constexpr absl::Duration kReadinessLifetime = absl::Seconds(2);
 
 /** The longest deadline that the schema of service files allows. */
 constexpr absl::Duration kLongestDeadline = absl::Minutes(1);
@@ -145,6 +149,8 @@
   std::map<std::string, int> PoolDemand() const;
   void Housekeep(const std::stop_token& aStop);
   void UpdateProbedVms();
+  void NoteReadiness();
+  bool MayStartWork() const;
   bool IsReady() const;
   AdminHooks MakeAdminHooks();
   AdminResponse Status() const;
@@ -172,6 +178,8 @@
   /** Revision after whose application no older target gets new work. */
   std::atomic<std::uint64_t> m_appliedFleetRevision{ 0 };
   std::atomic<std::int64_t> m_inEffectMillis{ 0 };
+  /** Monotonic milliseconds at which the node was last seen to be ready. */
+  std::atomic<std::int64_t> m_lastReadyMillis{ 0 };
   std::atomic<bool> m_isStopping{ false };
   std::jthread m_housekeeper;
 };
@@ -187,8 +195,9 @@
   , m_vmControl(MakeConsulSettings(m_settings.m_platform), &m_metrics)
   , m_requestPath(MakeRequestPathSettings(m_settings.m_callers, aChartsFolder),
                   { [this](const std::string& aId, ClaimCallback aDone) {
-                    m_node.Claim(aId, std::move(aDone));
-                  } },
+                     m_node.Claim(aId, std::move(aDone));
+                   },
+                    [this] { return MayStartWork(); } },
                   m_metrics)
   , m_prober(ProbeSettings{}, m_metrics)
   , m_documents(
@@ -376,11 +385,30 @@
 Daemon::Impl::Housekeep(const std::stop_token& aStop)
 {
   while (!aStop.stop_requested()) {
+    NoteReadiness();
     UpdateProbedVms();
     absl::SleepFor(kHousekeepingInterval);
   }
 }
 
+void
+Daemon::Impl::NoteReadiness()
+{
+  // The time is taken first, so that a pause after the check makes it old.
+  const std::int64_t now = ToMillis(MonotonicNow());
+  if (m_node.IsReady()) {
+    m_lastReadyMillis = now;
+  }
+}
+
+bool
+Daemon::Impl::MayStartWork() const
+{
+  const absl::Duration age =
+    MonotonicNow() - FromMillis(m_lastReadyMillis.load());
+  return age < kReadinessLifetime;
+}
+
 void
 Daemon::Impl::UpdateProbedVms()
 {
--- a/server/request_dispatcher.cpp
+++ b/server/request_dispatcher.cpp
@@ -460,6 +460,9 @@
 void
 RequestDispatcher::Impl::Pump(const std::string& aPool, Actions& aActions)
 {
+  if (m_hooks.m_mayStart && !m_hooks.m_mayStart()) {
+    return;
+  }
   FairQueue& queue = m_queues[aPool];
   UpdateSlots(aPool);
   std::vector<QueuedRequest> passedOver;
--- a/server/request_dispatcher.h
+++ b/server/request_dispatcher.h
@@ -35,6 +35,9 @@
     m_claim;
   /** Monotonic time. */
   std::function<absl::Time()> m_now;
+  /** Whether new work may be sent to targets; null means always. Called with
+   * the dispatcher's lock held, so it must not wait. */
+  std::function<bool()> m_mayStart;
 };
 
 /**
--- a/server/request_path.cpp
+++ b/server/request_path.cpp
@@ -120,6 +120,7 @@
     m_client.Send(std::move(aRequest), std::move(aDone));
   };
   hooks.m_claim = m_hooks.m_claim;
+  hooks.m_mayStart = m_hooks.m_mayStart;
   hooks.m_now = MonotonicNow;
   return hooks;
 }
--- a/server/request_path.h
+++ b/server/request_path.h
@@ -41,6 +41,12 @@
   std::function<void(const std::string& aRequestId,
                      std::function<void(ClaimOutcome)> aDone)>
     m_claim;
+  /**
+   * Whether new work may be sent to targets; null means always. A daemon that
+   * was paused answers false until it has rejoined, since its slot tokens may
+   * be lent to others. Must not wait. SetSlotAllowance looks again for work.
+   */
+  std::function<bool()> m_mayStart;
 };
 
 /**
--- a/tests/measure/deployment.cpp
+++ b/tests/measure/deployment.cpp
@@ -39,7 +39,9 @@
 
 }
 
-Deployment::Deployment(std::string aPrograms, std::string aName, int aFirstPort)
+Deployment::Deployment(std::string aPrograms,
+                       const std::string& aName,
+                       int aFirstPort)
   : m_programs(std::move(aPrograms))
   , m_firstPort(aFirstPort)
   , m_dataCentres(aName == "consortium" ? 3 : 4)
--- a/tests/measure/deployment.h
+++ b/tests/measure/deployment.h
@@ -26,7 +26,7 @@
    * @param aName `consortium` or `cooperative`
    * @param aFirstPort first of 40 free TCP ports
    */
-  Deployment(std::string aPrograms, std::string aName, int aFirstPort);
+  Deployment(std::string aPrograms, const std::string& aName, int aFirstPort);
 
   /** Starts the platform stand-in. */
   void StartPlatform();
--- a/tests/server/test_request_path.cpp
+++ b/tests/server/test_request_path.cpp
@@ -799,3 +799,29 @@
   RequestPath second(settings, hooks, metrics);
   CHECK_THROWS_AS(second.Start(), Error);
 }
+
+// Guards against a daemon that was paused using slots that others were lent
+// meanwhile.
+TEST_CASE("Work waits while the daemon may not start any", "[server]")
+{
+  std::atomic<bool> mayStart = false;
+  RequestPathHooks hooks;
+  hooks.m_mayStart = [&mayStart] { return mayStart.load(); };
+  PathFixture fixture(hooks);
+  const FakeTarget target;
+  fixture.SetTargets({ &target });
+  auto result =
+    std::async(std::launch::async, [&fixture] { return fixture.Get(); });
+  const auto queued = [&fixture] {
+    return fixture.m_path->Status().m_services.front().m_queued;
+  };
+  const absl::Time end = absl::Now() + absl::Seconds(5);
+  while (queued() == 0 && absl::Now() < end) {
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  CHECK(queued() == 1);
+  CHECK(fixture.m_path->InFlightByVm().empty());
+  mayStart = true;
+  fixture.m_path->SetSlotAllowance("vm0", 8);
+  CHECK(result.get().m_status == 200);
+}
