Claim request ids on a thread of their own

The cluster node holds its lock while it sets a slot allowance; a queued charge then started at once and claimed its id, which needs the same lock. Change: the request path posts claims to a task queue. Ruled out: releasing the node's lock around the allowance, since the ledger's state must not change in between; the planner, whose other VMs went on. Conclusion: a test holds the lock while it sets an allowance and fails before.

--- a/server/request_path.cpp
+++ b/server/request_path.cpp
@@ -1,5 +1,7 @@
 #include "server/request_path.h"
 
+#include "core/task_queue.h"
+
 #include "core/clock.h"
 #include "core/configuration.h"
 #include "core/error.h"
@@ -41,6 +43,8 @@
   TargetClient m_client;
   std::unique_ptr<RequestDispatcher> m_dispatcher;
   std::unique_ptr<CallerServer> m_server;
+  /** Destroyed first, since its tasks use the other members. */
+  TaskQueue m_claims;
   std::mutex m_mutex;
   std::condition_variable m_stopSignal;
   bool m_stopping = false;
@@ -119,7 +123,14 @@
   hooks.m_send = [this](TargetRequest aRequest, TargetClient::Done aDone) {
     m_client.Send(std::move(aRequest), std::move(aDone));
   };
-  hooks.m_claim = m_hooks.m_claim;
+  // The cluster node sets allowances while it holds its lock, and more slots
+  // may start a claim, which needs the same lock.
+  hooks.m_claim = [this](const std::string& aId,
+                         std::function<void(ClaimOutcome)> aDone) {
+    m_claims.Post([this, aId, done = std::move(aDone)]() mutable {
+      m_hooks.m_claim(aId, std::move(done));
+    });
+  };
   hooks.m_mayStart = m_hooks.m_mayStart;
   hooks.m_now = MonotonicNow;
   return hooks;
--- a/server/request_path.h
+++ b/server/request_path.h
@@ -84,7 +84,8 @@
   void ApplyTargets(const std::vector<TargetInfo>& aTargets);
 
   /** Sets the slot tokens of a VM, 0 at first. Lowering interrupts no request.
-   * Returns max(aAllowance, requests in flight). */
+   * Returns max(aAllowance, requests in flight). Calls no hook but m_mayStart
+   * on this thread, so the caller may hold a lock that m_claim needs. */
   int SetSlotAllowance(const std::string& aVm, int aAllowance);
 
   std::vector<SlotUsage> SlotUsages() const;
--- a/tests/server/test_request_path.cpp
+++ b/tests/server/test_request_path.cpp
@@ -825,3 +825,34 @@
   fixture.m_path->SetSlotAllowance("vm0", 8);
   CHECK(result.get().m_status == 200);
 }
+
+// Guards against a deadlock: the cluster node holds its lock while it sets an
+// allowance, and a claim that this starts needs the same lock.
+TEST_CASE("Setting an allowance does not claim on the same thread", "[server]")
+{
+  std::mutex nodeLock;
+  RequestPathHooks hooks;
+  hooks.m_claim = [&nodeLock](const std::string&,
+                              const std::function<void(ClaimOutcome)>& aDone) {
+    const std::lock_guard lock(nodeLock);
+    aDone(ClaimOutcome::Granted);
+  };
+  PathFixture fixture(hooks);
+  const FakeTarget target;
+  fixture.SetTargets({ &target }, 0);
+  auto result = std::async(
+    std::launch::async, [&fixture] { return fixture.Charge(NewRequestId()); });
+  const auto queued = [&fixture] {
+    return fixture.m_path->Status().m_services.front().m_queued;
+  };
+  const absl::Time end = absl::Now() + absl::Seconds(5);
+  while (queued() == 0 && absl::Now() < end) {
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  REQUIRE(queued() == 1);
+  {
+    const std::lock_guard lock(nodeLock);
+    fixture.m_path->SetSlotAllowance("vm0", 8);
+  }
+  CHECK(result.get().m_status == 200);
+}
