Split the request dispatcher

Cause: one file of 1,158 lines held parsing, queueing, attempts and retries. Change: caller_request checks requests, request_attempts has attempts and retries, request_dispatcher_impl.h the state; no behaviour changes. Ruled out: several classes, since all of it shares one lock.

--- /dev/null
+++ b/server/request_dispatcher_impl.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/state_chart.h"
+#include "dispatch/fair_queue.h"
+#include "dispatch/refusal_reason.h"
+#include "dispatch/retry_budget.h"
+#include "dispatch/retry_reason.h"
+#include "dispatch/target_set.h"
+#include "dispatch/unknown_reason.h"
+#include "server/http_message.h"
+#include "server/request_dispatcher.h"
+#include "server/request_job.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace bramleystall {
+
+/** Lowest HTTP status that reports a fault of the target. */
+inline constexpr int kServerError = 500;
+
+/**
+ * State of the dispatcher and its transitions. The functions run under the
+ * mutex and append their effects to an Actions list. Queueing is in
+ * request_dispatcher.cpp, attempts and retries are in request_attempts.cpp.
+ */
+class RequestDispatcher::Impl
+  : public std::enable_shared_from_this<RequestDispatcher::Impl>
+{
+public:
+  Impl(RequestDispatcherHooks aHooks, StateChart aChart, Metrics& aMetrics)
+    : m_hooks(std::move(aHooks))
+    , m_chart(std::move(aChart))
+    , m_metrics(aMetrics)
+    , m_targets(std::random_device{}())
+  {
+  }
+
+  /** Effects that run after the lock is released. */
+  using Actions = std::vector<std::function<void()>>;
+
+  /** Runs a function under the lock, then the effects that it asked for. */
+  template<typename Function>
+  auto Locked(Function aFunction)
+  {
+    Actions actions;
+    if constexpr (std::is_void_v<decltype(aFunction(actions))>) {
+      {
+        const std::lock_guard lock(m_mutex);
+        aFunction(actions);
+      }
+      RunAll(actions);
+    } else {
+      std::unique_lock lock(m_mutex);
+      auto result = aFunction(actions);
+      lock.unlock();
+      RunAll(actions);
+      return result;
+    }
+  }
+
+  void ApplyConfiguration(std::shared_ptr<const Configuration> aConfiguration,
+                          Actions& aActions);
+  void ApplyTargets(const std::vector<TargetInfo>& aTargets, Actions& aActions);
+  void Accept(std::shared_ptr<CallerExchange> aExchange, Actions& aActions);
+  bool HangUp(std::uint64_t aId, Actions& aActions);
+  void Tick(Actions& aActions);
+  void AbortAll(Actions& aActions);
+  void Pump(const std::string& aPool, Actions& aActions);
+  void PumpAll(Actions& aActions);
+  void CountRefusal(const std::string& aService, RefusalReason aReason);
+
+  std::vector<SlotUsage> SlotUsages() const;
+  RequestPathStatus Status() const;
+
+  mutable std::mutex m_mutex;
+  RequestDispatcherHooks m_hooks;
+  const StateChart m_chart;
+  Metrics& m_metrics;
+  TargetSet m_targets;
+  bool m_draining = false;
+  std::unordered_map<std::uint64_t, std::unique_ptr<RequestJob>> m_jobs;
+
+private:
+  struct ServiceCounts
+  {
+    std::uint64_t m_started = 0;
+    std::map<std::string, std::uint64_t> m_refused;
+  };
+
+  static void RunAll(Actions& aActions)
+  {
+    for (const auto& action : aActions) {
+      action();
+    }
+  }
+
+  RequestJob* FindJob(std::uint64_t aId);
+  FairQueue& QueueOf(const RequestJob& aJob) { return m_queues[aJob.m_pool]; }
+  void UpdateSlots(const std::string& aPool);
+  void RefuseAtOnce(CallerExchange& aExchange,
+                    const std::string& aService,
+                    RefusalReason aReason,
+                    const std::string& aDetail,
+                    const std::string& aRequestId,
+                    Actions& aActions);
+  void StartWithSlot(RequestJob& aJob,
+                     QueuedRequest aTicket,
+                     const TargetInfo& aTarget,
+                     Actions& aActions);
+  void StartClaim(RequestJob& aJob, Actions& aActions);
+  void OnClaim(std::uint64_t aId, ClaimOutcome aOutcome, Actions& aActions);
+  void HandleClaim(RequestJob& aJob, ClaimOutcome aOutcome, Actions& aActions);
+  void OnClaimGranted(RequestJob& aJob, Actions& aActions);
+  void StartAttempt(RequestJob& aJob, Actions& aActions);
+  absl::Duration AttemptTimeout(const RequestJob& aJob, absl::Time aNow);
+  void OnResult(std::uint64_t aId, TargetResult aResult, Actions& aActions);
+  void OnResponse(RequestJob& aJob, HttpResponse aResponse, Actions& aActions);
+  void OnFailure(RequestJob& aJob,
+                 const TargetResult& aResult,
+                 Actions& aActions);
+  void OnNotSent(RequestJob& aJob, Actions& aActions);
+  void CountRetry(const RequestJob& aJob, RetryReason aReason);
+  bool MayRetry(RequestJob& aJob, AttemptFailure aFailure);
+  void FinishSlot(RequestJob& aJob, const TargetResult& aResult);
+  void ReleaseSlot(RequestJob& aJob);
+  void WaitAgain(RequestJob& aJob, Actions& aActions);
+  void GiveUp(RequestJob& aJob,
+              RefusalReason aReason,
+              const std::string& aDetail,
+              Actions& aActions);
+  void Refuse(RequestJob& aJob,
+              RefusalReason aReason,
+              const std::string& aDetail,
+              Actions& aActions);
+  void Lose(RequestJob& aJob,
+            UnknownReason aReason,
+            const std::string& aDetail,
+            Actions& aActions);
+  void Finish(RequestJob& aJob, HttpResponse aResponse, Actions& aActions);
+  void Expire(absl::Time aNow, Actions& aActions);
+  void StartProbes(absl::Time aNow, Actions& aActions);
+
+  std::shared_ptr<const Configuration> m_configuration;
+  std::map<std::string, FairQueue> m_queues;
+  std::map<std::string, RetryBudget> m_retryBudgets;
+  std::map<std::string, ServiceCounts> m_counts;
+  std::set<std::uint64_t> m_claiming;
+};
+
+}
