Give all metrics one prefix

Cause: the metrics of the store, the lease and the watchers lacked the prefix. Change: all names start with bramleystall_.

--- a/cluster/decider_lease.cpp
+++ b/cluster/decider_lease.cpp
@@ -67,7 +67,8 @@
 DeciderLease::Fire(const std::string& aEvent)
 {
   if (m_metrics != nullptr) {
-    m_metrics->Count("decider_transitions_total", { { "event", aEvent } });
+    m_metrics->Count("bramleystall_decider_transitions_total",
+                     { { "event", aEvent } });
   }
   const std::scoped_lock lock(m_mutex);
   const std::string before(NameOf(kDeciderStateNames, m_state));
@@ -91,7 +92,8 @@
 {
   const std::string state(NameOf(kDeciderStateNames, State()));
   if (m_metrics != nullptr) {
-    m_metrics->Count("decider_lease_errors_total", { { "state", state } });
+    m_metrics->Count("bramleystall_decider_lease_errors_total",
+                     { { "state", state } });
   }
   if (!std::exchange(m_isFailing, true)) {
     LogWarning(LogPart::Planner,
@@ -275,7 +277,7 @@
   Fire("confirmed");
   if (m_metrics != nullptr) {
     m_metrics->SetGauge(
-      "decider_term", {}, static_cast<double>(value->m_lockCount));
+      "bramleystall_decider_term", {}, static_cast<double>(value->m_lockCount));
   }
   return absl::ZeroDuration();
 }
--- a/cluster/decider_lease.h
+++ b/cluster/decider_lease.h
@@ -69,8 +69,9 @@
  * with each holder; the value holds the daemon and the term.
  *
  * One thread calls Step or Run; the other members are safe to call from any.
- * Counters: `decider_transitions_total{event}` and
- * `decider_lease_errors_total{state}`; gauge `decider_term`.
+ * Counters: `bramleystall_decider_transitions_total{event}` and
+ * `bramleystall_decider_lease_errors_total{state}`; gauge
+ * `bramleystall_decider_term`.
  */
 class DeciderLease
 {
--- a/cluster/document_watcher.cpp
+++ b/cluster/document_watcher.cpp
@@ -110,7 +110,7 @@
 void
 DocumentWatcher::NoteFailure(const std::string& aMessage)
 {
-  Count("document_watch_errors_total");
+  Count("bramleystall_document_watch_errors_total");
   if (!std::exchange(m_isFailing, true)) {
     LogWarning(LogPart::Store,
                absl::StrCat("watch of ", m_key, " failed: ", aMessage));
@@ -130,12 +130,12 @@
 void
 DocumentWatcher::Report(const std::optional<StoreValue>& aValue)
 {
-  Count("document_watch_changes_total");
+  Count("bramleystall_document_watch_changes_total");
   try {
     m_hook(aValue);
   } catch (const std::exception& error) {
     // One malformed document must not end the watch of the next one.
-    Count("document_watch_hook_failures_total");
+    Count("bramleystall_document_watch_hook_failures_total");
     LogError(LogPart::Store,
              absl::StrCat("change of ", m_key, " rejected: ", error.what()));
   }
--- a/cluster/document_watcher.h
+++ b/cluster/document_watcher.h
@@ -33,9 +33,9 @@
  * change, also for the value found at the start and for the removal of a key.
  * Several changes in a row may arrive as one.
  *
- * Counters: `document_watch_changes_total{key}`,
- * `document_watch_errors_total{key}`,
- * `document_watch_hook_failures_total{key}`.
+ * Counters: `bramleystall_document_watch_changes_total{key}`,
+ * `bramleystall_document_watch_errors_total{key}`,
+ * `bramleystall_document_watch_hook_failures_total{key}`.
  */
 class DocumentWatcher
 {
--- a/cluster/fenced_writer.cpp
+++ b/cluster/fenced_writer.cpp
@@ -63,7 +63,7 @@
 WriteOutcome
 FencedWriter::Finish(WriteOutcome aOutcome)
 {
-  Count("fenced_writes_total",
+  Count("bramleystall_fenced_writes_total",
         "outcome",
         std::string(NameOf(kWriteOutcomeNames, aOutcome)));
   return aOutcome;
@@ -92,14 +92,17 @@
       if (const auto outcome = Judge(aWrite, false)) {
         return *outcome;
       }
-      Count("fenced_write_retries_total", "reason", "response_lost");
+      Count(
+        "bramleystall_fenced_write_retries_total", "reason", "response_lost");
       if (const auto outcome = Repeat(aWrite)) {
         return *outcome;
       }
     } catch (const Error&) {
       // Neither the reading nor a failed repetition says anything about the
       // earlier attempt, so its outcome stays open.
-      Count("fenced_write_retries_total", "reason", "store_unavailable");
+      Count("bramleystall_fenced_write_retries_total",
+            "reason",
+            "store_unavailable");
     }
     const bool isStopped = m_settings.m_shouldStop && m_settings.m_shouldStop();
     if (isStopped || m_settings.m_now() >= end) {
@@ -128,7 +131,7 @@
 FencedWriter::Judge(const FencedWrite& aWrite, bool aIsRefused)
 {
   const Verdict verdict = ReadBack(aWrite);
-  Count("fenced_write_read_backs_total",
+  Count("bramleystall_fenced_write_read_backs_total",
         "verdict",
         std::string(NameOf(kVerdictNames, verdict)));
   switch (verdict) {
--- a/cluster/fenced_writer.h
+++ b/cluster/fenced_writer.h
@@ -53,9 +53,9 @@
  * response is lost. It repeats the same compare-and-swap with the same token,
  * so the set takes effect at most once.
  *
- * Counters: `fenced_writes_total{outcome}`,
- * `fenced_write_retries_total{reason}` and
- * `fenced_write_read_backs_total{verdict}`.
+ * Counters: `bramleystall_fenced_writes_total{outcome}`,
+ * `bramleystall_fenced_write_retries_total{reason}` and
+ * `bramleystall_fenced_write_read_backs_total{verdict}`.
  */
 class FencedWriter
 {
--- a/tests/cluster/test_decider_lease.cpp
+++ b/tests/cluster/test_decider_lease.cpp
@@ -178,10 +178,12 @@
   lease.Step();
   CHECK(lease.MayDecide());
   CHECK(lease.Term() == 1);
-  CHECK(fixture.m_metrics.CounterValue("decider_lease_errors_total",
-                                       { { "state", "holder" } }) == 1);
-  CHECK(fixture.m_metrics.CounterValue("decider_lease_errors_total",
-                                       { { "state", "lapsed" } }) == 1);
+  CHECK(
+    fixture.m_metrics.CounterValue("bramleystall_decider_lease_errors_total",
+                                   { { "state", "holder" } }) == 1);
+  CHECK(
+    fixture.m_metrics.CounterValue("bramleystall_decider_lease_errors_total",
+                                   { { "state", "lapsed" } }) == 1);
 }
 
 // Guards against a holder that does not notice the loss of its session or of
--- a/tests/cluster/test_document_watcher.cpp
+++ b/tests/cluster/test_document_watcher.cpp
@@ -88,7 +88,7 @@
   fixture.m_store.StopWatches();
   fixture.m_watcher.Stop();
   CHECK(fixture.m_values == std::vector<std::string>{ "one", "two" });
-  CHECK(fixture.Counter("document_watch_changes_total") == 2);
+  CHECK(fixture.Counter("bramleystall_document_watch_changes_total") == 2);
 }
 
 // Guards against a watcher that ends with an outage, or that asks a store that
@@ -110,7 +110,7 @@
   fixture.m_store.Put(kKey, "two");
   fixture.m_store.SetDown(false);
   CHECK(fixture.WaitFor("two"));
-  CHECK(fixture.Counter("document_watch_errors_total") >= 1);
+  CHECK(fixture.Counter("bramleystall_document_watch_errors_total") >= 1);
   fixture.m_store.StopWatches();
 }
 
@@ -123,7 +123,8 @@
   REQUIRE(fixture.WaitFor("malformed"));
   fixture.m_store.Put(kKey, "good");
   CHECK(fixture.WaitFor("good"));
-  CHECK(fixture.Counter("document_watch_hook_failures_total") == 1);
+  CHECK(fixture.Counter("bramleystall_document_watch_hook_failures_total") ==
+        1);
   fixture.m_store.StopWatches();
 }
 
--- a/tests/cluster/test_lease_processes.cpp
+++ b/tests/cluster/test_lease_processes.cpp
@@ -208,7 +208,7 @@
   CHECK(WaitUntil([&] { return lastLength == 2; }));
   // The backoff is bounded, so a configuration is in effect within 5 s.
   CHECK(MonotonicNow() - start < absl::Seconds(4));
-  CHECK(metrics.CounterValue("document_watch_errors_total",
+  CHECK(metrics.CounterValue("bramleystall_document_watch_errors_total",
                              { { "key", "k" } }) >= 1);
   store.StopWatches();
   watcher.Stop();
--- a/tests/measure/process_measure.cpp
+++ b/tests/measure/process_measure.cpp
@@ -122,7 +122,7 @@
 ControlBytes(const std::string& aMetrics)
 {
   return SumOfMetric(aMetrics, "bramleystall_peer_bytes_total") +
-         SumOfMetric(aMetrics, "store_bytes_total") +
+         SumOfMetric(aMetrics, "bramleystall_store_bytes_total") +
          SumOfMetric(aMetrics, "bramleystall_probe_bytes_total");
 }
 
--- a/tests/platform/test_consul_adapter.cpp
+++ b/tests/platform/test_consul_adapter.cpp
@@ -115,7 +115,7 @@
   CHECK(store.Get("other")->m_value == std::string("\0\xff\n", 3));
   CHECK(store.Get("a/b")->m_value == "two");
   CHECK(platform.m_metrics.CounterValue(
-          "store_errors_total",
+          "bramleystall_store_errors_total",
           { { "kind", "write" }, { "reason", "conflict" } }) == 2);
 }
 
@@ -275,7 +275,7 @@
   CHECK(IsUnavailable([&] { store.Get("k"); }));
   CHECK(IsUnavailable([&] { ConsulVmList(platform.m_settings).Read(); }));
   CHECK(platform.m_metrics.CounterValue(
-          "store_errors_total",
+          "bramleystall_store_errors_total",
           { { "kind", "write" }, { "reason", "not_connected" } }) == 1);
 }
 
