--- a/tests/measure/deployment.h
+++ b/tests/measure/deployment.h
@@ -5,6 +5,7 @@
 #include "tests/fakes/child_process.h"
 #include "tests/support/temporary_folder.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,6 +40,9 @@
 
   void StartDaemons();
 
+  /** Waits until every daemon answers operators. */
+  void WaitUntilUp() const;
+
   /** Waits until every daemon has joined and applied its documents. */
   void WaitUntilReady() const;
 
@@ -59,6 +63,8 @@
   std::string DataCentreOf(std::size_t aDaemon) const;
   void WriteSettings(std::size_t aDaemon);
   std::string Get(const std::string& aUrl) const;
+  void WaitForStatus(
+    const std::function<bool(const nlohmann::json&)>& aCondition) const;
 
   std::string m_programs;
   int m_firstPort;
