--- a/tests/measure/deployment.cpp
+++ b/tests/fakes/deployment.cpp
@@ -1,4 +1,4 @@
-#include "tests/measure/deployment.h"
+#include "tests/fakes/deployment.h"
 
 #include "core/configuration_codec.h"
 #include "core/service_file.h"
@@ -166,13 +166,39 @@
                                       { "pool", "" },
                                       { "kind", "entry" } } } };
     Put(m_platformUrl + "/v1/catalog/register", node.dump());
-    m_daemons.push_back(std::make_unique<ChildProcess>(
-      m_programs + "/bramleystalld",
-      std::vector<std::string>{
-        "--settings=" + m_folder.Path(absl::StrCat("entry-", i, ".json")) }));
+    m_daemons.push_back(StartProcess(i));
   }
 }
 
+std::unique_ptr<ChildProcess>
+Deployment::StartProcess(std::size_t aDaemon) const
+{
+  const std::string settings =
+    m_folder.Path(absl::StrCat("entry-", aDaemon, ".json"));
+  return std::make_unique<ChildProcess>(
+    m_programs + "/bramleystalld",
+    std::vector<std::string>{ "--settings=" + settings });
+}
+
+void
+Deployment::RestartDaemon(std::size_t aDaemon)
+{
+  m_daemons[aDaemon] = StartProcess(aDaemon);
+}
+
+void
+Deployment::KillPlatform()
+{
+  m_platform.reset();
+}
+
+std::string
+Deployment::CallerUrl(std::size_t aDaemon) const
+{
+  return absl::StrCat("http://",
+                      Local(m_firstPort + static_cast<int>(aDaemon)));
+}
+
 void
 Deployment::WaitUntilUp() const
 {
--- a/tests/measure/deployment.h
+++ b/tests/fakes/deployment.h
@@ -40,6 +40,17 @@
 
   void StartDaemons();
 
+  /** Starts a daemon whose process has ended. */
+  void RestartDaemon(std::size_t aDaemon);
+
+  /** Kills the platform stand-in: from now on the store is down. */
+  void KillPlatform();
+
+  ChildProcess& Daemon(std::size_t aDaemon) { return *m_daemons[aDaemon]; }
+
+  /** URL of the caller port of a daemon. */
+  std::string CallerUrl(std::size_t aDaemon) const;
+
   /** Waits until every daemon answers operators. */
   void WaitUntilUp() const;
 
@@ -62,6 +73,7 @@
 private:
   std::string DataCentreOf(std::size_t aDaemon) const;
   void WriteSettings(std::size_t aDaemon);
+  std::unique_ptr<ChildProcess> StartProcess(std::size_t aDaemon) const;
   std::string Get(const std::string& aUrl) const;
   void WaitForStatus(
     const std::function<bool(const nlohmann::json&)>& aCondition) const;
--- a/tests/measure/process_measure.cpp
+++ b/tests/measure/process_measure.cpp
@@ -3,7 +3,7 @@
 #include "core/clock.h"
 #include "platform/configuration_publisher.h"
 #include "platform/consul_store.h"
-#include "tests/measure/deployment.h"
+#include "tests/fakes/deployment.h"
 #include "tests/naive/polling_reader.h"
 
 #include <absl/strings/numbers.h>
