Share the parsing of names and the making of request ids

Cause: two modules parsed names of enumerations with the same code, and the server made version 7 UUIDs beside the cluster's own class. Change: core/parse_name.h; Uuid7 moves to core/ and makes the server's ids. Ruled out: one table lookup that throws everywhere, since some callers handle an unknown name. Conclusion: unit tests of core, fleet and cluster pass; no behaviour changes.

--- a/cluster/claim_owner.h
+++ b/cluster/claim_owner.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cluster/uuid7.h"
+#include "core/uuid7.h"
 
 #include <cstdint>
 #include <optional>
--- a/cluster/claim_table.h
+++ b/cluster/claim_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cluster/uuid7.h"
 #include "core/claim_outcome.h"
+#include "core/uuid7.h"
 
 #include <absl/container/flat_hash_set.h>
 
--- a/core/order_document.cpp
+++ b/core/order_document.cpp
@@ -1,6 +1,6 @@
 #include "core/order_document.h"
 
-#include "core/error.h"
+#include "core/parse_name.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -9,30 +9,19 @@
 
 namespace {
 
-template<typename Table>
-auto
-ParseName(const Table& aTable, const std::string& aName)
-{
-  const auto value = ValueOf(aTable, aName);
-  if (!value) {
-    throw Error(ErrorCode::InvalidInput,
-                absl::StrCat("order: unknown name '", aName, "'"));
-  }
-  return *value;
-}
-
 Order
 FromJson(const nlohmann::json& aJson)
 {
   Order order;
   order.m_id = aJson.at("id");
-  order.m_kind = ParseName(kOrderKindNames, aJson.at("kind"));
+  order.m_kind = ParseName(kOrderKindNames, aJson.at("kind"), "order");
   order.m_vm = aJson.value("vm", "");
   order.m_pool = aJson.value("pool", "");
   order.m_wave = aJson.value("wave", "");
   order.m_operator = aJson.value("operator", "");
   order.m_createdMillis = aJson.value("created_ms", std::int64_t{ 0 });
-  order.m_state = ParseName(kOrderStateNames, aJson.value("state", "pending"));
+  order.m_state =
+    ParseName(kOrderStateNames, aJson.value("state", "pending"), "order");
   order.m_detail = aJson.value("detail", "");
   return order;
 }
--- a/cluster/uuid7.cpp
+++ b/core/uuid7.cpp
@@ -1,4 +1,4 @@
-#include "cluster/uuid7.h"
+#include "core/uuid7.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/fleet/decision_json.cpp
+++ b/fleet/decision_json.cpp
@@ -1,29 +1,12 @@
 #include "fleet/decision_json.h"
 
-#include "core/error.h"
+#include "core/parse_name.h"
 #include "fleet/fleet_plan.h"
 
-#include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
 namespace bramleystall {
 
-namespace {
-
-template<typename Table>
-auto
-ParseName(const Table& aTable, const std::string& aName)
-{
-  const auto value = ValueOf(aTable, aName);
-  if (!value) {
-    throw Error(ErrorCode::InvalidInput,
-                absl::StrCat("decisions: unknown name '", aName, "'"));
-  }
-  return *value;
-}
-
-}
-
 nlohmann::json
 DecisionToJson(const Decision& aDecision)
 {
@@ -51,11 +34,12 @@
   decision.m_dataCentre = aJson.at("data_centre");
   decision.m_vm = aJson.at("vm");
   decision.m_event = aJson.at("event");
-  decision.m_from = ParseName(kVmStateNames, aJson.at("from"));
-  decision.m_to = ParseName(kVmStateNames, aJson.at("to"));
+  decision.m_from = ParseName(kVmStateNames, aJson.at("from"), "decisions");
+  decision.m_to = ParseName(kVmStateNames, aJson.at("to"), "decisions");
   decision.m_poolBefore = aJson.at("pool_before");
   decision.m_poolAfter = aJson.at("pool_after");
-  decision.m_reason = ParseName(kPlanReasonNames, aJson.at("reason"));
+  decision.m_reason =
+    ParseName(kPlanReasonNames, aJson.at("reason"), "decisions");
   decision.m_explanation = aJson.at("explanation");
   decision.m_ready = aJson.at("ready");
   decision.m_promised = aJson.at("promised");
--- a/tests/cluster/test_claims.cpp
+++ b/tests/cluster/test_claims.cpp
@@ -1,6 +1,6 @@
 #include "cluster/claim_owner.h"
 #include "cluster/claim_table.h"
-#include "cluster/uuid7.h"
+#include "core/uuid7.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/daemon/test_daemon_process.cpp
+++ b/tests/daemon/test_daemon_process.cpp
@@ -1,4 +1,4 @@
-#include "cluster/uuid7.h"
+#include "core/uuid7.h"
 #include "platform/configuration_publisher.h"
 #include "platform/consul_store.h"
 #include "platform/http_client.h"
