Let a graceful shutdown wait for the longest deadline

Cause: the default of 35 s is shorter than the longest deadline of 60 s, so a planned stop could cut a request in flight. Ruled out: a shorter longest deadline, which the reconciliation needs. Conclusion: no request can outlive the wait.

--- a/core/daemon_settings.h
+++ b/core/daemon_settings.h
@@ -64,7 +64,7 @@
   LogLevel m_logLevel = LogLevel::Info;
   LogFormat m_logFormat = LogFormat::Text;
   /** Longest wait for requests in flight during a graceful shutdown. */
-  absl::Duration m_drainTimeout = absl::Seconds(35);
+  absl::Duration m_drainTimeout = absl::Seconds(65);
 };
 
 /** Reads the settings. Throws Error (InvalidInput) with one line for each
