Name the first heartbeats by what they are

Cause: three names in cluster/ were figurative. Change: QueueFirstHeartbeat, SendFirstHeartbeats, m_missesOurHeartbeats. Ruled out: nothing else; no behaviour changes.

--- a/cluster/cluster_protocol.cpp
+++ b/cluster/cluster_protocol.cpp
@@ -111,7 +111,7 @@
 {
   for (const PeerAddress& seed : m_settings.m_seeds) {
     if (seed.m_daemon != m_settings.m_daemon) {
-      Greet(seed.m_daemon, aTime.m_now);
+      QueueFirstHeartbeat(seed.m_daemon, aTime.m_now);
     }
   }
 }
@@ -133,7 +133,7 @@
   }
   m_localState = std::move(aState);
   SendHeartbeats(aTime);
-  SendGreetings(aTime);
+  SendFirstHeartbeats(aTime);
   AskForDocuments(aTime.m_now);
   ExpireClaims(aTime.m_now, effects);
   const bool mayHold = m_membership.HasJoined() && m_membership.IsActive();
@@ -334,15 +334,17 @@
 }
 
 void
-ClusterProtocol::Greet(const std::string& aDaemon, absl::Time aNow)
+ClusterProtocol::QueueFirstHeartbeat(const std::string& aDaemon,
+                                     absl::Time aNow)
 {
-  m_greetings[aDaemon] = aNow + kGreetingTimeout;
+  m_firstHeartbeats[aDaemon] = aNow + kGreetingTimeout;
 }
 
 void
-ClusterProtocol::SendGreetings(const CallTime& aTime)
+ClusterProtocol::SendFirstHeartbeats(const CallTime& aTime)
 {
-  for (auto next = m_greetings.begin(); next != m_greetings.end();) {
+  for (auto next = m_firstHeartbeats.begin();
+       next != m_firstHeartbeats.end();) {
     const auto greeting = next++;
     const auto& [daemon, giveUp] = *greeting;
     const auto member = m_membership.Others().find(daemon);
@@ -356,7 +358,7 @@
     }
     if (aTime.m_now >= giveUp || address.empty() ||
         SendHeartbeat(daemon, address, aTime.m_wall)) {
-      m_greetings.erase(greeting);
+      m_firstHeartbeats.erase(greeting);
     }
   }
 }
@@ -525,11 +527,11 @@
       return;
     case HeartbeatResult::SenderIsDead:
       CountDropped("dead_incarnation");
-      Greet(aDaemon, aTime.m_now);
+      QueueFirstHeartbeat(aDaemon, aTime.m_now);
       return;
     case HeartbeatResult::NewMember:
       LogInfo(LogPart::Peers, absl::StrCat(aDaemon, " joined"));
-      Greet(aDaemon, aTime.m_now);
+      QueueFirstHeartbeat(aDaemon, aTime.m_now);
       return;
     case HeartbeatResult::Known:
       return;
@@ -545,7 +547,7 @@
     const bool isUnheard =
       member != m_membership.Others().end() && !member->second.m_heardDirectly;
     if (isUnheard && member->second.m_liveness != Liveness::Dead) {
-      Greet(entry.m_daemon, aNow);
+      QueueFirstHeartbeat(entry.m_daemon, aNow);
     }
   }
 }
--- a/cluster/cluster_protocol.h
+++ b/cluster/cluster_protocol.h
@@ -161,8 +161,8 @@
   bool SendHeartbeat(const std::string& aDaemon,
                      const std::string& aAddress,
                      absl::Time aWall);
-  void Greet(const std::string& aDaemon, absl::Time aNow);
-  void SendGreetings(const CallTime& aTime);
+  void QueueFirstHeartbeat(const std::string& aDaemon, absl::Time aNow);
+  void SendFirstHeartbeats(const CallTime& aTime);
   bool Send(const std::string& aDaemon, MessageBody aBody);
   bool SendTo(const std::string& aAddress, MessageBody aBody);
   void SendAll(std::vector<SlotMessage> aMessages);
@@ -237,7 +237,7 @@
   std::uint64_t m_lastClaim;
   std::map<DocumentKind, Announcement> m_announcements;
   /** Daemons that still need a first heartbeat, with the time to give up. */
-  std::map<std::string, absl::Time> m_greetings;
+  std::map<std::string, absl::Time> m_firstHeartbeats;
   absl::Time m_nextLocalHeartbeat;
   absl::Time m_nextRemoteHeartbeat;
 };
--- a/cluster/membership.cpp
+++ b/cluster/membership.cpp
@@ -112,7 +112,7 @@
   const bool hasRecentEcho =
     echoed != m_sent.end() && aNow - echoed->second <= kDeafAfter;
   // A new member has had no time to hear this daemon.
-  member.m_isDeafToUs =
+  member.m_missesOurHeartbeats =
     !isNew && !hasRecentEcho && aNow - m_incarnationStart > kDeafAfter;
   if (IsLocal(member) && aHeartbeat.m_acknowledged > m_firstSequence) {
     m_joined = true;
@@ -233,7 +233,7 @@
   return std::ranges::none_of(m_others, [&](const auto& aOther) {
     const Member& member = aOther.second;
     return IsLocal(member) && member.m_liveness == Liveness::Alive &&
-           member.m_isDeafToUs;
+           member.m_missesOurHeartbeats;
   });
 }
 
@@ -253,7 +253,7 @@
   m_firstSequence = m_sequence;
   m_joined = false;
   for (auto& [daemon, member] : m_others) {
-    member.m_isDeafToUs = false;
+    member.m_missesOurHeartbeats = false;
   }
   m_isDigestStale = true;
 }
--- a/cluster/membership.h
+++ b/cluster/membership.h
@@ -58,7 +58,7 @@
   /** The member's clock minus the own clock, in milliseconds. */
   std::int64_t m_clockAheadMillis = 0;
   /** The member is heard, but has not heard this daemon for a while. */
-  bool m_isDeafToUs = false;
+  bool m_missesOurHeartbeats = false;
   /** For a dead member; see OwnerCandidate. */
   std::int64_t m_deadUntilMillis = 0;
   LocalState m_state;
@@ -90,7 +90,7 @@
 {
   /** Nothing. */
   Known,
-  /** Greet a member that was heard for the first time. */
+  /** Send a first heartbeat to a member that was heard for the first time. */
   NewMember,
   /** Tell the sender that it counts as dead. */
   SenderIsDead,
