--- a/cli/config_history_command.cpp
+++ b/cli/config_history_command.cpp
@@ -1,7 +1,7 @@
 #include "cli/command_context.h"
 #include "cli/commands.h"
 #include "cli/text_table.h"
-#include "platform/configuration_publisher.h"
+#include "consul/configuration_publisher.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
--- a/cli/explain_command.cpp
+++ b/cli/explain_command.cpp
@@ -2,6 +2,7 @@
 #include "cli/command_context.h"
 #include "cli/commands.h"
 #include "cli/text_table.h"
+#include "core/url.h"
 #include "core/error.h"
 
 #include <absl/strings/str_cat.h>
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,6 +1,6 @@
 #include "cli/tool.h"
 #include "core/log.h"
-#include "platform/consul_store.h"
+#include "consul/consul_store.h"
 
 #include <gflags/gflags.h>
 
--- a/cli/order_sender.cpp
+++ b/cli/order_sender.cpp
@@ -3,7 +3,7 @@
 #include "cli/admin_client.h"
 #include "core/clock.h"
 #include "core/error.h"
-#include "platform/order_writer.h"
+#include "consul/order_writer.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
--- a/cli/publish_command.cpp
+++ b/cli/publish_command.cpp
@@ -2,7 +2,7 @@
 #include "cli/commands.h"
 #include "cli/version_wait.h"
 #include "core/service_file.h"
-#include "platform/configuration_publisher.h"
+#include "consul/configuration_publisher.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
--- a/cli/tool_environment.h
+++ b/cli/tool_environment.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/tool_settings.h"
-#include "platform/http_client.h"
-#include "platform/platform_store.h"
-#include "platform/writer_hooks.h"
+#include "consul/http_client.h"
+#include "consul/platform_store.h"
+#include "consul/writer_hooks.h"
 
 #include <functional>
 #include <iosfwd>
--- a/cluster/decider_lease.h
+++ b/cluster/decider_lease.h
@@ -4,7 +4,7 @@
 #include "core/enum_names.h"
 #include "core/metrics.h"
 #include "core/state_chart.h"
-#include "platform/platform_store.h"
+#include "consul/platform_store.h"
 
 #include <absl/time/time.h>
 
--- a/cluster/document_watcher.h
+++ b/cluster/document_watcher.h
@@ -2,7 +2,7 @@
 
 #include "cluster/backoff.h"
 #include "core/metrics.h"
-#include "platform/platform_store.h"
+#include "consul/platform_store.h"
 
 #include <absl/time/time.h>
 
--- a/cluster/drain_acknowledgement.h
+++ b/cluster/drain_acknowledgement.h
@@ -2,7 +2,7 @@
 
 #include "cluster/cluster_node.h"
 #include "core/fleet_document.h"
-#include "platform/vm_list.h"
+#include "consul/vm_list.h"
 
 #include <optional>
 #include <set>
--- a/platform/configuration_publisher.cpp
+++ b/consul/configuration_publisher.cpp
@@ -1,4 +1,4 @@
-#include "platform/configuration_publisher.h"
+#include "consul/configuration_publisher.h"
 
 #include "core/clock.h"
 #include "core/configuration_codec.h"
--- a/platform/consul_client.cpp
+++ b/consul/consul_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/consul_client.h"
+#include "consul/consul_client.h"
 
 #include "core/clock.h"
 
--- a/platform/consul_client.h
+++ b/consul/consul_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/metrics.h"
-#include "platform/http_client.h"
+#include "consul/http_client.h"
 
 #include <absl/time/time.h>
 
--- a/platform/consul_store.cpp
+++ b/consul/consul_store.cpp
@@ -1,4 +1,6 @@
-#include "platform/consul_store.h"
+#include "consul/consul_store.h"
+
+#include "core/url.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
--- a/platform/consul_store.h
+++ b/consul/consul_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/consul_client.h"
-#include "platform/platform_store.h"
+#include "consul/consul_client.h"
+#include "consul/platform_store.h"
 
 #include <cstdint>
 #include <map>
--- a/platform/consul_vm_control.cpp
+++ b/consul/consul_vm_control.cpp
@@ -1,4 +1,4 @@
-#include "platform/consul_vm_control.h"
+#include "consul/consul_vm_control.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
--- a/platform/consul_vm_control.h
+++ b/consul/consul_vm_control.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/consul_client.h"
-#include "platform/vm_control.h"
+#include "consul/consul_client.h"
+#include "consul/vm_control.h"
 
 #include <string>
 
--- a/platform/consul_vm_list.h
+++ b/consul/consul_vm_list.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/consul_client.h"
-#include "platform/vm_list.h"
+#include "consul/consul_client.h"
+#include "consul/vm_list.h"
 
 #include <string>
 #include <vector>
--- a/platform/http_client.cpp
+++ b/consul/http_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "consul/http_client.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -214,18 +214,4 @@
   return response;
 }
 
-std::string
-EncodeUrlPart(const std::string& aText)
-{
-  std::string encoded;
-  for (const unsigned char c : aText) {
-    if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
-      encoded.push_back(static_cast<char>(c));
-    } else {
-      absl::StrAppend(&encoded, "%", absl::Hex(c, absl::kZeroPad2));
-    }
-  }
-  return encoded;
-}
-
 }
--- a/platform/http_client.h
+++ b/consul/http_client.h
@@ -88,8 +88,4 @@
   std::vector<void*> m_idleHandles;
 };
 
-/** Percent-encodes a text for use as one part of a URL path or query. */
-std::string
-EncodeUrlPart(const std::string& aText);
-
 }
--- a/platform/order_writer.cpp
+++ b/consul/order_writer.cpp
@@ -1,4 +1,4 @@
-#include "platform/order_writer.h"
+#include "consul/order_writer.h"
 
 #include "core/error.h"
 
--- a/platform/writer_hooks.cpp
+++ b/consul/writer_hooks.cpp
@@ -1,4 +1,4 @@
-#include "platform/writer_hooks.h"
+#include "consul/writer_hooks.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
--- /dev/null
+++ b/core/job_settings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <string>
+
+namespace bramleystall {
+
+/** Settings of a daemon that manages jobs on the platform. */
+struct JobSettings
+{
+  std::string m_daemon;
+  std::string m_dataCentre;
+  /** Addresses as "IP:PORT". */
+  std::string m_callerAddress;
+  std::string m_readyAddress;
+  std::string m_storeAddress;
+  std::string m_machineAddress;
+  /** Empty where the deployment has no advice service. */
+  std::string m_adviceAddress;
+  /** Time between a termination signal and the kill. */
+  absl::Duration m_grace;
+  /** Longest lease that a worker grants. */
+  absl::Duration m_maxWorkerLease;
+  /** Longest time that a worker takes to stop a task. */
+  absl::Duration m_stopTime;
+  /** How long the state of a finished job can be asked for. */
+  absl::Duration m_jobRetention;
+  /** A long-running task that is away for longer counts as disrupted. */
+  absl::Duration m_disruptionNotice;
+  /** Time that the move or the upkeep of a machine takes. */
+  absl::Duration m_moveTime;
+  absl::Duration m_upkeepTime;
+  /** Two holders do not order the same machine within this time. */
+  absl::Duration m_machineTurn;
+};
+
+/** Parses settings; throws Error (InvalidInput) that names the field. */
+JobSettings
+ParseJobSettings(const std::string& aJson);
+
+/** Reads and parses a settings file. */
+JobSettings
+LoadJobSettings(const std::string& aPath);
+
+}
--- a/core/log.h
+++ b/core/log.h
@@ -16,9 +16,13 @@
   Server,
   Targets,
   Admin,
+  Owner,
+  Jobs,
+  Workers,
+  Fleet,
 };
 
-inline constexpr EnumNames<LogPart, 7> kLogPartNames = { {
+inline constexpr EnumNames<LogPart, 11> kLogPartNames = { {
   { LogPart::Main, "main" },
   { LogPart::Store, "store" },
   { LogPart::Peers, "peers" },
@@ -26,6 +30,10 @@
   { LogPart::Server, "server" },
   { LogPart::Targets, "targets" },
   { LogPart::Admin, "admin" },
+  { LogPart::Owner, "owner" },
+  { LogPart::Jobs, "jobs" },
+  { LogPart::Workers, "workers" },
+  { LogPart::Fleet, "fleet" },
 } };
 
 enum class LogLevel
--- /dev/null
+++ b/core/worker_gateway.h
@@ -0,0 +1,210 @@
+#pragma once
+
+#include "core/enum_names.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+/** How an order to a worker ended. */
+enum class OrderOutcome
+{
+  Accepted,
+  /** The worker has seen a higher fencing token. */
+  StaleFence,
+  /** This or a later attempt has ended or was stopped there. */
+  StaleAttempt,
+  /** The lease of the order has passed. */
+  LeaseExpired,
+  NoRoom,
+  /** The policy of the queue does not allow this worker, or no longer. */
+  TicketRejected,
+  /** The worker is unhealthy or busy and has done nothing. */
+  Busy,
+  /** Another incarnation of the worker answered; nothing was done. */
+  WrongIncarnation,
+  /** The worker does not accept the order's content. */
+  Invalid,
+  /** No connection, so the worker saw nothing. */
+  NotSent,
+  /** No response; the worker may carry out the order now or later. */
+  Unknown,
+};
+
+inline constexpr EnumNames<OrderOutcome, 11> kOrderOutcomeNames = { {
+  { OrderOutcome::Accepted, "accepted" },
+  { OrderOutcome::StaleFence, "stale_fence" },
+  { OrderOutcome::StaleAttempt, "stale_attempt" },
+  { OrderOutcome::LeaseExpired, "lease_expired" },
+  { OrderOutcome::NoRoom, "no_room" },
+  { OrderOutcome::TicketRejected, "ticket_rejected" },
+  { OrderOutcome::Busy, "busy" },
+  { OrderOutcome::WrongIncarnation, "wrong_incarnation" },
+  { OrderOutcome::Invalid, "invalid" },
+  { OrderOutcome::NotSent, "not_sent" },
+  { OrderOutcome::Unknown, "unknown" },
+} };
+
+struct WorkerAddress
+{
+  std::string m_workerId;
+  /** "IP:PORT" */
+  std::string m_address;
+};
+
+struct StartOrder
+{
+  std::string m_task;
+  std::int64_t m_attempt = 0;
+  std::string m_payload;
+  /** End of the worker's lease in ms of the worker's clock. */
+  std::int64_t m_leaseEndMs = 0;
+  std::int64_t m_fence = 0;
+  /** Checkpoint to resume from; empty for a start from the beginning. */
+  std::string m_checkpoint;
+  /** Permission of the advice service; empty where none is needed. */
+  std::string m_ticket;
+};
+
+struct StopOrder
+{
+  std::string m_task;
+  std::int64_t m_attempt = 0;
+  std::int64_t m_fence = 0;
+};
+
+struct PaceOrder
+{
+  std::string m_task;
+  std::int64_t m_attempt = 0;
+  std::int64_t m_fence = 0;
+  /** Share of its speed that the task may use, 0 to 100. */
+  int m_percent = 100;
+};
+
+struct OrderResult
+{
+  OrderOutcome m_outcome = OrderOutcome::Unknown;
+  /** The worker's clock when it answered, in ms; 0 when it did not. */
+  std::int64_t m_workerClockMs = 0;
+  std::string m_error;
+};
+
+/** Renewal of the lease of all that runs on a worker, and a look at it. */
+struct LeaseOrder
+{
+  std::int64_t m_fence = 0;
+  /** Ends up to this number are stored and may be forgotten. */
+  std::int64_t m_lastRecordedEnd = 0;
+  /** New end of the lease in ms of the worker's clock; 0 leaves it. */
+  std::int64_t m_leaseEndMs = 0;
+  /** The answer waits this long for the end of a task. */
+  absl::Duration m_wait;
+};
+
+/** A task that a worker runs. */
+struct RunningTask
+{
+  std::string m_task;
+  std::int64_t m_attempt = 0;
+  /** Newest checkpoint; empty for none. */
+  std::string m_checkpoint;
+  /** Progress, or for a long-running task 100 once it is at work. */
+  int m_percent = 0;
+  /** Tail latency in ms of a serving task, else processor use. */
+  double m_load = 0;
+};
+
+enum class TaskEndKind
+{
+  Done,
+  Failed,
+  Stopped,
+  LeaseExpired,
+  /** Another member of the gang ended. */
+  GangBroken,
+  /** The other members of the gang did not come in time. */
+  GangIncomplete,
+};
+
+inline constexpr EnumNames<TaskEndKind, 6> kTaskEndKindNames = { {
+  { TaskEndKind::Done, "done" },
+  { TaskEndKind::Failed, "failed" },
+  { TaskEndKind::Stopped, "stopped" },
+  { TaskEndKind::LeaseExpired, "lease_expired" },
+  { TaskEndKind::GangBroken, "gang_broken" },
+  { TaskEndKind::GangIncomplete, "gang_incomplete" },
+} };
+
+/** End of a task that a worker lists until it is told to forget it. */
+struct TaskEnd
+{
+  /** Number of the end in this life of the worker, from 1. */
+  std::int64_t m_number = 0;
+  std::string m_task;
+  std::int64_t m_attempt = 0;
+  TaskEndKind m_kind = TaskEndKind::Stopped;
+  std::string m_checkpoint;
+};
+
+struct LeaseOrderResult
+{
+  OrderOutcome m_outcome = OrderOutcome::Unknown;
+  std::int64_t m_workerClockMs = 0;
+  /** Start of this life of the worker in ms since the Unix epoch. */
+  std::int64_t m_bornMs = 0;
+  std::vector<RunningTask> m_running;
+  std::vector<TaskEnd> m_ends;
+  std::string m_error;
+};
+
+/** Permission to run a step on a worker. */
+struct AdviceTicket
+{
+  std::string m_workerId;
+  std::string m_ticket;
+};
+
+struct AdviceResult
+{
+  bool m_isAnswered = false;
+  std::vector<AdviceTicket> m_tickets;
+  absl::Duration m_validFor;
+};
+
+/** Orders to workers; each callback runs once, later, on the event loop. */
+class WorkerGateway
+{
+public:
+  using OrderCallback = std::function<void(OrderResult)>;
+  using LeaseCallback = std::function<void(LeaseOrderResult)>;
+  using AdviceCallback = std::function<void(AdviceResult)>;
+
+  virtual ~WorkerGateway() = default;
+
+  virtual void Start(const WorkerAddress& aWorker,
+                     const StartOrder& aOrder,
+                     OrderCallback aCallback) = 0;
+  virtual void Stop(const WorkerAddress& aWorker,
+                    const StopOrder& aOrder,
+                    OrderCallback aCallback) = 0;
+  virtual void Pace(const WorkerAddress& aWorker,
+                    const PaceOrder& aOrder,
+                    OrderCallback aCallback) = 0;
+  virtual void RenewLease(const WorkerAddress& aWorker,
+                          const LeaseOrder& aOrder,
+                          LeaseCallback aCallback) = 0;
+
+  /** Asks which of the workers may run a step. */
+  virtual void Advise(const std::string& aStep,
+                      const std::vector<std::string>& aWorkers,
+                      AdviceCallback aCallback) = 0;
+};
+
+}
--- a/daemon/decider_loop.cpp
+++ b/daemon/decider_loop.cpp
@@ -8,8 +8,8 @@
 #include "daemon/plan_writes.h"
 #include "daemon/store_keys.h"
 #include "fleet/planner.h"
-#include "platform/order_writer.h"
-#include "platform/writer_hooks.h"
+#include "consul/order_writer.h"
+#include "consul/writer_hooks.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
--- a/daemon/decider_loop.h
+++ b/daemon/decider_loop.h
@@ -10,9 +10,9 @@
 #include "fleet/fleet_plan.h"
 #include "fleet/fleet_snapshot.h"
 #include "fleet/planner_memory.h"
-#include "platform/platform_store.h"
-#include "platform/vm_control.h"
-#include "platform/vm_list.h"
+#include "consul/platform_store.h"
+#include "consul/vm_control.h"
+#include "consul/vm_list.h"
 
 #include <absl/time/time.h>
 
--- a/daemon/explain_source.cpp
+++ b/daemon/explain_source.cpp
@@ -3,7 +3,7 @@
 #include "core/error.h"
 #include "daemon/store_keys.h"
 #include "fleet/explain.h"
-#include "platform/order_writer.h"
+#include "consul/order_writer.h"
 
 namespace bramleystall {
 
--- a/daemon/explain_source.h
+++ b/daemon/explain_source.h
@@ -2,7 +2,7 @@
 
 #include "core/configuration.h"
 #include "fleet/fleet_plan.h"
-#include "platform/platform_store.h"
+#include "consul/platform_store.h"
 
 #include <mutex>
 #include <optional>
--- /dev/null
+++ b/daemon/job_daemon.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/job_settings.h"
+#include "core/metrics.h"
+#include "jobs/job_configuration.h"
+#include "jobs/maintenance_wave.h"
+#include "net/event_loop.h"
+#include "net/http_fetcher.h"
+#include "net/http_listener.h"
+#include "platform/kv_store_client.h"
+#include "platform/machine_client.h"
+#include "platform/worker_client.h"
+#include "scheduler/ownership.h"
+#include "scheduler/scheduler.h"
+#include "server/job_front.h"
+#include "store/store_mirror.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bramleystall {
+
+/**
+ * The daemon on the users' platform: accepts callers' jobs, and schedules all
+ * jobs while it is the owner. One thread runs everything.
+ */
+class JobDaemon
+{
+public:
+  /** Paths of the settings file, which SIGHUP reads again, and the charts. */
+  JobDaemon(std::string aSettingsPath, const std::string& aChartsFolder);
+  ~JobDaemon();
+  JobDaemon(const JobDaemon&) = delete;
+  JobDaemon& operator=(const JobDaemon&) = delete;
+
+  /** Runs until SIGTERM or SIGINT, then finishes the requests in flight. */
+  void Run();
+
+private:
+  void OnOperatorItem(const StoreItem& aItem);
+  void ApplyConfiguration(const StoreItem& aItem);
+  void ApplyWave(const StoreItem& aItem);
+  void OnWorkerItem(const StoreItem& aItem);
+  void StartScheduling(const OwnershipGrant& aGrant);
+  void StopScheduling();
+  void HandleReady(const ListenerRequest& aRequest,
+                   const HttpListener::Responder& aRespond);
+  bool IsReady() const;
+  void Reload();
+  void Shutdown();
+  void ExitWhenIdle();
+
+  std::string m_settingsPath;
+  JobSettings m_settings;
+  Metrics m_metrics;
+  EventLoop m_loop;
+  HttpFetcher m_storeFetcher;
+  HttpFetcher m_workerFetcher;
+  KvStoreClient m_store;
+  WorkerClient m_workers;
+  MachineClient m_machines;
+  std::optional<JobConfiguration> m_configuration;
+  std::map<std::int64_t, MaintenanceWave> m_waves;
+  std::unique_ptr<Scheduler> m_scheduler;
+  std::unique_ptr<StoreMirror> m_workerMirror;
+  std::unique_ptr<StoreMirror> m_operatorMirror;
+  std::unique_ptr<Ownership> m_ownership;
+  std::unique_ptr<JobFront> m_front;
+  std::unique_ptr<HttpListener> m_callerListener;
+  std::unique_ptr<HttpListener> m_readyListener;
+  bool m_isStopping = false;
+  absl::Time m_stopBy = absl::InfiniteFuture();
+};
+
+}
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include "core/error.h"
 #include "core/log.h"
 #include "daemon/daemon.h"
+#include "daemon/job_daemon.h"
 
 #include <absl/strings/str_cat.h>
 #include <curl/curl.h>
@@ -18,6 +19,7 @@
 DEFINE_string(charts,
               BRAMLEYSTALL_CHARTS_DIR,
               "folder of the state chart files");
+DEFINE_bool(jobs, false, "manage jobs on the platform of the settings");
 
 namespace {
 
@@ -59,6 +61,17 @@
   }).detach();
 }
 
+int
+RunJobs()
+{
+  InitLog(LogLevel::Info, LogFormat::Text, "");
+  std::signal(SIGPIPE, SIG_IGN);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  JobDaemon daemon(FLAGS_settings, FLAGS_charts);
+  daemon.Run();
+  return EXIT_SUCCESS;
+}
+
 int
 Run()
 {
@@ -89,7 +102,7 @@
     return kExitUsage;
   }
   try {
-    return Run();
+    return FLAGS_jobs ? RunJobs() : Run();
   } catch (const Error& error) {
     std::cerr << "bramleystalld: " << error.what() << "\n";
     return error.Code() == ErrorCode::InvalidInput ? kExitInvalidInput
--- a/daemon/plan_writes.cpp
+++ b/daemon/plan_writes.cpp
@@ -3,7 +3,7 @@
 #include "daemon/fleet_state.h"
 #include "daemon/store_keys.h"
 #include "fleet/fleet_plan.h"
-#include "platform/order_writer.h"
+#include "consul/order_writer.h"
 
 namespace bramleystall {
 
--- a/daemon/plan_writes.h
+++ b/daemon/plan_writes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platform_store.h"
+#include "consul/platform_store.h"
 
 #include <cstdint>
 #include <string>
--- a/fleet/fleet_snapshot.h
+++ b/fleet/fleet_snapshot.h
@@ -5,7 +5,7 @@
 #include "core/order_document.h"
 #include "core/state_chart.h"
 #include "fleet/vm_observation.h"
-#include "platform/vm_list.h"
+#include "consul/vm_list.h"
 
 #include <absl/time/time.h>
 
--- /dev/null
+++ b/jobs/job.cpp
@@ -0,0 +1,250 @@
+#include "jobs/job.h"
+
+#include "core/error.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleystall {
+
+using nlohmann::json;
+
+bool
+TaskName::Parse(const std::string& aText, TaskName& aName)
+{
+  const std::vector<std::string> parts = absl::StrSplit(aText, '.');
+  if (parts.size() != 4) {
+    return false;
+  }
+  aName.m_job = parts[0];
+  return absl::SimpleAtoi(parts[1], &aName.m_occurrence) &&
+         absl::SimpleAtoi(parts[2], &aName.m_step) &&
+         absl::SimpleAtoi(parts[3], &aName.m_index);
+}
+
+Job::Job(JobRecord aRecord)
+  : m_record(std::move(aRecord))
+{
+  m_occurrences.resize(
+    static_cast<std::size_t>(std::max(1, m_record.m_repeats)));
+  for (int k = 0; k < OccurrenceCount(); ++k) {
+    Occurrence& occurrence = m_occurrences[static_cast<std::size_t>(k)];
+    occurrence.m_steps.resize(m_record.m_steps.size());
+    for (std::size_t s = 0; s < m_record.m_steps.size(); ++s) {
+      Step& step = occurrence.m_steps[s];
+      step.m_tasks.resize(
+        static_cast<std::size_t>(m_record.m_steps[s].m_count));
+      for (std::size_t i = 0; i < step.m_tasks.size(); ++i) {
+        Task& task = step.m_tasks[i];
+        task.m_job = this;
+        task.m_occurrence = k;
+        task.m_step = static_cast<int>(s);
+        task.m_index = static_cast<int>(i);
+      }
+      ++m_openSteps;
+    }
+  }
+}
+
+std::int64_t
+Job::DueMs(int aOccurrence) const
+{
+  if (m_record.m_repeats == 0) {
+    return 0;
+  }
+  return m_record.m_firstDueMs + aOccurrence * m_record.m_intervalMs;
+}
+
+std::vector<Task>&
+Job::Tasks(int aOccurrence, int aStep)
+{
+  return m_occurrences[static_cast<std::size_t>(aOccurrence)]
+    .m_steps[static_cast<std::size_t>(aStep)]
+    .m_tasks;
+}
+
+Task*
+Job::Find(const TaskName& aName)
+{
+  const bool isKnown =
+    aName.m_occurrence >= 0 && aName.m_occurrence < OccurrenceCount() &&
+    aName.m_step >= 0 &&
+    aName.m_step < static_cast<int>(m_record.m_steps.size());
+  if (!isKnown) {
+    return nullptr;
+  }
+  std::vector<Task>& tasks = Tasks(aName.m_occurrence, aName.m_step);
+  if (aName.m_index < 0 || aName.m_index >= static_cast<int>(tasks.size())) {
+    return nullptr;
+  }
+  return &tasks[static_cast<std::size_t>(aName.m_index)];
+}
+
+std::string
+Job::NameOf(const Task& aTask) const
+{
+  return absl::StrCat(Id(),
+                      ".",
+                      aTask.m_occurrence,
+                      ".",
+                      aTask.m_step,
+                      ".",
+                      aTask.m_index);
+}
+
+bool
+Job::IsStepReady(int aOccurrence, int aStep) const
+{
+  const StepSpec& spec = m_record.m_steps[static_cast<std::size_t>(aStep)];
+  return std::ranges::all_of(spec.m_after, [&](int aEarlier) {
+    return IsStepDone(aOccurrence, aEarlier);
+  });
+}
+
+bool
+Job::IsStepDone(int aOccurrence, int aStep) const
+{
+  const Step& step = StepAt(aOccurrence, aStep);
+  return step.m_done == static_cast<int>(step.m_tasks.size());
+}
+
+void
+Job::MarkStarted()
+{
+  if (m_state == JobState::Queued) {
+    m_state = JobState::Running;
+  }
+}
+
+void
+Job::MarkDone(Task& aTask)
+{
+  if (aTask.m_phase == TaskPhase::Done) {
+    return;
+  }
+  aTask.m_phase = TaskPhase::Done;
+  Step& step = m_occurrences[static_cast<std::size_t>(aTask.m_occurrence)]
+                 .m_steps[static_cast<std::size_t>(aTask.m_step)];
+  ++step.m_done;
+  if (step.m_done == static_cast<int>(step.m_tasks.size())) {
+    --m_openSteps;
+  }
+  MarkStarted();
+  if (m_openSteps == 0 && !IsFinal()) {
+    m_state = JobState::Completed;
+  }
+}
+
+void
+Job::MarkFailed(Task& aTask, std::int64_t aAttempt)
+{
+  if (aTask.m_phase == TaskPhase::Done ||
+      aAttempt <= aTask.m_lastFailedAttempt) {
+    return;
+  }
+  aTask.m_lastFailedAttempt = aAttempt;
+  ++aTask.m_failures;
+  MarkStarted();
+  const bool isLimited = !Spec(aTask).m_isLongRunning;
+  if (isLimited && aTask.m_failures >= m_record.m_maxAttempts && !IsFinal()) {
+    m_state = JobState::Failed;
+  }
+}
+
+void
+Job::MarkCancelled()
+{
+  if (!IsFinal()) {
+    m_state = JobState::Cancelled;
+  }
+}
+
+std::int64_t
+Job::RemainingChainMs(int aOccurrence) const
+{
+  // Steps only depend on earlier ones, so one pass finds the longest chain.
+  std::vector<std::int64_t> chains(m_record.m_steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t s = 0; s < chains.size(); ++s) {
+    const StepSpec& spec = m_record.m_steps[s];
+    std::int64_t before = 0;
+    for (const int earlier : spec.m_after) {
+      before = std::max(before, chains[static_cast<std::size_t>(earlier)]);
+    }
+    const bool isDone = IsStepDone(aOccurrence, static_cast<int>(s));
+    chains[s] = before + (isDone ? 0 : spec.m_estimateMs);
+    longest = std::max(longest, chains[s]);
+  }
+  return longest;
+}
+
+std::string
+Job::EncodeProgress() const
+{
+  json body = { { "state", bramleystall::NameOf(kJobStateNames, m_state) } };
+  if (IsFinal()) {
+    return body.dump();
+  }
+  // Rows [occurrence, step, index, is done, failures, last failed attempt,
+  // checkpoint] of the tasks about which something is known.
+  json rows = json::array();
+  for (const Occurrence& occurrence : m_occurrences) {
+    for (const Step& step : occurrence.m_steps) {
+      for (const Task& task : step.m_tasks) {
+        const bool isDone = task.m_phase == TaskPhase::Done;
+        if (!isDone && task.m_failures == 0 && task.m_checkpoint.empty()) {
+          continue;
+        }
+        rows.push_back({ task.m_occurrence,
+                         task.m_step,
+                         task.m_index,
+                         isDone ? 1 : 0,
+                         task.m_failures,
+                         task.m_lastFailedAttempt,
+                         isDone ? "" : task.m_checkpoint });
+      }
+    }
+  }
+  body["tasks"] = std::move(rows);
+  return body.dump();
+}
+
+void
+Job::ApplyProgress(const std::string& aJson)
+{
+  try {
+    const json body = json::parse(aJson);
+    for (const json& row : body.value("tasks", json::array())) {
+      Task* task = Find({ Id(),
+                          row.at(0).get<int>(),
+                          row.at(1).get<int>(),
+                          row.at(2).get<int>() });
+      if (task == nullptr) {
+        continue;
+      }
+      task->m_failures = row.at(4).get<int>();
+      task->m_lastFailedAttempt = row.at(5).get<std::int64_t>();
+      task->m_checkpoint = row.at(6).get<std::string>();
+      if (row.at(3).get<int>() != 0) {
+        MarkDone(*task);
+      }
+    }
+    const auto state =
+      ValueOf(kJobStateNames, body.at("state").get<std::string>());
+    if (!state) {
+      throw Error(ErrorCode::InvalidInput,
+                  absl::StrCat("progress of job ", Id(), ": unknown state"));
+    }
+    m_state = *state;
+  } catch (const json::exception& error) {
+    throw Error(ErrorCode::InvalidInput,
+                absl::StrCat("progress of job ", Id(), ": ", error.what()));
+  }
+}
+
+}
--- /dev/null
+++ b/jobs/job.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "core/enum_names.h"
+#include "jobs/job_record.h"
+#include "jobs/task.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+enum class JobState
+{
+  Queued,
+  Running,
+  Completed,
+  Failed,
+  Cancelled,
+};
+
+inline constexpr EnumNames<JobState, 5> kJobStateNames = { {
+  { JobState::Queued, "queued" },
+  { JobState::Running, "running" },
+  { JobState::Completed, "completed" },
+  { JobState::Failed, "failed" },
+  { JobState::Cancelled, "cancelled" },
+} };
+
+/** Parts of the name of a task, JOB.OCCURRENCE.STEP.INDEX. */
+struct TaskName
+{
+  std::string m_job;
+  int m_occurrence = 0;
+  int m_step = 0;
+  int m_index = 0;
+
+  /** Parses a name; false when it has another form. */
+  static bool Parse(const std::string& aText, TaskName& aName);
+};
+
+/** A job with the state of its tasks. It has no clock and sends nothing. */
+class Job
+{
+public:
+  explicit Job(JobRecord aRecord);
+  Job(const Job&) = delete;
+  Job& operator=(const Job&) = delete;
+
+  const JobRecord& Record() const { return m_record; }
+  const std::string& Id() const { return m_record.m_id; }
+  JobState State() const { return m_state; }
+  bool IsFinal() const { return m_state >= JobState::Completed; }
+  bool HasStarted() const { return m_state != JobState::Queued; }
+
+  int OccurrenceCount() const { return static_cast<int>(m_occurrences.size()); }
+  /** Wall-clock ms at which an occurrence is due; 0 for at once. */
+  std::int64_t DueMs(int aOccurrence) const;
+
+  const StepSpec& Spec(const Task& aTask) const
+  {
+    return m_record.m_steps[static_cast<std::size_t>(aTask.m_step)];
+  }
+  std::vector<Task>& Tasks(int aOccurrence, int aStep);
+  /** Task with a name, or null when the job has no such task. */
+  Task* Find(const TaskName& aName);
+  std::string NameOf(const Task& aTask) const;
+
+  /** All earlier steps that this one needs are done. */
+  bool IsStepReady(int aOccurrence, int aStep) const;
+  bool IsStepDone(int aOccurrence, int aStep) const;
+
+  void MarkStarted();
+  /** Notes that a task is done; completes the job with its last task. */
+  void MarkDone(Task& aTask);
+  /**
+   * Notes a failed attempt, once for each attempt; the job fails when the task
+   * has failed as often as the queue allows. Long-running tasks have no limit.
+   */
+  void MarkFailed(Task& aTask, std::int64_t aAttempt);
+  void MarkCancelled();
+  void MarkFinal(JobState aState) { m_state = aState; }
+
+  /** Longest chain of declared work that is left, in ms. */
+  std::int64_t RemainingChainMs(int aOccurrence) const;
+
+  /** JSON of all that has to outlive the process; see ApplyProgress. */
+  std::string EncodeProgress() const;
+  /** Restores what EncodeProgress wrote. Throws Error (InvalidInput). */
+  void ApplyProgress(const std::string& aJson);
+
+private:
+  struct Step
+  {
+    std::vector<Task> m_tasks;
+    int m_done = 0;
+  };
+  struct Occurrence
+  {
+    std::vector<Step> m_steps;
+  };
+
+  const Step& StepAt(int aOccurrence, int aStep) const
+  {
+    return m_occurrences[static_cast<std::size_t>(aOccurrence)]
+      .m_steps[static_cast<std::size_t>(aStep)];
+  }
+
+  JobRecord m_record;
+  JobState m_state = JobState::Queued;
+  std::vector<Occurrence> m_occurrences;
+  /** Steps of all occurrences that are not done. */
+  int m_openSteps = 0;
+};
+
+}
--- /dev/null
+++ b/net/event_loop.cpp
@@ -0,0 +1,181 @@
+#include "net/event_loop.h"
+
+#include "core/clock.h"
+#include "core/error.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace bramleystall {
+
+namespace {
+
+/** Longest wait of one turn, in ms. */
+constexpr int kMaxWaitMs = 1000;
+constexpr int kEventsPerTurn = 64;
+
+/** Write end of the pipe that carries signals out of the handler. */
+int gSignalWriter = -1;
+
+void
+ForwardSignal(int aSignal)
+{
+  const int savedError = errno;
+  const auto byte = static_cast<unsigned char>(aSignal);
+  // A full pipe already wakes the loop, so a failed write loses no wake-up.
+  [[maybe_unused]] const ssize_t written = write(gSignalWriter, &byte, 1);
+  errno = savedError;
+}
+
+}
+
+EventLoop::EventLoop()
+  : m_epoll(epoll_create1(EPOLL_CLOEXEC))
+  , m_now(MonotonicNow())
+{
+  if (m_epoll < 0 || pipe2(m_signalPipe, O_NONBLOCK | O_CLOEXEC) != 0) {
+    throw Error(ErrorCode::Internal,
+                absl::StrCat("event loop: ", std::strerror(errno)));
+  }
+  Watch(m_signalPipe[0], EPOLLIN, [this](std::uint32_t) { ReadSignals(); });
+}
+
+EventLoop::~EventLoop()
+{
+  for (const auto& [signal, callback] : m_signalCallbacks) {
+    std::signal(signal, SIG_DFL);
+  }
+  close(m_signalPipe[0]);
+  close(m_signalPipe[1]);
+  close(m_epoll);
+}
+
+void
+EventLoop::Watch(int aDescriptor,
+                 std::uint32_t aEvents,
+                 DescriptorCallback aCallback)
+{
+  epoll_event event{};
+  event.events = aEvents;
+  event.data.fd = aDescriptor;
+  const bool isKnown = m_descriptors.contains(aDescriptor);
+  const int operation = isKnown ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+  if (epoll_ctl(m_epoll, operation, aDescriptor, &event) != 0) {
+    // The descriptor may have been closed and reused since it was watched.
+    epoll_ctl(m_epoll,
+              isKnown ? EPOLL_CTL_ADD : EPOLL_CTL_MOD,
+              aDescriptor,
+              &event);
+  }
+  m_descriptors[aDescriptor] = {
+    aEvents, std::make_shared<DescriptorCallback>(std::move(aCallback))
+  };
+}
+
+void
+EventLoop::Unwatch(int aDescriptor)
+{
+  epoll_ctl(m_epoll, EPOLL_CTL_DEL, aDescriptor, nullptr);
+  m_descriptors.erase(aDescriptor);
+}
+
+EventLoop::TimerId
+EventLoop::After(absl::Duration aDelay, Callback aCallback)
+{
+  const TimerId id = m_nextTimer++;
+  const absl::Time due = m_now + aDelay;
+  m_timers.emplace(std::pair(due, id), std::move(aCallback));
+  m_timerTimes.emplace(id, due);
+  return id;
+}
+
+void
+EventLoop::Cancel(TimerId aTimer)
+{
+  const auto found = m_timerTimes.find(aTimer);
+  if (found == m_timerTimes.end()) {
+    return;
+  }
+  m_timers.erase(std::pair(found->second, aTimer));
+  m_timerTimes.erase(found);
+}
+
+void
+EventLoop::OnSignal(int aSignal, SignalCallback aCallback)
+{
+  gSignalWriter = m_signalPipe[1];
+  m_signalCallbacks[aSignal] = std::move(aCallback);
+  struct sigaction action
+  {};
+  action.sa_handler = ForwardSignal;
+  action.sa_flags = SA_RESTART;
+  sigaction(aSignal, &action, nullptr);
+}
+
+void
+EventLoop::Run()
+{
+  std::array<epoll_event, kEventsPerTurn> events{};
+  while (!m_isStopped) {
+    const int count =
+      epoll_wait(m_epoll, events.data(), kEventsPerTurn, NextTimeoutMs());
+    m_now = MonotonicNow();
+    RunTimers();
+    for (int i = 0; i < std::max(count, 0); ++i) {
+      const auto found = m_descriptors.find(events[i].data.fd);
+      if (found == m_descriptors.end()) {
+        continue;
+      }
+      const auto callback = found->second.m_callback;
+      (*callback)(events[i].events);
+    }
+    if (m_afterTurn) {
+      m_afterTurn();
+    }
+  }
+}
+
+int
+EventLoop::NextTimeoutMs() const
+{
+  if (m_timers.empty()) {
+    return kMaxWaitMs;
+  }
+  const absl::Duration wait = m_timers.begin()->first.first - MonotonicNow();
+  const std::int64_t millis =
+    absl::ToInt64Milliseconds(absl::Ceil(wait, absl::Milliseconds(1)));
+  return static_cast<int>(std::clamp<std::int64_t>(millis, 0, kMaxWaitMs));
+}
+
+void
+EventLoop::RunTimers()
+{
+  while (!m_timers.empty() && m_timers.begin()->first.first <= m_now) {
+    auto node = m_timers.extract(m_timers.begin());
+    m_timerTimes.erase(node.key().second);
+    node.mapped()();
+  }
+}
+
+void
+EventLoop::ReadSignals()
+{
+  std::array<unsigned char, 16> bytes{};
+  const ssize_t count = read(m_signalPipe[0], bytes.data(), bytes.size());
+  for (ssize_t i = 0; i < count; ++i) {
+    const auto found = m_signalCallbacks.find(bytes[i]);
+    if (found != m_signalCallbacks.end()) {
+      found->second(bytes[i]);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/net/http_fetcher.cpp
@@ -0,0 +1,230 @@
+#include "net/http_fetcher.h"
+
+#include "net/event_loop.h"
+
+#include <curl/curl.h>
+#include <sys/epoll.h>
+
+#include <array>
+#include <unordered_map>
+#include <utility>
+
+namespace bramleystall {
+
+namespace {
+
+/** A connection attempt that takes longer is given up, in ms. */
+constexpr long kConnectTimeoutMs = 700;
+/** Idle easy handles that are kept for reuse. */
+constexpr std::size_t kMaxIdleHandles = 32;
+/** Connections that are kept open to all hosts together. */
+constexpr long kMaxCachedConnections = 1024;
+
+std::uint32_t
+EventsOf(int aWhat)
+{
+  switch (aWhat) {
+    case CURL_POLL_IN:
+      return EPOLLIN;
+    case CURL_POLL_OUT:
+      return EPOLLOUT;
+    default:
+      return EPOLLIN | EPOLLOUT;
+  }
+}
+
+int
+ActionsOf(std::uint32_t aEvents)
+{
+  int actions = 0;
+  if ((aEvents & (EPOLLIN | EPOLLHUP)) != 0) {
+    actions |= CURL_CSELECT_IN;
+  }
+  if ((aEvents & EPOLLOUT) != 0) {
+    actions |= CURL_CSELECT_OUT;
+  }
+  if ((aEvents & EPOLLERR) != 0) {
+    actions |= CURL_CSELECT_ERR;
+  }
+  return actions;
+}
+
+std::size_t
+AppendBody(char* aData, std::size_t aSize, std::size_t aCount, void* aBody)
+{
+  static_cast<std::string*>(aBody)->append(aData, aSize * aCount);
+  return aSize * aCount;
+}
+
+}
+
+struct HttpFetcher::Transfer
+{
+  FetchRequest m_request;
+  Callback m_callback;
+  FetchResult m_result;
+  CURL* m_easy = nullptr;
+  curl_slist* m_headers = nullptr;
+};
+
+struct HttpFetcher::Multi
+{
+  CURLM* m_handle = nullptr;
+  EventLoop::TimerId m_timer = 0;
+  std::unordered_map<CURL*, std::unique_ptr<Transfer>> m_transfers;
+  std::vector<CURL*> m_idle;
+  HttpFetcher* m_owner = nullptr;
+  bool m_isClosing = false;
+
+  void Act(curl_socket_t aSocket, int aActions)
+  {
+    int running = 0;
+    curl_multi_socket_action(m_handle, aSocket, aActions, &running);
+    m_owner->ReadResults();
+  }
+
+  static int OnSocket(CURL*, curl_socket_t aSocket, int aWhat, void* aSelf, void*)
+  {
+    auto* self = static_cast<Multi*>(aSelf);
+    if (aWhat == CURL_POLL_REMOVE) {
+      self->m_owner->m_loop.Unwatch(aSocket);
+      return 0;
+    }
+    self->m_owner->m_loop.Watch(
+      aSocket, EventsOf(aWhat), [self, aSocket](std::uint32_t aEvents) {
+        self->Act(aSocket, ActionsOf(aEvents));
+      });
+    return 0;
+  }
+
+  static int OnTimer(CURLM*, long aTimeoutMs, void* aSelf)
+  {
+    auto* self = static_cast<Multi*>(aSelf);
+    EventLoop& loop = self->m_owner->m_loop;
+    loop.Cancel(self->m_timer);
+    self->m_timer = 0;
+    if (aTimeoutMs >= 0 && !self->m_isClosing) {
+      self->m_timer = loop.After(absl::Milliseconds(aTimeoutMs), [self] {
+        self->m_timer = 0;
+        self->Act(CURL_SOCKET_TIMEOUT, 0);
+      });
+    }
+    return 0;
+  }
+};
+
+HttpFetcher::HttpFetcher(EventLoop& aLoop, int aConnectionsPerHost)
+  : m_loop(aLoop)
+  , m_multi(std::make_unique<Multi>())
+{
+  m_multi->m_owner = this;
+  m_multi->m_handle = curl_multi_init();
+  CURLM* handle = m_multi->m_handle;
+  curl_multi_setopt(handle, CURLMOPT_SOCKETFUNCTION, Multi::OnSocket);
+  curl_multi_setopt(handle, CURLMOPT_SOCKETDATA, m_multi.get());
+  curl_multi_setopt(handle, CURLMOPT_TIMERFUNCTION, Multi::OnTimer);
+  curl_multi_setopt(handle, CURLMOPT_TIMERDATA, m_multi.get());
+  curl_multi_setopt(handle,
+                    CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(aConnectionsPerHost));
+  curl_multi_setopt(handle, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
+}
+
+HttpFetcher::~HttpFetcher()
+{
+  m_multi->m_isClosing = true;
+  for (auto& [easy, transfer] : m_multi->m_transfers) {
+    curl_multi_remove_handle(m_multi->m_handle, easy);
+    curl_slist_free_all(transfer->m_headers);
+    curl_easy_cleanup(easy);
+  }
+  for (CURL* easy : m_multi->m_idle) {
+    curl_easy_cleanup(easy);
+  }
+  m_loop.Cancel(m_multi->m_timer);
+  curl_multi_cleanup(m_multi->m_handle);
+}
+
+void
+HttpFetcher::Send(FetchRequest aRequest, Callback aCallback)
+{
+  auto transfer = std::make_unique<Transfer>();
+  transfer->m_request = std::move(aRequest);
+  transfer->m_callback = std::move(aCallback);
+  transfer->m_result.m_sentAt = m_loop.Now();
+  CURL* easy = nullptr;
+  if (m_multi->m_idle.empty()) {
+    easy = curl_easy_init();
+  } else {
+    easy = m_multi->m_idle.back();
+    m_multi->m_idle.pop_back();
+  }
+  transfer->m_easy = easy;
+  const FetchRequest& request = transfer->m_request;
+  curl_easy_setopt(easy, CURLOPT_URL, request.m_url.c_str());
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+  curl_easy_setopt(easy,
+                   CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(absl::ToInt64Milliseconds(request.m_timeout)));
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, AppendBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer->m_result.m_body);
+  if (request.m_method != "GET") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.m_method.c_str());
+  }
+  if (request.m_method == "POST") {
+    curl_easy_setopt(easy,
+                     CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(request.m_body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.m_body.c_str());
+  }
+  if (request.m_usesFreshConnection) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  }
+  for (const std::string& header : request.m_headers) {
+    transfer->m_headers = curl_slist_append(transfer->m_headers, header.c_str());
+  }
+  // Without this, libcurl waits for a 100 response before larger bodies.
+  transfer->m_headers = curl_slist_append(transfer->m_headers, "Expect:");
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->m_headers);
+  m_multi->m_transfers.emplace(easy, std::move(transfer));
+  curl_multi_add_handle(m_multi->m_handle, easy);
+}
+
+void
+HttpFetcher::ReadResults()
+{
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(m_multi->m_handle, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    CURL* easy = message->easy_handle;
+    const CURLcode code = message->data.result;
+    auto node = m_multi->m_transfers.extract(easy);
+    Transfer& transfer = *node.mapped();
+    if (code == CURLE_OK) {
+      long status = 0;
+      curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+      transfer.m_result.m_status = static_cast<int>(status);
+    } else {
+      curl_off_t connectTime = 0;
+      curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &connectTime);
+      transfer.m_result.m_mayHaveBeenSent = connectTime != 0;
+      transfer.m_result.m_error = curl_easy_strerror(code);
+    }
+    curl_multi_remove_handle(m_multi->m_handle, easy);
+    curl_slist_free_all(transfer.m_headers);
+    if (m_multi->m_idle.size() < kMaxIdleHandles) {
+      curl_easy_reset(easy);
+      m_multi->m_idle.push_back(easy);
+    } else {
+      curl_easy_cleanup(easy);
+    }
+    transfer.m_callback(std::move(transfer.m_result));
+  }
+}
+
+}
--- /dev/null
+++ b/scheduler/ownership.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "core/state_chart.h"
+#include "store/key_value_store.h"
+#include "store/store_mirror.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bramleystall {
+
+class EventLoop;
+
+/** The right to schedule, as one holder has it. */
+struct OwnershipGrant
+{
+  /** Revision of the owner key: higher with each holder. */
+  std::int64_t m_fence = 0;
+  /** Number of the holder, from 1. */
+  std::int64_t m_term = 0;
+  /**
+   * Monotonic time from which no earlier holder gives orders: its lease was
+   * renewed before the key ended, or the key was taken over just now.
+   */
+  absl::Time m_earlierHoldersEnd;
+};
+
+/**
+ * Leader election by a lease of the store: at most one daemon holds the
+ * scheduler's owner key. The states are those of charts/owner_term.json.
+ */
+class Ownership
+{
+public:
+  using GrantHook = std::function<void(const OwnershipGrant&)>;
+  using LossHook = std::function<void(const std::string& aReason)>;
+
+  Ownership(EventLoop& aLoop,
+            KeyValueStore& aStore,
+            StateChart aChart,
+            std::string aDaemon,
+            GrantHook aOnGrant,
+            LossHook aOnLoss);
+  ~Ownership();
+  Ownership(const Ownership&) = delete;
+  Ownership& operator=(const Ownership&) = delete;
+
+  /**
+   * True while this daemon may give orders. This outlasts the store's lease,
+   * so that work goes on through a short outage: a successor waits until
+   * OwnershipGrant::m_earlierHoldersEnd before it starts what an unreachable
+   * worker may still run.
+   */
+  bool MayOrder() const;
+
+  /** True while the store's own lease is certainly valid. */
+  bool HoldsLease() const;
+
+  /** Gives the ownership up and does not take it again. */
+  void Resign();
+
+private:
+  void Move(const char* aEvent);
+  bool Is(const char* aState) const { return m_state == aState; }
+  void OnItem(const StoreItem& aItem);
+  void Consider();
+  void Acquire();
+  void WriteOwner(const LeaseResult& aLease);
+  void Renew();
+  void OnRenewed(absl::Time aSentAt, const LeaseResult& aResult);
+  void Lose(const char* aEvent, const std::string& aReason);
+  void Schedule(absl::Duration aDelay, void (Ownership::*aStep)());
+
+  EventLoop& m_loop;
+  KeyValueStore& m_store;
+  StateChart m_chart;
+  std::string m_state;
+  std::string m_daemon;
+  GrantHook m_onGrant;
+  LossHook m_onLoss;
+  bool m_isResigned = false;
+  /** Distinguishes the acquisitions of this process from all others. */
+  std::string m_token;
+  std::int64_t m_lease = 0;
+  absl::Time m_renewedAt = absl::InfinitePast();
+  bool m_isTakeover = false;
+  /** What the store holds. */
+  std::string m_ownerDaemon;
+  std::string m_ownerToken;
+  std::int64_t m_ownerRevision = 0;
+  std::int64_t m_ownerTerm = 0;
+  std::int64_t m_term = 0;
+  std::int64_t m_termRevision = 0;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  std::unique_ptr<StoreMirror> m_mirror;
+};
+
+}
--- /dev/null
+++ b/scheduler/progress_writer.cpp
@@ -0,0 +1,190 @@
+#include "scheduler/progress_writer.h"
+
+#include "core/log.h"
+#include "net/event_loop.h"
+#include "scheduler/job_keys.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace bramleystall {
+
+namespace {
+
+/** Documents that come within this time share a transaction. */
+constexpr absl::Duration kBatchDelay = absl::Milliseconds(15);
+constexpr absl::Duration kRetryDelay = absl::Milliseconds(150);
+/** The owner's condition, then a condition and a put for each document. */
+constexpr std::size_t kDocumentsPerCommit =
+  (StoreTransaction::kMaxEntries - 1) / 2;
+constexpr int kMaxOpenCommits = 3;
+
+}
+
+ProgressWriter::ProgressWriter(EventLoop& aLoop,
+                               KeyValueStore& aStore,
+                               std::int64_t aFence)
+  : m_loop(aLoop)
+  , m_store(aStore)
+  , m_fence(aFence)
+{
+}
+
+ProgressWriter::~ProgressWriter()
+{
+  *m_alive = false;
+}
+
+void
+ProgressWriter::Know(const std::string& aKey, std::int64_t aRevision)
+{
+  m_revisions[aKey] = aRevision;
+}
+
+void
+ProgressWriter::Put(const std::string& aKey, std::string aValue)
+{
+  Document& document = m_pending[aKey];
+  document.m_value = std::move(aValue);
+  if (document.m_generation == 0) {
+    document.m_generation = m_generation;
+  }
+  Schedule(kBatchDelay);
+}
+
+void
+ProgressWriter::AfterStored(StoredHook aHook)
+{
+  if (m_pending.empty() && m_writing.empty()) {
+    aHook();
+    return;
+  }
+  m_barriers.push_back({ m_generation, std::move(aHook) });
+  ++m_generation;
+}
+
+void
+ProgressWriter::Schedule(absl::Duration aDelay)
+{
+  if (m_isScheduled) {
+    return;
+  }
+  m_isScheduled = true;
+  m_loop.After(aDelay, [this, alive = m_alive] {
+    if (*alive) {
+      m_isScheduled = false;
+      Flush();
+    }
+  });
+}
+
+void
+ProgressWriter::Flush()
+{
+  while (m_openCommits < kMaxOpenCommits) {
+    StoreTransaction transaction;
+    std::vector<std::string> batch;
+    transaction.m_conditions.push_back({ keys::kOwnerKey, m_fence });
+    for (auto it = m_pending.begin();
+         it != m_pending.end() && batch.size() < kDocumentsPerCommit;) {
+      if (m_writing.contains(it->first)) {
+        ++it;
+        continue;
+      }
+      const std::string& key = it->first;
+      transaction.m_conditions.push_back({ key, m_revisions[key] });
+      transaction.m_puts.push_back({ key, it->second.m_value, 0 });
+      batch.push_back(key);
+      m_writing.insert(*it);
+      it = m_pending.erase(it);
+    }
+    if (batch.empty()) {
+      return;
+    }
+    ++m_openCommits;
+    m_store.Commit(transaction,
+                   [this, batch = std::move(batch), alive = m_alive](
+                     const CommitResult& aResult) {
+                     if (*alive) {
+                       OnCommitted(batch, aResult);
+                     }
+                   });
+  }
+}
+
+void
+ProgressWriter::OnCommitted(const std::vector<std::string>& aKeys,
+                            const CommitResult& aResult)
+{
+  --m_openCommits;
+  const bool isApplied = aResult.m_status == CommitStatus::Applied;
+  for (const StoreItem& item : aResult.m_current) {
+    // An earlier write of ours without a response was applied after all.
+    if (item.m_key != keys::kOwnerKey) {
+      m_revisions[item.m_key] = item.m_revision;
+    }
+  }
+  for (const std::string& key : aKeys) {
+    auto node = m_writing.extract(key);
+    if (isApplied) {
+      m_revisions[key] = aResult.m_revision;
+      continue;
+    }
+    Document& newer = m_pending[key];
+    if (newer.m_generation == 0) {
+      newer = std::move(node.mapped());
+    } else {
+      newer.m_generation =
+        std::min(newer.m_generation, node.mapped().m_generation);
+    }
+  }
+  if (isApplied) {
+    RunBarriers();
+  } else {
+    LogWarning(LogPart::Store,
+               absl::StrCat("progress not stored; outcome=",
+                            std::string(NameOf(kCommitStatusNames,
+                                               aResult.m_status)),
+                            " documents=",
+                            aKeys.size(),
+                            " error=",
+                            aResult.m_error));
+  }
+  if (!m_pending.empty()) {
+    Schedule(isApplied ? absl::ZeroDuration() : kRetryDelay);
+  }
+}
+
+std::uint64_t
+ProgressWriter::OldestOpenGeneration() const
+{
+  std::uint64_t oldest = std::numeric_limits<std::uint64_t>::max();
+  for (const auto* documents : { &m_pending, &m_writing }) {
+    for (const auto& [key, document] : *documents) {
+      oldest = std::min(oldest, document.m_generation);
+    }
+  }
+  return oldest;
+}
+
+void
+ProgressWriter::RunBarriers()
+{
+  const std::uint64_t oldest = OldestOpenGeneration();
+  std::vector<StoredHook> ready;
+  std::erase_if(m_barriers, [&](Barrier& aBarrier) {
+    if (aBarrier.m_generation >= oldest) {
+      return false;
+    }
+    ready.push_back(std::move(aBarrier.m_hook));
+    return true;
+  });
+  for (const StoredHook& hook : ready) {
+    hook();
+  }
+}
+
+}
--- /dev/null
+++ b/scheduler/progress_writer.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "store/key_value_store.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+class EventLoop;
+
+/**
+ * Writes documents of the owner to the store in batches. Each write is
+ * conditional on the owner key and on the document's revision, so neither an
+ * earlier owner nor a late write of this one can undo a newer one.
+ */
+class ProgressWriter
+{
+public:
+  using StoredHook = std::function<void()>;
+
+  /** The revision that the owner key has while this daemon holds it. */
+  ProgressWriter(EventLoop& aLoop, KeyValueStore& aStore, std::int64_t aFence);
+  ~ProgressWriter();
+  ProgressWriter(const ProgressWriter&) = delete;
+  ProgressWriter& operator=(const ProgressWriter&) = delete;
+
+  /** Sets the revision of a document that was read at the takeover. */
+  void Know(const std::string& aKey, std::int64_t aRevision);
+
+  /** Queues the newest text of a document. */
+  void Put(const std::string& aKey, std::string aValue);
+
+  /** Calls back once all that was put before has been stored. */
+  void AfterStored(StoredHook aHook);
+
+  /** Documents that are not stored yet. */
+  std::size_t Backlog() const { return m_pending.size() + m_writing.size(); }
+
+private:
+  struct Barrier
+  {
+    std::uint64_t m_generation;
+    StoredHook m_hook;
+  };
+
+  void Schedule(absl::Duration aDelay);
+  void Flush();
+  void OnCommitted(const std::vector<std::string>& aKeys,
+                   const CommitResult& aResult);
+  void RunBarriers();
+  std::uint64_t OldestOpenGeneration() const;
+
+  struct Document
+  {
+    std::string m_value;
+    std::uint64_t m_generation = 0;
+  };
+
+  EventLoop& m_loop;
+  KeyValueStore& m_store;
+  std::int64_t m_fence;
+  std::map<std::string, std::int64_t> m_revisions;
+  std::map<std::string, Document> m_pending;
+  std::map<std::string, Document> m_writing;
+  std::uint64_t m_generation = 1;
+  std::vector<Barrier> m_barriers;
+  bool m_isScheduled = false;
+  int m_openCommits = 0;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}
--- /dev/null
+++ b/scheduler/scheduler.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "core/worker_gateway.h"
+#include "jobs/job.h"
+#include "jobs/job_configuration.h"
+#include "jobs/worker.h"
+#include "scheduler/ownership.h"
+#include "scheduler/progress_writer.h"
+#include "scheduler/scheduler_settings.h"
+#include "store/store_mirror.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bramleystall {
+
+class EventLoop;
+class Metrics;
+class Placement;
+
+/**
+ * Places the tasks of all jobs on workers while this daemon is the owner. All
+ * that it knows comes from the store and from the workers' own lists, so a
+ * successor rebuilds it after any loss.
+ */
+class Scheduler
+{
+public:
+  /** Collaborators; all outlive the scheduler. */
+  struct Environment
+  {
+    EventLoop& m_loop;
+    KeyValueStore& m_store;
+    WorkerGateway& m_workers;
+    Metrics& m_metrics;
+    /** The configuration in force. */
+    std::function<const JobConfiguration&()> m_configuration;
+    /** Whether this daemon may still give orders; see Ownership::MayOrder. */
+    std::function<bool()> m_mayOrder;
+  };
+
+  Scheduler(Environment aEnvironment,
+            const SchedulerSettings& aSettings,
+            const OwnershipGrant& aGrant);
+  ~Scheduler();
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
+  /** The store lists a worker, or its entry changed. */
+  void OnWorkerReport(const WorkerReport& aReport);
+  /** The store lists the worker no more. */
+  void OnWorkerRemoved(const std::string& aWorkerId);
+  /** All workers of the store have been reported. */
+  void OnWorkersListed();
+  void OnConfigurationChanged() { RequestPlacement(); }
+
+  /** Workers by id, for the fleet's decisions. */
+  std::map<std::string, Worker>& Workers() { return m_workers; }
+
+  /** No task starts on the worker until this is undone. */
+  void SetEvacuating(const std::string& aWorkerId, bool aIsEvacuating);
+
+  /** Stops a running task so that it resumes elsewhere. */
+  void Relocate(Task& aTask);
+
+  /** Amount of processor that runnable tasks of a pool wait for. */
+  std::int64_t WaitingCpu(const std::string& aPool) const;
+
+  /** Calls back once all that is known is stored. */
+  void AfterStored(std::function<void()> aHook)
+  {
+    m_writer.AfterStored(std::move(aHook));
+  }
+
+private:
+  // Takeover.
+  void ReadProgress(const std::string& aAfter);
+  void ReadLeasedWorkers();
+  void BeginWhenLoaded();
+  void Begin();
+  void ResolveEarlierLease(const std::string& aWorkerId);
+  bool MayBeRunningUnseen(const Job& aJob) const;
+
+  // Jobs.
+  void OnJobItem(const StoreItem& aItem);
+  void LoadJob(const std::string& aId, const StoreItem& aItem);
+  void ForgetJob(const std::string& aId);
+  void Cancel(Job& aJob);
+  void Store(Job& aJob);
+  void FinishJob(Job& aJob);
+  Task* FindTask(const std::string& aName);
+  void PublishPending();
+
+  // Placement.
+  void RequestPlacement();
+  void PlaceAll();
+  void PlacePool(const std::string& aPool,
+                 std::vector<Job*>& aJobs,
+                 Placement& aPlacement);
+  void PlaceStep(Job& aJob, int aOccurrence, int aStep, Placement& aPlacement);
+  const std::string& PoolOf(const Job& aJob) const;
+  bool IsDue(const Job& aJob, int aOccurrence) const;
+  const std::map<std::string, std::string>* TicketsFor(const Job& aJob,
+                                                       int aOccurrence,
+                                                       int aStep);
+  void AskAdvice(const std::string& aStep, const std::string& aPool);
+
+  // Tasks.
+  void StartTask(Task& aTask,
+                 Worker& aWorker,
+                 std::int64_t aAttempt,
+                 const std::string& aTicket);
+  void OnStarted(const std::string& aName,
+                 std::int64_t aAttempt,
+                 const std::string& aWorkerId,
+                 const OrderResult& aResult);
+  void StopTask(Task& aTask, TaskPhase aPhase);
+  void SendStop(const std::string& aName,
+                std::int64_t aAttempt,
+                const std::string& aWorkerId);
+  void OnStopped(const std::string& aName,
+                 std::int64_t aAttempt,
+                 const std::string& aWorkerId,
+                 const OrderResult& aResult);
+  void Assign(Task& aTask, Worker& aWorker);
+  void Release(Task& aTask);
+  std::int64_t NextAttempt(const Task& aTask) const;
+
+  // Workers.
+  /** Starts the renewals of a worker that has something to renew. */
+  void Touch(Worker& aWorker);
+  void Renew(Worker& aWorker);
+  void OnRenewed(const std::string& aWorkerId,
+                 absl::Time aSentAt,
+                 const LeaseOrderResult& aResult);
+  void StartNewLife(Worker& aWorker, std::int64_t aBornMs);
+  void ApplyRunning(Worker& aWorker,
+                    const LeaseOrderResult& aResult,
+                    absl::Time aSentAt);
+  void ApplyEnd(Worker& aWorker, const TaskEnd& aEnd);
+  void CheckProgress(Worker& aWorker, Task& aTask, const RunningTask& aRunning);
+  void NoteTaskFailure(Worker& aWorker);
+  void ScheduleRenewal(Worker& aWorker, absl::Duration aDelay);
+  void ReleaseLapsed(Worker& aWorker);
+  void LeaveDraining(Worker& aWorker);
+  void RemoveExpiredJobs();
+  std::int64_t NextLeaseEndMs(Worker& aWorker);
+  WorkerAddress AddressOf(const Worker& aWorker) const;
+  void StoreLeasedWorkers();
+  void Tick();
+
+  void After(absl::Duration aDelay, std::function<void()> aCallback);
+  Worker* FindWorker(const std::string& aWorkerId);
+
+  Environment m_env;
+  SchedulerSettings m_settings;
+  OwnershipGrant m_grant;
+  ProgressWriter m_writer;
+  std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
+  /** Jobs that are not final, in the order of their ids. */
+  std::map<std::string, Job*> m_active;
+  /** Jobs that were accepted before this term and may run unseen. */
+  std::set<const Job*> m_earlierJobs;
+  /** Monotonic time at which a final job's keys are removed. */
+  std::map<std::string, absl::Time> m_removals;
+  std::set<std::string> m_cancelled;
+  std::map<std::string, Worker> m_workers;
+  /** Workers with leases of an earlier owner that have not answered yet. */
+  std::map<std::string, std::int64_t> m_unresolved;
+  std::string m_leasedWorkersText;
+  std::map<std::string, StoreItem> m_progress;
+  struct Advice
+  {
+    std::map<std::string, std::string> m_tickets;
+    absl::Time m_validUntil = absl::InfinitePast();
+    absl::Time m_askedAt = absl::InfinitePast();
+    bool m_isOpen = false;
+  };
+  std::map<std::string, Advice> m_advice;
+  bool m_hasProgress = false;
+  bool m_hasLeasedWorkers = false;
+  bool m_hasJobs = false;
+  bool m_hasWorkers = false;
+  bool m_isRunning = false;
+  bool m_isPlacementDue = false;
+  bool m_isBarrierSet = false;
+  absl::Time m_beganAt;
+  std::string m_pendingText;
+  std::map<std::string, std::int64_t> m_waitingCpu;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  std::unique_ptr<StoreMirror> m_jobMirror;
+};
+
+}
--- /dev/null
+++ b/scheduler/scheduler_workers.cpp
@@ -0,0 +1,550 @@
+// The part of the scheduler that holds the leases of the workers and applies
+// what they list. See scheduler.h.
+
+#include "scheduler/scheduler.h"
+
+#include "core/log.h"
+#include "core/metrics.h"
+#include "jobs/placement.h"
+#include "net/event_loop.h"
+#include "scheduler/job_keys.h"
+#include "scheduler/scheduling_limits.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleystall {
+
+using nlohmann::json;
+
+void
+Scheduler::OnWorkerReport(const WorkerReport& aReport)
+{
+  Worker& worker = m_workers[aReport.m_id];
+  const bool isNew = !worker.m_isListed;
+  worker.m_report = aReport;
+  worker.m_isListed = true;
+  if (worker.m_bornMs != 0 && aReport.m_bornMs > worker.m_bornMs) {
+    StartNewLife(worker, aReport.m_bornMs);
+  }
+  if (!m_isRunning) {
+    return;
+  }
+  if (isNew) {
+    StoreLeasedWorkers();
+    Renew(worker);
+  }
+  if (aReport.m_isDraining) {
+    LeaveDraining(worker);
+  }
+  RequestPlacement();
+}
+
+void
+Scheduler::OnWorkerRemoved(const std::string& aWorkerId)
+{
+  Worker* worker = FindWorker(aWorkerId);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->m_isListed = false;
+  LogInfo(LogPart::Workers,
+          absl::StrCat("worker no longer listed; worker=",
+                       aWorkerId,
+                       " tasks=",
+                       worker->m_tasks.size()));
+}
+
+void
+Scheduler::OnWorkersListed()
+{
+  m_hasWorkers = true;
+  BeginWhenLoaded();
+}
+
+WorkerAddress
+Scheduler::AddressOf(const Worker& aWorker) const
+{
+  return { aWorker.m_report.m_id, aWorker.m_report.m_address };
+}
+
+std::int64_t
+Scheduler::NextLeaseEndMs(Worker& aWorker)
+{
+  const absl::Duration lease =
+    std::min(kWorkerLease, m_settings.m_maxWorkerLease);
+  const absl::Duration age = m_env.m_loop.Now() - aWorker.m_clockReadAt;
+  aWorker.m_leaseHorizon =
+    std::max(aWorker.m_leaseHorizon,
+             aWorker.m_clockReadAt + Stretch(age + lease) + kLeaseMargin);
+  return aWorker.m_clockMs + absl::ToInt64Milliseconds(age + lease);
+}
+
+void
+Scheduler::Touch(Worker& aWorker)
+{
+  if (!aWorker.m_isRenewing) {
+    ScheduleRenewal(aWorker, kRenewalPause);
+  }
+}
+
+void
+Scheduler::ScheduleRenewal(Worker& aWorker, absl::Duration aDelay)
+{
+  const int number = ++aWorker.m_renewalNumber;
+  After(aDelay, [this, number, id = aWorker.m_report.m_id] {
+    Worker* worker = FindWorker(id);
+    if (worker != nullptr && worker->m_renewalNumber == number) {
+      Renew(*worker);
+    }
+  });
+}
+
+void
+Scheduler::Renew(Worker& aWorker)
+{
+  if (aWorker.m_isRenewing) {
+    return;
+  }
+  if (!m_env.m_mayOrder()) {
+    ScheduleRenewal(aWorker, kRenewalRetry);
+    return;
+  }
+  aWorker.m_isRenewing = true;
+  LeaseOrder order;
+  order.m_fence = m_grant.m_fence;
+  order.m_lastRecordedEnd = aWorker.m_recordedEnd;
+  // A worker that does not answer may still get the renewal, so its lease is
+  // left to lapse. One that has not answered yet has an unknown clock.
+  const bool mayExtend = aWorker.m_unanswered == 0 &&
+                         aWorker.m_clockReadAt != absl::InfinitePast() &&
+                         !aWorker.m_tasks.empty();
+  if (mayExtend) {
+    order.m_leaseEndMs = NextLeaseEndMs(aWorker);
+    if (aWorker.m_appliedEnd == aWorker.m_recordedEnd) {
+      order.m_wait = kRenewalWait;
+    }
+  }
+  m_env.m_metrics.Count("worker_looks");
+  m_env.m_workers.RenewLease(
+    AddressOf(aWorker),
+    order,
+    [this,
+     id = aWorker.m_report.m_id,
+     sentAt = m_env.m_loop.Now(),
+     alive = m_alive](const LeaseOrderResult& aResult) {
+      if (*alive) {
+        OnRenewed(id, sentAt, aResult);
+      }
+    });
+}
+
+void
+Scheduler::OnRenewed(const std::string& aWorkerId,
+                     absl::Time aSentAt,
+                     const LeaseOrderResult& aResult)
+{
+  Worker* found = FindWorker(aWorkerId);
+  if (found == nullptr) {
+    return;
+  }
+  Worker& worker = *found;
+  worker.m_isRenewing = false;
+  if (aResult.m_outcome != OrderOutcome::Accepted) {
+    ++worker.m_unanswered;
+    if (worker.m_unanswered == 1) {
+      const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
+      LogWarning(LogPart::Workers,
+                 absl::StrCat("worker does not answer; worker=",
+                              aWorkerId,
+                              " outcome=",
+                              outcome,
+                              " tasks=",
+                              worker.m_tasks.size(),
+                              " error=",
+                              aResult.m_error));
+    }
+    if (worker.m_isListed || !worker.m_tasks.empty() ||
+        m_unresolved.contains(aWorkerId)) {
+      ScheduleRenewal(worker, kRenewalRetry);
+    }
+    return;
+  }
+  if (worker.m_unanswered > 0) {
+    worker.m_unanswered = 0;
+    RequestPlacement();
+  }
+  const bool isFirstAnswer = worker.m_clockReadAt == absl::InfinitePast();
+  if (worker.m_bornMs != 0 && aResult.m_bornMs != worker.m_bornMs) {
+    StartNewLife(worker, aResult.m_bornMs);
+  }
+  worker.m_bornMs = aResult.m_bornMs;
+  worker.m_clockMs = aResult.m_workerClockMs;
+  worker.m_clockReadAt = m_env.m_loop.Now();
+  worker.m_renewedAt = m_env.m_loop.Now();
+  const std::int64_t before = worker.m_appliedEnd;
+  for (const TaskEnd& end : aResult.m_ends) {
+    if (end.m_number > worker.m_appliedEnd) {
+      ApplyEnd(worker, end);
+      worker.m_appliedEnd = end.m_number;
+    }
+  }
+  ApplyRunning(worker, aResult, aSentAt);
+  ResolveEarlierLease(aWorkerId);
+  if (isFirstAnswer) {
+    RequestPlacement();
+  }
+  if (worker.m_appliedEnd > before) {
+    m_writer.AfterStored([this,
+                          aWorkerId,
+                          born = worker.m_bornMs,
+                          number = worker.m_appliedEnd,
+                          alive = m_alive] {
+      Worker* stored = *alive ? FindWorker(aWorkerId) : nullptr;
+      if (stored != nullptr && stored->m_bornMs == born) {
+        stored->m_recordedEnd = std::max(stored->m_recordedEnd, number);
+        Touch(*stored);
+      }
+    });
+  }
+  if (!worker.m_tasks.empty() ||
+      worker.m_appliedEnd > worker.m_recordedEnd) {
+    ScheduleRenewal(worker,
+                    worker.m_appliedEnd > worker.m_recordedEnd ? kRenewalRetry
+                                                               : kRenewalPause);
+  }
+}
+
+void
+Scheduler::StartNewLife(Worker& aWorker, std::int64_t aBornMs)
+{
+  LogInfo(LogPart::Workers,
+          absl::StrCat("worker started again; worker=",
+                       aWorker.m_report.m_id,
+                       " born_ms=",
+                       aBornMs,
+                       " tasks_lost=",
+                       aWorker.m_tasks.size()));
+  aWorker.m_bornMs = aBornMs;
+  aWorker.m_appliedEnd = 0;
+  aWorker.m_recordedEnd = 0;
+  aWorker.m_clockReadAt = absl::InfinitePast();
+  aWorker.m_failuresInARow = 0;
+  aWorker.m_isEvacuating = false;
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  for (Task* task : tasks) {
+    // A start without an answer may still reach the new life.
+    const bool mayComeLate = task->m_phase == TaskPhase::Starting ||
+                             task->m_phase == TaskPhase::Unresolved;
+    if (!mayComeLate) {
+      Release(*task);
+    }
+  }
+  ResolveEarlierLease(aWorker.m_report.m_id);
+  if (m_isRunning) {
+    Touch(aWorker);
+  }
+}
+
+void
+Scheduler::ApplyRunning(Worker& aWorker,
+                        const LeaseOrderResult& aResult,
+                        absl::Time aSentAt)
+{
+  std::set<const Task*> listed;
+  for (const RunningTask& running : aResult.m_running) {
+    Task* task = FindTask(running.m_task);
+    const bool isWanted = task != nullptr && !task->m_job->IsFinal() &&
+                          task->m_phase != TaskPhase::Done;
+    const bool isHere = task != nullptr &&
+                        task->m_worker == aWorker.m_report.m_id &&
+                        task->m_attempt == running.m_attempt;
+    if (isHere) {
+      listed.insert(task);
+    }
+    if (isWanted && !isHere && task->m_phase == TaskPhase::Waiting &&
+        running.m_attempt >= task->m_attempt) {
+      // Started by an earlier owner, or by an order that was carried out late.
+      Assign(*task, aWorker);
+      task->m_attempt = running.m_attempt;
+      task->m_phase = TaskPhase::Running;
+      task->m_startedAt = aSentAt;
+      task->m_progressAt = m_env.m_loop.Now();
+      task->m_percent = 0;
+      task->m_job->MarkStarted();
+      listed.insert(task);
+    } else if (!isWanted || !isHere) {
+      SendStop(running.m_task, running.m_attempt, aWorker.m_report.m_id);
+      continue;
+    }
+    if (task->m_phase == TaskPhase::Starting) {
+      task->m_phase = TaskPhase::Running;
+      task->m_startedAt = aSentAt;
+      task->m_progressAt = m_env.m_loop.Now();
+      task->m_job->MarkStarted();
+    }
+    if (task->m_phase == TaskPhase::Running) {
+      CheckProgress(aWorker, *task, running);
+    }
+  }
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  for (Task* task : tasks) {
+    if (listed.contains(task)) {
+      continue;
+    }
+    const bool isLost =
+      task->m_phase == TaskPhase::Running && aSentAt > task->m_startedAt;
+    const bool isStopped = aSentAt >= task->m_stopAckedAt &&
+                           (task->m_phase == TaskPhase::Stopping ||
+                            task->m_phase == TaskPhase::Unresolved);
+    if (isLost) {
+      LogWarning(LogPart::Jobs,
+                 absl::StrCat("task no longer runs; task=",
+                              task->m_job->NameOf(*task),
+                              " worker=",
+                              aWorker.m_report.m_id));
+      m_env.m_metrics.Count("tasks_lost", { { "reason", "not_listed" } });
+    }
+    if (isLost || isStopped || task->m_phase == TaskPhase::Done) {
+      Release(*task);
+    }
+  }
+}
+
+void
+Scheduler::CheckProgress(Worker& aWorker,
+                         Task& aTask,
+                         const RunningTask& aRunning)
+{
+  if (!aRunning.m_checkpoint.empty()) {
+    aTask.m_checkpoint = aRunning.m_checkpoint;
+  }
+  const absl::Time now = m_env.m_loop.Now();
+  const bool hasMoved = aRunning.m_percent != aTask.m_percent;
+  aTask.m_percent = aRunning.m_percent;
+  if (hasMoved || aTask.m_job->Spec(aTask).m_isLongRunning ||
+      aTask.m_job->Spec(aTask).m_isGang) {
+    aTask.m_progressAt = now;
+    return;
+  }
+  if (now < aTask.m_progressAt + kStallTime) {
+    return;
+  }
+  LogWarning(LogPart::Jobs,
+             absl::StrCat("task stands still; task=",
+                          aTask.m_job->NameOf(aTask),
+                          " worker=",
+                          aWorker.m_report.m_id,
+                          " percent=",
+                          aTask.m_percent));
+  m_env.m_metrics.Count("tasks_lost", { { "reason", "stalled" } });
+  aTask.m_failedOn = aWorker.m_report.m_id;
+  aWorker.m_avoidUntil = now + kSuspectPause;
+  StopTask(aTask, TaskPhase::Stopping);
+}
+
+void
+Scheduler::ApplyEnd(Worker& aWorker, const TaskEnd& aEnd)
+{
+  const std::string kind(NameOf(kTaskEndKindNames, aEnd.m_kind));
+  m_env.m_metrics.Count("task_ends", { { "kind", kind } });
+  Task* task = FindTask(aEnd.m_task);
+  if (task == nullptr) {
+    return;
+  }
+  Job& job = *task->m_job;
+  const bool isHere = task->m_worker == aWorker.m_report.m_id &&
+                      task->m_attempt == aEnd.m_attempt;
+  const bool wasFinal = job.IsFinal();
+  const bool wasStopped = task->m_phase == TaskPhase::Stopping;
+  if (isHere) {
+    Release(*task);
+  }
+  if (wasFinal || task->m_phase == TaskPhase::Done) {
+    return;
+  }
+  if (!aEnd.m_checkpoint.empty() && task->m_phase == TaskPhase::Waiting) {
+    task->m_checkpoint = aEnd.m_checkpoint;
+  }
+  if (aEnd.m_kind == TaskEndKind::Done) {
+    aWorker.m_failuresInARow = 0;
+    if (job.Spec(*task).m_isLongRunning) {
+      return;
+    }
+    if (job.Spec(*task).m_isGang) {
+      // The end of one member is the end of all.
+      for (Task& member : job.Tasks(task->m_occurrence, task->m_step)) {
+        job.MarkDone(member);
+      }
+    } else {
+      job.MarkDone(*task);
+    }
+  } else if (aEnd.m_kind == TaskEndKind::Failed) {
+    task->m_failedOn = aWorker.m_report.m_id;
+    job.MarkFailed(*task, aEnd.m_attempt);
+    NoteTaskFailure(aWorker);
+  }
+  if (aEnd.m_kind != TaskEndKind::Done && !wasStopped) {
+    LogInfo(LogPart::Jobs,
+            absl::StrCat("task ended early; task=",
+                         aEnd.m_task,
+                         " attempt=",
+                         aEnd.m_attempt,
+                         " worker=",
+                         aWorker.m_report.m_id,
+                         " kind=",
+                         kind,
+                         " failures=",
+                         task->m_failures));
+  }
+  if (job.IsFinal()) {
+    FinishJob(job);
+  } else if (aEnd.m_kind == TaskEndKind::Done ||
+             aEnd.m_kind == TaskEndKind::Failed ||
+             !aEnd.m_checkpoint.empty()) {
+    Store(job);
+  }
+  RequestPlacement();
+}
+
+void
+Scheduler::NoteTaskFailure(Worker& aWorker)
+{
+  ++aWorker.m_failuresInARow;
+  if (aWorker.m_failuresInARow >= kMaxFailuresInARow) {
+    aWorker.m_avoidUntil = m_env.m_loop.Now() + kSuspectPause;
+    LogWarning(LogPart::Workers,
+               absl::StrCat("worker is avoided; worker=",
+                            aWorker.m_report.m_id,
+                            " failures_in_a_row=",
+                            aWorker.m_failuresInARow));
+  }
+}
+
+void
+Scheduler::ReleaseLapsed(Worker& aWorker)
+{
+  if (aWorker.m_unanswered == 0 || aWorker.m_tasks.empty() ||
+      m_env.m_loop.Now() < aWorker.m_leaseHorizon) {
+    return;
+  }
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  LogWarning(LogPart::Workers,
+             absl::StrCat("leases lapsed; worker=",
+                          aWorker.m_report.m_id,
+                          " tasks=",
+                          tasks.size()));
+  m_env.m_metrics.Count(
+    "tasks_lost", { { "reason", "lease_lapsed" } }, tasks.size());
+  for (Task* task : tasks) {
+    Release(*task);
+  }
+}
+
+void
+Scheduler::LeaveDraining(Worker& aWorker)
+{
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  for (Task* task : tasks) {
+    if (task->m_job->Spec(*task).m_isLongRunning) {
+      Relocate(*task);
+    }
+  }
+}
+
+void
+Scheduler::StoreLeasedWorkers()
+{
+  json addresses = json::object();
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.m_isListed || !worker.m_tasks.empty() ||
+        m_env.m_loop.Now() < worker.m_leaseHorizon ||
+        m_unresolved.contains(id)) {
+      addresses[id] = worker.m_report.m_address;
+      ids.push_back(id);
+    }
+  }
+  std::string text = addresses.dump();
+  if (text == m_leasedWorkersText) {
+    return;
+  }
+  m_leasedWorkersText = text;
+  m_writer.Put(keys::kLeasedWorkersKey, std::move(text));
+  m_writer.AfterStored([this, ids = std::move(ids), alive = m_alive] {
+    if (!*alive) {
+      return;
+    }
+    for (const std::string& id : ids) {
+      Worker* worker = FindWorker(id);
+      if (worker != nullptr) {
+        worker->m_isRecorded = true;
+      }
+    }
+    RequestPlacement();
+  });
+}
+
+void
+Scheduler::RemoveExpiredJobs()
+{
+  const absl::Time now = m_env.m_loop.Now();
+  StoreTransaction removal;
+  for (const auto& [id, at] : m_removals) {
+    if (at <= now && removal.m_removals.size() + 3 <
+                       StoreTransaction::kMaxEntries) {
+      removal.m_removals.push_back(keys::JobKey(id));
+      removal.m_removals.push_back(keys::CancelKey(id));
+      removal.m_removals.push_back(keys::ProgressKey(id));
+    }
+  }
+  if (removal.m_removals.empty()) {
+    return;
+  }
+  removal.m_conditions = { { keys::kOwnerKey, m_grant.m_fence } };
+  m_env.m_store.Commit(removal, [](const CommitResult& aResult) {
+    // What is left is removed at a later tick.
+    if (aResult.m_status != CommitStatus::Applied) {
+      LogInfo(LogPart::Jobs,
+              absl::StrCat("final jobs not removed; error=", aResult.m_error));
+    }
+  });
+}
+
+void
+Scheduler::Tick()
+{
+  const absl::Time now = m_env.m_loop.Now();
+  for (auto it = m_workers.begin(); it != m_workers.end();) {
+    Worker& worker = it->second;
+    ReleaseLapsed(worker);
+    const bool isGone = !worker.m_isListed && worker.m_tasks.empty() &&
+                        !worker.m_isRenewing && now >= worker.m_leaseHorizon &&
+                        !m_unresolved.contains(it->first);
+    if (isGone) {
+      it = m_workers.erase(it);
+      continue;
+    }
+    if (worker.m_report.m_isDraining) {
+      LeaveDraining(worker);
+    }
+    ++it;
+  }
+  if (!m_unresolved.empty() &&
+      now >= m_grant.m_earlierHoldersEnd + Stretch(kWorkerLease) +
+               kLeaseMargin) {
+    LogInfo(LogPart::Owner,
+            absl::StrCat("leases of earlier owners have lapsed; workers=",
+                         m_unresolved.size()));
+    m_unresolved.clear();
+  }
+  StoreLeasedWorkers();
+  RemoveExpiredJobs();
+  RequestPlacement();
+  After(kTickInterval, [this] { Tick(); });
+}
+
+}
--- /dev/null
+++ b/scheduler/scheduling_limits.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace bramleystall {
+
+/** Placement runs at most this often. */
+inline constexpr absl::Duration kPlacementInterval = absl::Milliseconds(8);
+inline constexpr absl::Duration kTickInterval = absl::Milliseconds(200);
+inline constexpr absl::Duration kPendingInterval = absl::Milliseconds(800);
+/** A renewal waits this long at the worker for the end of a task. */
+inline constexpr absl::Duration kRenewalWait = absl::Milliseconds(700);
+/** Pause between two renewals, so that ends that come together share one. */
+inline constexpr absl::Duration kRenewalPause = absl::Milliseconds(50);
+inline constexpr absl::Duration kRenewalRetry = absl::Milliseconds(250);
+/**
+ * Lease of what runs on a worker. Shorter leases free the tasks of a lost
+ * worker sooner; longer ones outlast the change of the owner.
+ */
+inline constexpr absl::Duration kWorkerLease = absl::Milliseconds(4500);
+/** A worker's clock may be this much slow. */
+inline constexpr double kClockDrift = 0.02;
+/** Margin for timers and the network when a lease is taken as lapsed. */
+inline constexpr absl::Duration kLeaseMargin = absl::Milliseconds(150);
+/** A worker without room, or one that is busy, gets no start for this time. */
+inline constexpr absl::Duration kNoRoomPause = absl::Milliseconds(150);
+inline constexpr absl::Duration kBusyPause = absl::Milliseconds(600);
+/** A worker on which tasks fail or stand still is avoided for this time. */
+inline constexpr absl::Duration kSuspectPause = absl::Seconds(4);
+/** Failures in a row after which a worker is avoided. */
+inline constexpr int kMaxFailuresInARow = 3;
+/** A task whose progress stands still this long is started elsewhere. */
+inline constexpr absl::Duration kStallTime = absl::Milliseconds(1600);
+inline constexpr absl::Duration kStopRetry = absl::Milliseconds(400);
+/** Attempts of one term; each term begins a new range of numbers. */
+inline constexpr std::int64_t kAttemptsPerTerm = 1000;
+/** Workers that one call to the advice service names. */
+inline constexpr std::size_t kMaxAdvisedWorkers = 30;
+inline constexpr absl::Duration kAdviceRetry = absl::Milliseconds(500);
+
+/** Time of the own clock in which a worker's clock surely advances by this. */
+inline absl::Duration
+Stretch(absl::Duration aWorkerTime)
+{
+  return aWorkerTime * (1.0 / (1.0 - kClockDrift));
+}
+
+}
--- /dev/null
+++ b/server/job_front.cpp
@@ -0,0 +1,399 @@
+#include "server/job_front.h"
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "core/metrics.h"
+#include "jobs/job_codec.h"
+#include "net/event_loop.h"
+#include "scheduler/job_keys.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace bramleystall {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kGone = 410;
+constexpr int kContentTooLarge = 413;
+constexpr int kUnavailable = 503;
+constexpr int kOutcomeUnknown = 504;
+
+constexpr std::size_t kIdLength = 16;
+/** A condition and a put for each job. */
+constexpr std::size_t kJobsPerCommit = StoreTransaction::kMaxEntries / 2;
+/** Commits at once; jobs that come meanwhile share the next one. */
+constexpr int kMaxOpenCommits = 2;
+/** The counts may be 2 s old; the scheduler writes them each 0.8 s. */
+constexpr absl::Duration kPendingMaxAge = absl::Milliseconds(400);
+/** Seconds after which a caller whose job was refused may come back. */
+constexpr int kRetryAfterS = 1;
+
+bool
+IsJobId(const std::string& aText)
+{
+  return aText.size() == kIdLength &&
+         std::ranges::all_of(aText, [](unsigned char aChar) {
+           return std::isxdigit(aChar) != 0;
+         });
+}
+
+}
+
+JobFront::JobFront(EventLoop& aLoop,
+                   KeyValueStore& aStore,
+                   Metrics& aMetrics,
+                   CallerCodec aCodec,
+                   ConfigurationSource aConfiguration)
+  : m_loop(aLoop)
+  , m_store(aStore)
+  , m_metrics(aMetrics)
+  , m_codec(std::move(aCodec))
+  , m_configuration(std::move(aConfiguration))
+{
+}
+
+JobFront::~JobFront()
+{
+  *m_alive = false;
+}
+
+void
+JobFront::Handle(ListenerRequest aRequest, HttpListener::Responder aRespond)
+{
+  const JobConfiguration* configuration = m_configuration();
+  if (configuration == nullptr) {
+    Refuse("", "no_configuration", kUnavailable, aRespond);
+    return;
+  }
+  const QueueSpec* queue =
+    configuration->Match(aRequest.m_host, aRequest.m_path);
+  if (queue == nullptr) {
+    Refuse("", "unknown_queue", kNotFound, aRespond);
+    return;
+  }
+  const std::string id = aRequest.m_path.substr(queue->m_prefix.size());
+  if (id.empty() && aRequest.m_method == "GET") {
+    AnswerPending(queue->m_name, aRespond);
+    return;
+  }
+  if (!IsJobId(id)) {
+    Refuse(id, "bad_job_id", kBadRequest, aRespond);
+    return;
+  }
+  if (aRequest.m_method == "POST") {
+    if (configuration->m_maxBodyBytes > 0 &&
+        aRequest.m_body.size() > configuration->m_maxBodyBytes) {
+      Refuse(id, "body_too_large", kContentTooLarge, aRespond);
+      return;
+    }
+    Submit(*queue, id, aRequest.m_body, aRespond);
+  } else if (aRequest.m_method == "GET") {
+    AnswerState(id, aRespond);
+  } else if (aRequest.m_method == "DELETE") {
+    Cancel(id, aRespond);
+  } else {
+    Refuse(id, "bad_method", kMethodNotAllowed, aRespond);
+  }
+}
+
+void
+JobFront::Refuse(const std::string& aId,
+                 const char* aReason,
+                 int aStatus,
+                 const HttpListener::Responder& aRespond)
+{
+  m_metrics.Count("refusals", { { "reason", aReason } });
+  LogInfo(LogPart::Server,
+          absl::StrCat("request refused; job=",
+                       aId,
+                       " reason=",
+                       aReason,
+                       " status=",
+                       aStatus));
+  ListenerResponse response;
+  response.m_status = aStatus;
+  response.m_body = json{ { "error", aReason } }.dump();
+  response.m_retryAfterS = aStatus == kUnavailable ? kRetryAfterS : 0;
+  aRespond(std::move(response));
+}
+
+void
+JobFront::Submit(const QueueSpec& aQueue,
+                 const std::string& aId,
+                 const std::string& aBody,
+                 const HttpListener::Responder& aRespond)
+{
+  try {
+    JobRecord record = m_codec.m_decodeJob(aId, aBody);
+    record.m_queue = aQueue.m_name;
+    record.m_pool = aQueue.m_pool;
+    record.m_priority = aQueue.m_priority;
+    record.m_maxAttempts = aQueue.m_maxAttempts;
+    record.m_acceptedAtMs = ToMillis(absl::Now());
+    m_submissions.push_back({ aId, EncodeJobRecord(record), aRespond });
+  } catch (const Error& error) {
+    LogInfo(LogPart::Server,
+            absl::StrCat("bad submission; job=", aId, " error=", error.what()));
+    Refuse(aId, "bad_submission", kBadRequest, aRespond);
+    return;
+  }
+  FlushSubmissions();
+}
+
+void
+JobFront::FlushSubmissions()
+{
+  while (m_openCommits < kMaxOpenCommits && !m_submissions.empty()) {
+    StoreTransaction transaction;
+    std::vector<Submission> batch;
+    while (batch.size() < kJobsPerCommit && !m_submissions.empty()) {
+      Submission& next = m_submissions.front();
+      const std::string key = keys::JobKey(next.m_id);
+      const bool isTwice = std::ranges::any_of(
+        batch, [&](const Submission& aOther) { return aOther.m_id == next.m_id; });
+      if (isTwice) {
+        break;
+      }
+      transaction.m_conditions.push_back({ key, 0 });
+      transaction.m_puts.push_back({ key, next.m_record, 0 });
+      batch.push_back(std::move(next));
+      m_submissions.pop_front();
+    }
+    ++m_openCommits;
+    m_store.Commit(transaction,
+                   [this, batch = std::move(batch), alive = m_alive](
+                     const CommitResult& aResult) mutable {
+                     if (*alive) {
+                       OnCommitted(std::move(batch), aResult);
+                     }
+                   });
+  }
+}
+
+void
+JobFront::OnCommitted(std::vector<Submission> aBatch,
+                      const CommitResult& aResult)
+{
+  --m_openCommits;
+  for (Submission& submission : aBatch) {
+    const std::string key = keys::JobKey(submission.m_id);
+    switch (aResult.m_status) {
+      case CommitStatus::Applied:
+        Accept(submission, "stored");
+        break;
+      case CommitStatus::Conflict: {
+        const bool isStored = std::ranges::any_of(
+          aResult.m_current, [&key](const StoreItem& aItem) {
+            return aItem.m_key == key && aItem.m_revision > 0;
+          });
+        if (isStored) {
+          Accept(submission, "known");
+        } else {
+          m_submissions.push_back(std::move(submission));
+        }
+        break;
+      }
+      case CommitStatus::LeaseGone:
+      case CommitStatus::NotApplied:
+        Refuse(submission.m_id,
+               "store_unavailable",
+               kUnavailable,
+               submission.m_respond);
+        break;
+      case CommitStatus::Unknown:
+        ReadBack(submission);
+        break;
+    }
+  }
+  FlushSubmissions();
+}
+
+void
+JobFront::ReadBack(const Submission& aSubmission)
+{
+  m_metrics.Count("retries", { { "reason", "acceptance_unknown" } });
+  m_store.Get(keys::JobKey(aSubmission.m_id),
+              [this, aSubmission, alive = m_alive](const ReadResult& aResult) {
+                if (!*alive) {
+                  return;
+                }
+                if (aResult.m_status == ReadStatus::Ok &&
+                    !aResult.m_items.empty()) {
+                  Accept(aSubmission, "read_back");
+                  return;
+                }
+                // The store may still apply the write, so nothing certain can
+                // be said; the caller asks again with the same id.
+                Refuse(aSubmission.m_id,
+                       "outcome_unknown",
+                       kOutcomeUnknown,
+                       aSubmission.m_respond);
+              });
+}
+
+void
+JobFront::Accept(const Submission& aSubmission, const char* aHow)
+{
+  m_metrics.Count("jobs_accepted", { { "how", aHow } });
+  LogInfo(
+    LogPart::Server,
+    absl::StrCat("job accepted; job=", aSubmission.m_id, " how=", aHow));
+  aSubmission.m_respond({ .m_status = kOk, .m_body = "{}" });
+}
+
+void
+JobFront::AnswerState(const std::string& aId,
+                      const HttpListener::Responder& aRespond)
+{
+  m_store.Get(
+    keys::ProgressKey(aId),
+    [this, aId, aRespond, alive = m_alive](const ReadResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      if (aResult.m_status != ReadStatus::Ok) {
+        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
+        return;
+      }
+      if (aResult.m_items.empty()) {
+        AnswerIfStored(aId, aRespond);
+        return;
+      }
+      const json body =
+        json::parse(aResult.m_items.front().m_value, nullptr, false);
+      const std::string state =
+        body.is_object() ? body.value("state", "") : "";
+      if (state.empty()) {
+        LogError(LogPart::Server,
+                 absl::StrCat("unreadable progress; job=", aId));
+        Refuse(aId, "unreadable_progress", kUnavailable, aRespond);
+        return;
+      }
+      aRespond({ .m_status = kOk, .m_body = m_codec.m_encodeState(state) });
+    });
+}
+
+void
+JobFront::AnswerIfStored(const std::string& aId,
+                         const HttpListener::Responder& aRespond)
+{
+  m_store.Get(
+    keys::JobKey(aId),
+    [this, aId, aRespond, alive = m_alive](const ReadResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      if (aResult.m_status != ReadStatus::Ok) {
+        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
+      } else if (aResult.m_items.empty()) {
+        Refuse(aId, "unknown_job", kGone, aRespond);
+      } else {
+        aRespond(
+          { .m_status = kOk, .m_body = m_codec.m_encodeState("queued") });
+      }
+    });
+}
+
+void
+JobFront::Cancel(const std::string& aId,
+                 const HttpListener::Responder& aRespond)
+{
+  m_store.Get(
+    keys::JobKey(aId),
+    [this, aId, aRespond, alive = m_alive](const ReadResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      if (aResult.m_status != ReadStatus::Ok) {
+        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
+      } else if (aResult.m_items.empty()) {
+        Refuse(aId, "unknown_job", kGone, aRespond);
+      } else {
+        WriteCancel(aId, aResult.m_items.front().m_revision, aRespond);
+      }
+    });
+}
+
+void
+JobFront::WriteCancel(const std::string& aId,
+                      std::int64_t aRevision,
+                      const HttpListener::Responder& aRespond)
+{
+  StoreTransaction transaction;
+  transaction.m_conditions = { { keys::JobKey(aId), aRevision } };
+  transaction.m_puts = { { keys::CancelKey(aId), "{}", 0 } };
+  m_store.Commit(
+    transaction,
+    [this, aId, aRespond, alive = m_alive](const CommitResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      switch (aResult.m_status) {
+        case CommitStatus::Applied:
+          LogInfo(LogPart::Server, absl::StrCat("job cancelled; job=", aId));
+          m_metrics.Count("jobs_cancelled");
+          aRespond({ .m_status = kOk, .m_body = "{}" });
+          break;
+        case CommitStatus::Conflict:
+          Refuse(aId, "unknown_job", kGone, aRespond);
+          break;
+        case CommitStatus::LeaseGone:
+        case CommitStatus::NotApplied:
+          Refuse(aId, "store_unavailable", kUnavailable, aRespond);
+          break;
+        case CommitStatus::Unknown:
+          Refuse(aId, "outcome_unknown", kOutcomeUnknown, aRespond);
+          break;
+      }
+    });
+}
+
+void
+JobFront::AnswerPending(const std::string& aQueue,
+                        const HttpListener::Responder& aRespond)
+{
+  const auto answer = [this, aQueue, aRespond] {
+    const auto found = m_pending.find(aQueue);
+    const std::int64_t count = found == m_pending.end() ? 0 : found->second;
+    aRespond({ .m_status = kOk, .m_body = m_codec.m_encodePending(count) });
+  };
+  if (m_loop.Now() < m_pendingReadAt + kPendingMaxAge) {
+    answer();
+    return;
+  }
+  m_store.Get(
+    keys::kPendingKey,
+    [this, answer, aRespond, alive = m_alive](const ReadResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      if (aResult.m_status != ReadStatus::Ok) {
+        Refuse("", "store_unavailable", kUnavailable, aRespond);
+        return;
+      }
+      m_pending.clear();
+      for (const StoreItem& item : aResult.m_items) {
+        const json counts = json::parse(item.m_value, nullptr, false);
+        if (counts.is_object()) {
+          m_pending = counts.get<std::map<std::string, std::int64_t>>();
+        }
+      }
+      m_pendingReadAt = m_loop.Now();
+      answer();
+    });
+}
+
+}
--- /dev/null
+++ b/server/job_front.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "jobs/job_configuration.h"
+#include "jobs/job_record.h"
+#include "net/http_listener.h"
+#include "store/key_value_store.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+class EventLoop;
+class Metrics;
+
+/** How callers' bodies are read and written. */
+struct CallerCodec
+{
+  /** Throws Error (InvalidInput). */
+  std::function<JobRecord(const std::string& aId, const std::string& aBody)>
+    m_decodeJob;
+  std::function<std::string(const std::string& aState)> m_encodeState;
+  std::function<std::string(std::int64_t aCount)> m_encodePending;
+};
+
+/**
+ * Callers' interface for jobs. It keeps no state of its own: a job is accepted
+ * once its record is stored, and each answer about one comes from the store.
+ */
+class JobFront
+{
+public:
+  /** The configuration in force, or null before the first one. */
+  using ConfigurationSource = std::function<const JobConfiguration*()>;
+
+  JobFront(EventLoop& aLoop,
+           KeyValueStore& aStore,
+           Metrics& aMetrics,
+           CallerCodec aCodec,
+           ConfigurationSource aConfiguration);
+  ~JobFront();
+  JobFront(const JobFront&) = delete;
+  JobFront& operator=(const JobFront&) = delete;
+
+  void Handle(ListenerRequest aRequest, HttpListener::Responder aRespond);
+
+private:
+  struct Submission
+  {
+    std::string m_id;
+    std::string m_record;
+    HttpListener::Responder m_respond;
+  };
+
+  void Submit(const QueueSpec& aQueue,
+              const std::string& aId,
+              const std::string& aBody,
+              const HttpListener::Responder& aRespond);
+  void FlushSubmissions();
+  void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
+  void ReadBack(const Submission& aSubmission);
+  void Accept(const Submission& aSubmission, const char* aHow);
+  void AnswerState(const std::string& aId,
+                   const HttpListener::Responder& aRespond);
+  void AnswerIfStored(const std::string& aId,
+                      const HttpListener::Responder& aRespond);
+  void Cancel(const std::string& aId, const HttpListener::Responder& aRespond);
+  void WriteCancel(const std::string& aId,
+                   std::int64_t aRevision,
+                   const HttpListener::Responder& aRespond);
+  void AnswerPending(const std::string& aQueue,
+                     const HttpListener::Responder& aRespond);
+  void Refuse(const std::string& aId,
+              const char* aReason,
+              int aStatus,
+              const HttpListener::Responder& aRespond);
+
+  EventLoop& m_loop;
+  KeyValueStore& m_store;
+  Metrics& m_metrics;
+  CallerCodec m_codec;
+  ConfigurationSource m_configuration;
+  std::deque<Submission> m_submissions;
+  int m_openCommits = 0;
+  std::map<std::string, std::int64_t> m_pending;
+  absl::Time m_pendingReadAt = absl::InfinitePast();
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}
--- a/tests/cli/test_publish_command.cpp
+++ b/tests/cli/test_publish_command.cpp
@@ -1,4 +1,4 @@
-#include "platform/configuration_publisher.h"
+#include "consul/configuration_publisher.h"
 #include "tests/cli/tool_fixture.h"
 
 #include <catch2/catch.hpp>
--- a/tests/cli/test_publish_process.cpp
+++ b/tests/cli/test_publish_process.cpp
@@ -1,5 +1,5 @@
 #include "core/clock.h"
-#include "platform/http_client.h"
+#include "consul/http_client.h"
 #include "tests/cli/tool_fixture.h"
 #include "tests/fakes/child_process.h"
 
--- a/tests/platform/test_configuration_publisher.cpp
+++ b/tests/consul/test_configuration_publisher.cpp
@@ -1,6 +1,6 @@
 #include "core/configuration_codec.h"
 #include "core/error.h"
-#include "platform/configuration_publisher.h"
+#include "consul/configuration_publisher.h"
 #include "tests/fakes/fake_platform_store.h"
 
 #include <absl/strings/str_cat.h>
--- a/tests/platform/test_order_writer.cpp
+++ b/tests/consul/test_order_writer.cpp
@@ -1,5 +1,5 @@
 #include "core/error.h"
-#include "platform/order_writer.h"
+#include "consul/order_writer.h"
 #include "tests/fakes/fake_platform_store.h"
 
 #include <absl/strings/str_cat.h>
--- a/tests/platform/test_publish_interleavings.cpp
+++ b/tests/consul/test_publish_interleavings.cpp
@@ -1,5 +1,5 @@
 #include "core/error.h"
-#include "platform/configuration_publisher.h"
+#include "consul/configuration_publisher.h"
 #include "tests/fakes/fake_platform_store.h"
 #include "tests/fakes/interleaving.h"
 
--- a/tests/fakes/deployment.cpp
+++ b/tests/fakes/deployment.cpp
@@ -2,9 +2,9 @@
 
 #include "core/configuration_codec.h"
 #include "core/service_file.h"
-#include "platform/configuration_publisher.h"
-#include "platform/consul_store.h"
-#include "platform/http_client.h"
+#include "consul/configuration_publisher.h"
+#include "consul/consul_store.h"
+#include "consul/http_client.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
--- a/tests/fakes/interleaving.h
+++ b/tests/fakes/interleaving.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/error.h"
-#include "platform/platform_store.h"
+#include "consul/platform_store.h"
 #include "tests/fakes/fake_platform_store.h"
 
 #include <any>
--- a/tests/naive/polling_reader.h
+++ b/tests/naive/polling_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/configuration.h"
-#include "platform/platform_store.h"
+#include "consul/platform_store.h"
 
 #include <absl/time/time.h>
 
--- a/tests/server/test_admin_server.cpp
+++ b/tests/server/test_admin_server.cpp
@@ -1,5 +1,5 @@
 #include "core/error.h"
-#include "platform/http_client.h"
+#include "consul/http_client.h"
 #include "server/admin_server.h"
 
 #include <absl/strings/str_cat.h>
--- a/tests/stand_ins/test_caller_stand_in.cpp
+++ b/tests/stand_ins/test_caller_stand_in.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "consul/http_client.h"
 #include "tests/fakes/child_process.h"
 
 #include <absl/strings/match.h>
