Move machines with the demand and carry out maintenance waves

Two candidates could also take the owner key from each other, since the condition used the newest revision instead of the one that was decided on. Change: the fleet keeper; the owner key is taken at the decided revision; what ran on a machine that has a new worker, or on an address that answers for another worker, has ended.

--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -25,6 +25,8 @@
 constexpr absl::Duration kExitMargin = absl::Milliseconds(700);
 /** The balancer needs two misses, a second apart, to see the shutdown. */
 constexpr absl::Duration kMinShutdown = absl::Milliseconds(2500);
+/** Added to the time in which two holders do not order the same machine. */
+constexpr absl::Duration kMachineTurnMargin = absl::Milliseconds(300);
 constexpr absl::Duration kIdlePoll = absl::Milliseconds(50);
 /** Longest time that the shutdown waits to store the progress. */
 constexpr absl::Duration kHandoverTime = absl::Milliseconds(300);
@@ -144,6 +146,9 @@
                        wave.m_machines.size(),
                        " cap=",
                        wave.m_maxConcurrent));
+  if (m_fleet) {
+    m_fleet->OnWave(wave);
+  }
   m_waves[wave.m_number] = std::move(wave);
 }
 
@@ -168,20 +173,47 @@
 JobDaemon::StartScheduling(const OwnershipGrant& aGrant)
 {
   static const JobConfiguration kNoConfiguration;
+  const auto configuration = [this]() -> const JobConfiguration& {
+    return m_configuration ? *m_configuration : kNoConfiguration;
+  };
   m_scheduler = std::make_unique<Scheduler>(
     Scheduler::Environment{
       .m_loop = m_loop,
       .m_store = m_store,
       .m_workers = m_workers,
       .m_metrics = m_metrics,
-      .m_configuration = [this]() -> const JobConfiguration& {
-        return m_configuration ? *m_configuration : kNoConfiguration;
-      },
+      .m_configuration = configuration,
       .m_mayOrder = [this] { return m_ownership->MayOrder(); } },
     SchedulerSettings{ .m_maxWorkerLease = m_settings.m_maxWorkerLease,
                        .m_jobRetention = m_settings.m_jobRetention,
                        .m_stopTime = m_settings.m_stopTime },
     aGrant);
+  // The orders of an earlier owner may be as new as its last renewal.
+  const absl::Duration turn =
+    aGrant.m_term > 1 ? m_settings.m_machineTurn + kMachineTurnMargin
+                      : absl::ZeroDuration();
+  m_fleet = std::make_unique<FleetKeeper>(
+    FleetKeeper::Environment{
+      .m_loop = m_loop,
+      .m_store = m_store,
+      .m_machines = m_machines,
+      .m_scheduler = *m_scheduler,
+      .m_metrics = m_metrics,
+      .m_configuration = configuration,
+      .m_holdsLease = [this] { return m_ownership->HoldsLease(); },
+      .m_waveStatusKey =
+        [](std::int64_t aWave) {
+          return absl::StrCat(wire::kWaveStatusPrefix, aWave);
+        },
+      .m_encodeWaveStatus = wire::EncodeWaveStatus },
+    FleetSettings{ .m_moveTime = m_settings.m_moveTime,
+                   .m_upkeepTime = m_settings.m_upkeepTime },
+    MachineAuthority{ .m_holder = m_settings.m_daemon,
+                      .m_fence = aGrant.m_fence },
+    m_loop.Now() + turn);
+  for (const auto& [number, wave] : m_waves) {
+    m_fleet->OnWave(wave);
+  }
   m_workerMirror = std::make_unique<StoreMirror>(
     m_loop,
     m_store,
@@ -198,6 +230,7 @@
 JobDaemon::StopScheduling()
 {
   m_workerMirror.reset();
+  m_fleet.reset();
   m_scheduler.reset();
 }
 
--- a/daemon/job_daemon.h
+++ b/daemon/job_daemon.h
@@ -10,6 +10,7 @@
 #include "platform/kv_store_client.h"
 #include "platform/machine_client.h"
 #include "platform/worker_client.h"
+#include "scheduler/fleet_keeper.h"
 #include "scheduler/ownership.h"
 #include "scheduler/scheduler.h"
 #include "server/job_front.h"
@@ -65,6 +66,7 @@
   std::optional<JobConfiguration> m_configuration;
   std::map<std::int64_t, MaintenanceWave> m_waves;
   std::unique_ptr<Scheduler> m_scheduler;
+  std::unique_ptr<FleetKeeper> m_fleet;
   std::unique_ptr<StoreMirror> m_workerMirror;
   std::unique_ptr<StoreMirror> m_operatorMirror;
   std::unique_ptr<Ownership> m_ownership;
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -62,6 +62,10 @@
     return m_record.m_steps[static_cast<std::size_t>(aTask.m_step)];
   }
   std::vector<Task>& Tasks(int aOccurrence, int aStep);
+  const std::vector<Task>& Tasks(int aOccurrence, int aStep) const
+  {
+    return StepAt(aOccurrence, aStep).m_tasks;
+  }
   /** Task with a name, or null when the job has no such task. */
   Task* Find(const TaskName& aName);
   std::string NameOf(const Task& aTask) const;
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -108,7 +108,7 @@
     if (worker->m_report.m_id != aTask.m_failedOn) {
       preference += 4;
     }
-    const std::pair rank(preference, free.m_cpu);
+    const std::pair rank(preference, -free.m_cpu);
     if (best == nullptr || rank > bestRank) {
       best = worker;
       bestRank = rank;
--- a/jobs/placement.h
+++ b/jobs/placement.h
@@ -29,7 +29,8 @@
 
   /**
    * Worker for a task, or null when none fits now. A worker of the rack with
-   * the step's data goes first, then the one with most processors free.
+   * the step's data goes first, then the fullest one, so that machines stay
+   * empty and can leave the pool.
    */
   Worker* Choose(const Task& aTask, const WorkerFilter& aFilter) const;
 
--- /dev/null
+++ b/scheduler/fleet_keeper.cpp
@@ -0,0 +1,586 @@
+#include "scheduler/fleet_keeper.h"
+
+#include "core/log.h"
+#include "core/metrics.h"
+#include "jobs/job_configuration.h"
+#include "net/event_loop.h"
+#include "scheduler/job_keys.h"
+#include "scheduler/scheduler.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bramleystall {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr absl::Duration kStepInterval = absl::Milliseconds(200);
+/** Machines are listed this often; each reading counts as a call. */
+constexpr absl::Duration kListInterval = absl::Milliseconds(1000);
+/** A refused order is tried again after this time. */
+constexpr absl::Duration kRefusedPause = absl::Milliseconds(1000);
+/** An accepted order whose worker has not come is looked up in the list. */
+constexpr absl::Duration kArrivalMargin = absl::Milliseconds(1500);
+/** An upkeep counts as over only this long after its stated time. */
+constexpr absl::Duration kUpkeepMargin = absl::Milliseconds(300);
+/**
+ * An idle machine goes to the standby pool after this time. A move there and
+ * back costs as much as 2.3 s of standing in a pool.
+ */
+constexpr absl::Duration kIdleBeforeStandby = absl::Milliseconds(1200);
+/** An idle machine may go to a pool in need after this time. */
+constexpr absl::Duration kIdleBeforeMove = absl::Milliseconds(300);
+/** Share of a wave's time after which machines with tasks are emptied. */
+constexpr double kEvacuateFrom = 0.1;
+/** Share of a wave's time after which its machines are emptied in any case. */
+constexpr double kForceFrom = 0.6;
+/** Machines of a pool beyond its measured load. */
+constexpr double kHeadroom = 1.1;
+
+std::string
+WaveKey(std::int64_t aWave)
+{
+  return absl::StrCat(keys::kWavePrefix, aWave);
+}
+
+}
+
+FleetKeeper::FleetKeeper(Environment aEnvironment,
+                         const FleetSettings& aSettings,
+                         MachineAuthority aAuthority,
+                         absl::Time aOrdersFrom)
+  : m_env(std::move(aEnvironment))
+  , m_settings(aSettings)
+  , m_authority(std::move(aAuthority))
+  , m_ordersFrom(aOrdersFrom)
+{
+  ReadWaveProgress();
+  Step();
+}
+
+FleetKeeper::~FleetKeeper()
+{
+  *m_alive = false;
+}
+
+void
+FleetKeeper::OnWave(const MaintenanceWave& aWave)
+{
+  WaveState& state = m_waves[aWave.m_number];
+  if (state.m_wave.m_number == 0) {
+    state.m_knownAt = m_env.m_loop.Now();
+  }
+  state.m_wave = aWave;
+}
+
+void
+FleetKeeper::ReadWaveProgress()
+{
+  m_env.m_store.List(
+    keys::kWavePrefix, "", [this, alive = m_alive](const ReadResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      if (aResult.m_status != ReadStatus::Ok) {
+        m_env.m_loop.After(kStepInterval, [this, alive] {
+          if (*alive) {
+            ReadWaveProgress();
+          }
+        });
+        return;
+      }
+      for (const StoreItem& item : aResult.m_items) {
+        ApplyWaveProgress(item);
+      }
+      m_hasWaveProgress = true;
+    });
+}
+
+void
+FleetKeeper::ApplyWaveProgress(const StoreItem& aItem)
+{
+  m_env.m_scheduler.Know(aItem.m_key, aItem.m_revision);
+  const json body = json::parse(aItem.m_value, nullptr, false);
+  if (!body.is_array()) {
+    LogError(LogPart::Fleet, absl::StrCat("unreadable ", aItem.m_key));
+    return;
+  }
+  m_storedDone[aItem.m_key] = body.get<std::set<std::string>>();
+}
+
+bool
+FleetKeeper::MayOrder() const
+{
+  return m_env.m_loop.Now() >= m_ordersFrom && m_env.m_holdsLease();
+}
+
+void
+FleetKeeper::Step()
+{
+  if (m_env.m_loop.Now() >= m_listedAt + kListInterval && !m_isListing) {
+    ListMachines();
+  }
+  CloseOrders();
+  for (const auto& [name, machine] : m_machines) {
+    const Worker* worker = WorkerOn(machine);
+    if (worker == nullptr || !worker->m_tasks.empty()) {
+      m_idleSince.erase(name);
+    } else {
+      m_idleSince.try_emplace(name, m_env.m_loop.Now());
+    }
+  }
+  if (m_hasWaveProgress && !m_machines.empty() && MayOrder()) {
+    WorkOnWaves();
+    Rebalance();
+  }
+  m_env.m_loop.After(kStepInterval, [this, alive = m_alive] {
+    if (*alive) {
+      Step();
+    }
+  });
+}
+
+void
+FleetKeeper::ListMachines()
+{
+  m_isListing = true;
+  const absl::Time sentAt = m_env.m_loop.Now();
+  m_env.m_machines.List(
+    [this, sentAt, alive = m_alive](MachineListResult aResult) {
+      if (*alive) {
+        m_isListing = false;
+        OnListed(sentAt, std::move(aResult));
+      }
+    });
+}
+
+void
+FleetKeeper::OnListed(absl::Time aSentAt, MachineListResult aResult)
+{
+  m_listedAt = m_env.m_loop.Now();
+  if (!aResult.m_isComplete) {
+    m_env.m_metrics.Count("retries", { { "reason", "machine_list" } });
+    return;
+  }
+  m_machines.clear();
+  for (MachineEntry& entry : aResult.m_machines) {
+    const std::string name = entry.m_name;
+    m_machines[name] = std::move(entry);
+  }
+  std::erase_if(m_orders, [&](const auto& aEntry) {
+    const auto& [name, order] = aEntry;
+    const auto found = m_machines.find(name);
+    const absl::Duration time =
+      order.m_wave != 0 ? m_settings.m_upkeepTime : m_settings.m_moveTime;
+    const bool isOver = found == m_machines.end() ||
+                        found->second.m_state == MachineState::Up ||
+                        found->second.m_state == MachineState::Down;
+    return order.m_isAccepted && isOver &&
+           aSentAt > order.m_sentAt + time + kArrivalMargin;
+  });
+}
+
+Worker*
+FleetKeeper::WorkerOn(const MachineEntry& aMachine)
+{
+  return m_env.m_scheduler.WorkerOnMachine(aMachine.m_name);
+}
+
+void
+FleetKeeper::CloseOrders()
+{
+  const absl::Time now = m_env.m_loop.Now();
+  for (auto it = m_orders.begin(); it != m_orders.end();) {
+    const OpenOrder& order = it->second;
+    const auto machine = m_machines.find(it->first);
+    const Worker* worker =
+      machine == m_machines.end() ? nullptr : WorkerOn(machine->second);
+    const bool hasArrived =
+      order.m_isAccepted && worker != nullptr &&
+      worker->m_report.m_id != order.m_workerId &&
+      (order.m_pool.empty() || worker->m_report.m_pool == order.m_pool);
+    const bool isTimeOver =
+      order.m_wave == 0 ||
+      now >= order.m_sentAt + m_settings.m_upkeepTime + kUpkeepMargin;
+    if (hasArrived && isTimeOver) {
+      machine->second.m_pool = worker->m_report.m_pool;
+      machine->second.m_state = MachineState::Up;
+      it = m_orders.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+bool
+FleetKeeper::IsInOpenWave(const std::string& aMachine) const
+{
+  return std::ranges::any_of(m_waves, [&aMachine](const auto& aEntry) {
+    const WaveState& state = aEntry.second;
+    return !state.m_isCompleted && !state.m_done.contains(aMachine) &&
+           std::ranges::find(state.m_wave.m_machines, aMachine) !=
+             state.m_wave.m_machines.end();
+  });
+}
+
+void
+FleetKeeper::WorkOnWaves()
+{
+  for (auto& [number, state] : m_waves) {
+    if (!state.m_hasProgress) {
+      state.m_hasProgress = true;
+      const auto stored = m_storedDone.find(WaveKey(number));
+      if (stored != m_storedDone.end()) {
+        state.m_done = stored->second;
+      }
+      PublishWave(state);
+    }
+    if (!state.m_isCompleted) {
+      WorkOnWave(state);
+    }
+  }
+}
+
+void
+FleetKeeper::WorkOnWave(WaveState& aState)
+{
+  const MaintenanceWave& wave = aState.m_wave;
+  int down = 0;
+  for (const std::string& name : wave.m_machines) {
+    const auto order = m_orders.find(name);
+    const auto machine = m_machines.find(name);
+    const bool isOrdered =
+      order != m_orders.end() && order->second.m_wave == wave.m_number;
+    const bool isDown = machine != m_machines.end() &&
+                        machine->second.m_state == MachineState::Upkeep;
+    down += isOrdered || isDown ? 1 : 0;
+  }
+  const double elapsed =
+    absl::ToDoubleSeconds(m_env.m_loop.Now() - aState.m_knownAt);
+  const double urgency =
+    wave.m_durationS > 0 ? elapsed / wave.m_durationS : 1.0;
+  bool isOpen = false;
+  for (const std::string& name : wave.m_machines) {
+    const auto machine = m_machines.find(name);
+    if (machine == m_machines.end() || aState.m_done.contains(name)) {
+      continue;
+    }
+    isOpen = true;
+    const auto pause = m_pauseUntil.find(name);
+    const bool isPaused = pause != m_pauseUntil.end() &&
+                          m_env.m_loop.Now() < pause->second;
+    if (m_orders.contains(name) || isPaused ||
+        machine->second.m_state != MachineState::Up) {
+      continue;
+    }
+    Worker* worker = WorkerOn(machine->second);
+    if (worker != nullptr && !worker->m_tasks.empty()) {
+      if (MayTakeForUpkeep(machine->second, *worker, urgency)) {
+        worker->m_isEvacuating = true;
+        m_env.m_scheduler.EvacuateLongRunning(*worker);
+      }
+      continue;
+    }
+    if (down < wave.m_maxConcurrent) {
+      ++down;
+      Maintain(machine->second, wave.m_number);
+    }
+  }
+  if (!isOpen && down == 0) {
+    aState.m_isCompleted = true;
+    LogInfo(LogPart::Fleet,
+            absl::StrCat("wave completed; wave=", wave.m_number));
+    PublishWave(aState);
+  }
+}
+
+bool
+FleetKeeper::MayTakeForUpkeep(const MachineEntry& aMachine,
+                              const Worker& aWorker,
+                              double aUrgency)
+{
+  if (aWorker.m_isEvacuating || aUrgency >= kForceFrom) {
+    return true;
+  }
+  if (aUrgency < kEvacuateFrom ||
+      m_env.m_scheduler.WaitingLoad(aMachine.m_pool) > 0) {
+    return false;
+  }
+  // One machine of a pool at a time is emptied while there is time.
+  return std::ranges::none_of(m_machines, [&](const auto& aEntry) {
+    const Worker* other = WorkerOn(aEntry.second);
+    return aEntry.second.m_pool == aMachine.m_pool && other != nullptr &&
+           other->m_isEvacuating;
+  });
+}
+
+void
+FleetKeeper::Maintain(const MachineEntry& aMachine, std::int64_t aWave)
+{
+  Worker* worker = WorkerOn(aMachine);
+  OpenOrder order;
+  order.m_wave = aWave;
+  order.m_sentAt = m_env.m_loop.Now();
+  if (worker != nullptr) {
+    order.m_workerId = worker->m_report.m_id;
+    worker->m_isEvacuating = true;
+  }
+  m_orders[aMachine.m_name] = order;
+  m_env.m_machines.Maintain(
+    aMachine.m_name,
+    aWave,
+    m_authority,
+    [this, name = aMachine.m_name, alive = m_alive](MachineOutcome aOutcome) {
+      if (*alive) {
+        OnMaintained(name, aOutcome);
+      }
+    });
+}
+
+void
+FleetKeeper::OnMaintained(const std::string& aMachine, MachineOutcome aOutcome)
+{
+  const std::string outcome(NameOf(kMachineOutcomeNames, aOutcome));
+  m_env.m_metrics.Count("upkeeps", { { "outcome", outcome } });
+  const auto found = m_orders.find(aMachine);
+  if (found == m_orders.end()) {
+    return;
+  }
+  OpenOrder& order = found->second;
+  LogInfo(LogPart::Fleet,
+          absl::StrCat("upkeep ordered; machine=",
+                       aMachine,
+                       " wave=",
+                       order.m_wave,
+                       " outcome=",
+                       outcome));
+  order.m_isCalling = false;
+  if (aOutcome == MachineOutcome::Accepted) {
+    order.m_isAccepted = true;
+    m_env.m_scheduler.OnWorkerEnded(order.m_workerId);
+    NoteDone(aMachine, order.m_wave);
+    return;
+  }
+  m_pauseUntil[aMachine] = m_env.m_loop.Now() + kRefusedPause;
+  if (aOutcome == MachineOutcome::Unknown) {
+    // It may still be carried out; the same call again tells, since it is
+    // accepted when the upkeep is already done.
+    m_env.m_loop.After(
+      kRefusedPause, [this, aMachine, alive = m_alive] {
+        const auto open =
+          *alive ? m_orders.find(aMachine) : m_orders.end();
+        if (!*alive || open == m_orders.end() || !MayOrder()) {
+          return;
+        }
+        m_env.m_machines.Maintain(
+          aMachine,
+          open->second.m_wave,
+          m_authority,
+          [this, aMachine, alive](MachineOutcome aAgain) {
+            if (*alive) {
+              OnMaintained(aMachine, aAgain);
+            }
+          });
+      });
+    return;
+  }
+  if (aOutcome == MachineOutcome::NotInWave ||
+      aOutcome == MachineOutcome::Invalid) {
+    NoteDone(aMachine, order.m_wave);
+  }
+  m_env.m_scheduler.SetEvacuating(order.m_workerId, false);
+  m_orders.erase(found);
+}
+
+void
+FleetKeeper::NoteDone(const std::string& aMachine, std::int64_t aWave)
+{
+  const auto found = m_waves.find(aWave);
+  if (found == m_waves.end()) {
+    return;
+  }
+  found->second.m_done.insert(aMachine);
+  m_env.m_scheduler.Put(WaveKey(aWave), json(found->second.m_done).dump());
+}
+
+void
+FleetKeeper::PublishWave(const WaveState& aState)
+{
+  m_env.m_scheduler.Put(m_env.m_waveStatusKey(aState.m_wave.m_number),
+                        m_env.m_encodeWaveStatus(aState.m_isCompleted));
+}
+
+// Moves.
+
+bool
+FleetKeeper::IsIdle(const MachineEntry& aMachine, absl::Duration aFor)
+{
+  const auto since = m_idleSince.find(aMachine.m_name);
+  const auto pause = m_pauseUntil.find(aMachine.m_name);
+  const absl::Time now = m_env.m_loop.Now();
+  return aMachine.m_state == MachineState::Up &&
+         !m_orders.contains(aMachine.m_name) &&
+         (pause == m_pauseUntil.end() || now >= pause->second) &&
+         since != m_idleSince.end() && now >= since->second + aFor;
+}
+
+std::map<std::string, FleetKeeper::PoolLoad>
+FleetKeeper::MeasurePools()
+{
+  std::map<std::string, PoolLoad> pools;
+  for (const auto& [name, spec] : m_env.m_configuration().m_pools) {
+    pools[name].m_isStandby = spec.m_isStandby;
+  }
+  for (const auto& [name, machine] : m_machines) {
+    const auto order = m_orders.find(name);
+    if (order != m_orders.end() && order->second.m_wave == 0) {
+      ++pools[order->second.m_pool].m_incoming;
+    } else if (order != m_orders.end()) {
+      ++pools[machine.m_pool].m_incoming;
+    } else if (machine.m_state == MachineState::Up) {
+      ++pools[machine.m_pool].m_machines;
+    }
+  }
+  for (auto& [name, pool] : pools) {
+    const double load = m_env.m_scheduler.UsedLoad(name) +
+                        m_env.m_scheduler.WaitingLoad(name);
+    pool.m_desired =
+      std::max(m_env.m_scheduler.MinimumWorkers(name),
+               static_cast<int>(std::ceil(load * kHeadroom)));
+  }
+  return pools;
+}
+
+const MachineEntry*
+FleetKeeper::FindSource(const std::string& aPool,
+                        std::map<std::string, PoolLoad>& aPools)
+{
+  const MachineEntry* best = nullptr;
+  for (const auto& [name, machine] : m_machines) {
+    const auto from = aPools.find(machine.m_pool);
+    if (from == aPools.end() || machine.m_pool == aPool) {
+      continue;
+    }
+    if (from->second.m_isStandby) {
+      const auto pause = m_pauseUntil.find(name);
+      if (!m_orders.contains(name) &&
+          (pause == m_pauseUntil.end() ||
+           m_env.m_loop.Now() >= pause->second)) {
+        return &machine;
+      }
+      continue;
+    }
+    if (best == nullptr &&
+        from->second.m_machines > from->second.m_desired &&
+        IsIdle(machine, kIdleBeforeMove)) {
+      best = &machine;
+    }
+  }
+  return best;
+}
+
+void
+FleetKeeper::Rebalance()
+{
+  std::map<std::string, PoolLoad> pools = MeasurePools();
+  std::string standby;
+  for (const auto& [name, pool] : pools) {
+    if (pool.m_isStandby) {
+      standby = name;
+    }
+  }
+  bool isAnyShort = false;
+  for (auto& [name, pool] : pools) {
+    while (!pool.m_isStandby &&
+           pool.m_desired > pool.m_machines + pool.m_incoming) {
+      const MachineEntry* source = FindSource(name, pools);
+      if (source == nullptr) {
+        isAnyShort = true;
+        break;
+      }
+      --pools[source->m_pool].m_machines;
+      ++pool.m_incoming;
+      Move(*source, name);
+    }
+  }
+  if (standby.empty() || isAnyShort) {
+    return;
+  }
+  for (const auto& [name, machine] : m_machines) {
+    PoolLoad& pool = pools[machine.m_pool];
+    if (!pool.m_isStandby && pool.m_machines > pool.m_desired &&
+        IsIdle(machine, kIdleBeforeStandby) && !IsInOpenWave(name)) {
+      --pool.m_machines;
+      Move(machine, standby);
+    }
+  }
+}
+
+void
+FleetKeeper::Move(const MachineEntry& aMachine, const std::string& aPool)
+{
+  OpenOrder order;
+  order.m_pool = aPool;
+  order.m_sentAt = m_env.m_loop.Now();
+  Worker* worker = WorkerOn(aMachine);
+  if (worker != nullptr) {
+    order.m_workerId = worker->m_report.m_id;
+    worker->m_isEvacuating = true;
+  }
+  m_orders[aMachine.m_name] = order;
+  m_env.m_machines.Move(
+    aMachine.m_name,
+    aPool,
+    m_authority,
+    [this, name = aMachine.m_name, alive = m_alive](MachineOutcome aOutcome) {
+      if (*alive) {
+        OnMoved(name, aOutcome);
+      }
+    });
+}
+
+void
+FleetKeeper::OnMoved(const std::string& aMachine, MachineOutcome aOutcome)
+{
+  const std::string outcome(NameOf(kMachineOutcomeNames, aOutcome));
+  m_env.m_metrics.Count("moves", { { "outcome", outcome } });
+  const auto found = m_orders.find(aMachine);
+  if (found == m_orders.end()) {
+    return;
+  }
+  OpenOrder& order = found->second;
+  LogInfo(LogPart::Fleet,
+          absl::StrCat("move ordered; machine=",
+                       aMachine,
+                       " pool=",
+                       order.m_pool,
+                       " outcome=",
+                       outcome));
+  order.m_isCalling = false;
+  if (aOutcome == MachineOutcome::Accepted ||
+      aOutcome == MachineOutcome::Unknown) {
+    // Without a response the list tells where the machine is.
+    order.m_isAccepted = true;
+    if (aOutcome == MachineOutcome::Accepted) {
+      m_env.m_scheduler.OnWorkerEnded(order.m_workerId);
+      const auto machine = m_machines.find(aMachine);
+      if (machine != m_machines.end()) {
+        machine->second.m_state = MachineState::Moving;
+        machine->second.m_pool = order.m_pool;
+      }
+    }
+    return;
+  }
+  m_pauseUntil[aMachine] = m_env.m_loop.Now() + kRefusedPause;
+  m_env.m_scheduler.SetEvacuating(order.m_workerId, false);
+  m_orders.erase(found);
+}
+
+}
--- /dev/null
+++ b/scheduler/fleet_keeper.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "core/machine_gateway.h"
+#include "jobs/maintenance_wave.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+class EventLoop;
+class KeyValueStore;
+class Metrics;
+class Scheduler;
+struct JobConfiguration;
+struct StoreItem;
+struct Worker;
+
+/** Figures of the deployment that the fleet keeper works with. */
+struct FleetSettings
+{
+  absl::Duration m_moveTime = absl::Milliseconds(1500);
+  absl::Duration m_upkeepTime = absl::Seconds(2);
+};
+
+/**
+ * Moves machines between pools as the demand asks and carries out the
+ * operator's maintenance waves, while this daemon is the owner. The owner is
+ * the only one that orders machines.
+ */
+class FleetKeeper
+{
+public:
+  /** Collaborators; all outlive the keeper. */
+  struct Environment
+  {
+    EventLoop& m_loop;
+    KeyValueStore& m_store;
+    MachineGateway& m_machines;
+    Scheduler& m_scheduler;
+    Metrics& m_metrics;
+    std::function<const JobConfiguration&()> m_configuration;
+    /** Whether the store's lease is valid; see Ownership::HoldsLease. */
+    std::function<bool()> m_holdsLease;
+    /** Key of a wave's state as the operator reads it, and its text. */
+    std::function<std::string(std::int64_t aWave)> m_waveStatusKey;
+    std::function<std::string(bool aIsCompleted)> m_encodeWaveStatus;
+  };
+
+  /** Machines are ordered from aOrdersFrom on, in monotonic time. */
+  FleetKeeper(Environment aEnvironment,
+              const FleetSettings& aSettings,
+              MachineAuthority aAuthority,
+              absl::Time aOrdersFrom);
+  ~FleetKeeper();
+  FleetKeeper(const FleetKeeper&) = delete;
+  FleetKeeper& operator=(const FleetKeeper&) = delete;
+
+  void OnWave(const MaintenanceWave& aWave);
+
+private:
+  /** An order that has been sent and whose effect is not seen yet. */
+  struct OpenOrder
+  {
+    /** Pool that the machine goes to; empty for an upkeep. */
+    std::string m_pool;
+    /** Wave of an upkeep; 0 for a move. */
+    std::int64_t m_wave = 0;
+    absl::Time m_sentAt;
+    bool m_isAccepted = false;
+    /** The call is on its way. */
+    bool m_isCalling = true;
+    /** Worker that ran on the machine before. */
+    std::string m_workerId;
+  };
+
+  struct WaveState
+  {
+    MaintenanceWave m_wave;
+    absl::Time m_knownAt;
+    std::set<std::string> m_done;
+    bool m_isCompleted = false;
+    bool m_hasProgress = false;
+  };
+
+  struct PoolLoad
+  {
+    int m_machines = 0;
+    int m_incoming = 0;
+    int m_desired = 0;
+    bool m_isStandby = false;
+  };
+
+  void ReadWaveProgress();
+  void ApplyWaveProgress(const StoreItem& aItem);
+  void Step();
+  void ListMachines();
+  void OnListed(absl::Time aSentAt, MachineListResult aResult);
+  void CloseOrders();
+  void WorkOnWaves();
+  void WorkOnWave(WaveState& aState);
+  bool MayTakeForUpkeep(const MachineEntry& aMachine,
+                        const Worker& aWorker,
+                        double aUrgency);
+  void Maintain(const MachineEntry& aMachine, std::int64_t aWave);
+  void OnMaintained(const std::string& aMachine, MachineOutcome aOutcome);
+  void NoteDone(const std::string& aMachine, std::int64_t aWave);
+  void PublishWave(const WaveState& aState);
+  void Rebalance();
+  std::map<std::string, PoolLoad> MeasurePools();
+  const MachineEntry* FindSource(
+    const std::string& aPool,
+    std::map<std::string, PoolLoad>& aPools);
+  void Move(const MachineEntry& aMachine, const std::string& aPool);
+  void OnMoved(const std::string& aMachine, MachineOutcome aOutcome);
+  bool IsIdle(const MachineEntry& aMachine, absl::Duration aFor);
+  Worker* WorkerOn(const MachineEntry& aMachine);
+  bool IsInOpenWave(const std::string& aMachine) const;
+  bool MayOrder() const;
+
+  Environment m_env;
+  FleetSettings m_settings;
+  MachineAuthority m_authority;
+  absl::Time m_ordersFrom;
+  std::map<std::string, MachineEntry> m_machines;
+  absl::Time m_listedAt = absl::InfinitePast();
+  bool m_isListing = false;
+  bool m_hasWaveProgress = false;
+  std::map<std::int64_t, WaveState> m_waves;
+  std::map<std::string, std::set<std::string>> m_storedDone;
+  std::map<std::string, OpenOrder> m_orders;
+  /** Since when a machine has had no task. */
+  std::map<std::string, absl::Time> m_idleSince;
+  /** No order for a machine until then, after one was refused. */
+  std::map<std::string, absl::Time> m_pauseUntil;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}
--- a/scheduler/job_keys.h
+++ b/scheduler/job_keys.h
@@ -20,6 +20,9 @@
 /** Jobs of each queue of which no task has started. */
 inline constexpr const char* kPendingKey = "bramleystall/pending";
 
+/** Machines of a wave whose upkeep has begun, waves/NUMBER. */
+inline constexpr const char* kWavePrefix = "bramleystall/waves/";
+
 inline std::string
 JobKey(const std::string& aId)
 {
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -151,6 +151,7 @@
   }
   Move("owner_absent");
   m_isTakeover = m_ownerRevision != 0;
+  m_expectedOwner = m_ownerRevision;
   const auto seed = static_cast<std::int64_t>(
     std::hash<std::string>{}(m_daemon) +
     static_cast<std::size_t>(m_termRevision));
@@ -162,6 +163,12 @@
 Ownership::Acquire()
 {
   const absl::Time sentAt = m_loop.Now();
+  if (m_ownerRevision != m_expectedOwner) {
+    // Another candidate was first.
+    Move("grant_failed");
+    Consider();
+    return;
+  }
   m_store.GrantLease(
     kLeaseTtl, [this, sentAt, alive = m_alive](const LeaseResult& aLease) {
       if (!*alive) {
@@ -186,7 +193,7 @@
   Move("key_written");
   const std::int64_t term = m_term + 1;
   StoreTransaction transaction;
-  transaction.m_conditions = { { keys::kOwnerKey, m_ownerRevision },
+  transaction.m_conditions = { { keys::kOwnerKey, m_expectedOwner },
                                { keys::kTermKey, m_termRevision } };
   const json owner = { { "daemon", m_daemon },
                        { "token", m_token },
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -88,6 +88,8 @@
   std::int64_t m_lease = 0;
   absl::Time m_renewedAt = absl::InfinitePast();
   bool m_isTakeover = false;
+  /** Revision of the owner key that this candidate replaces; 0 for none. */
+  std::int64_t m_expectedOwner = 0;
   /** What the store holds. */
   std::string m_ownerDaemon;
   std::string m_ownerToken;
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -119,12 +119,13 @@
           LogError(LogPart::Owner, "the list of leased workers is unreadable.");
           continue;
         }
-        for (const auto& [id, address] : body.items()) {
-          m_unresolved[id] = 0;
+        for (const auto& [id, row] : body.items()) {
+          m_unresolved.insert(id);
           Worker& worker = m_workers[id];
           if (worker.m_report.m_address.empty()) {
             worker.m_report.m_id = id;
-            worker.m_report.m_address = address.get<std::string>();
+            worker.m_report.m_address = row.at(0).get<std::string>();
+            worker.m_report.m_machine = row.at(1).get<std::string>();
           }
         }
       }
@@ -163,6 +164,11 @@
     }
   }
   m_progress.clear();
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.m_isListed && !worker.m_report.m_machine.empty()) {
+      EndEarlierLives(worker);
+    }
+  }
   LogInfo(LogPart::Owner,
           absl::StrCat("took over; term=",
                        m_grant.m_term,
@@ -384,7 +390,8 @@
   for (auto& [id, worker] : m_workers) {
     workers[worker.m_report.m_pool].push_back(&worker);
   }
-  m_waitingCpu.clear();
+  m_waitingLoad.clear();
+  m_minimumWorkers.clear();
   for (auto& [pool, jobs] : byPool) {
     Placement placement(workers[pool], m_env.m_loop.Now());
     PlacePool(pool, jobs, placement);
@@ -447,20 +454,31 @@
       }
     }
   }
-  std::int64_t& waiting = m_waitingCpu[aPool];
-  for (const Rank& rank : ranks) {
-    Job& job = *rank.m_job;
-    for (int k = 0; k < job.OccurrenceCount(); ++k) {
-      for (int s = 0; s < static_cast<int>(job.Record().m_steps.size()); ++s) {
-        if (!IsDue(job, k) || !job.IsStepReady(k, s)) {
+  MeasureWaiting(aPool, aJobs);
+}
+
+void
+Scheduler::MeasureWaiting(const std::string& aPool,
+                          const std::vector<Job*>& aJobs)
+{
+  double& waiting = m_waitingLoad[aPool];
+  int& minimum = m_minimumWorkers[aPool];
+  for (Job* job : aJobs) {
+    for (int k = 0; k < job->OccurrenceCount(); ++k) {
+      for (int s = 0; s < static_cast<int>(job->Record().m_steps.size()); ++s) {
+        const StepSpec& spec = job->Record().m_steps[static_cast<std::size_t>(s)];
+        if (!IsDue(*job, k) || !job->IsStepReady(k, s)) {
           continue;
         }
-        const std::vector<Task>& tasks = job.Tasks(k, s);
-        const auto count =
-          std::ranges::count(tasks, TaskPhase::Waiting, &Task::m_phase);
-        waiting +=
-          count *
-          OccupiedBy(job.Record().m_steps[static_cast<std::size_t>(s)]).m_cpu;
+        if (spec.m_isLongRunning && spec.m_maxPerWorker > 0) {
+          minimum =
+            std::max(minimum,
+                     (spec.m_count + spec.m_maxPerWorker - 1) /
+                       spec.m_maxPerWorker);
+        }
+        const auto count = std::ranges::count(
+          job->Tasks(k, s), TaskPhase::Waiting, &Task::m_phase);
+        waiting += static_cast<double>(count) * LoadOf(OccupiedBy(spec));
       }
     }
   }
@@ -596,11 +614,42 @@
     });
 }
 
-std::int64_t
-Scheduler::WaitingCpu(const std::string& aPool) const
+double
+Scheduler::LoadOf(const Resources& aNeed) const
 {
-  const auto found = m_waitingCpu.find(aPool);
-  return found == m_waitingCpu.end() ? 0 : found->second;
+  const auto share = [](std::int64_t aPart, std::int64_t aWhole) {
+    return aWhole > 0 ? static_cast<double>(aPart) / static_cast<double>(aWhole)
+                      : 0.0;
+  };
+  return std::max(share(aNeed.m_cpu, m_typicalWorker.m_cpu),
+                  share(aNeed.m_memoryMb, m_typicalWorker.m_memoryMb));
+}
+
+double
+Scheduler::UsedLoad(const std::string& aPool) const
+{
+  double load = 0;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.m_report.m_pool == aPool) {
+      load += LoadOf(worker.m_used);
+    }
+  }
+  return load;
+}
+
+double
+Scheduler::WaitingLoad(const std::string& aPool) const
+{
+  const auto found = m_waitingLoad.find(aPool);
+  return found == m_waitingLoad.end() ? 0.0 : found->second;
+}
+
+int
+Scheduler::MinimumWorkers(const std::string& aPool) const
+{
+  const auto found = m_minimumWorkers.find(aPool);
+  // A pool without a worker could start nothing while a machine moves.
+  return std::max(1, found == m_minimumWorkers.end() ? 0 : found->second);
 }
 
 // Tasks.
@@ -820,6 +869,31 @@
   }
 }
 
+bool
+Scheduler::MayDisrupt(const Task& aTask) const
+{
+  const StepSpec& spec = aTask.m_job->Spec(aTask);
+  const std::vector<Task>& tasks =
+    aTask.m_job->Tasks(aTask.m_occurrence, aTask.m_step);
+  const auto away = std::ranges::count_if(tasks, [&aTask](const Task& aOther) {
+    const bool isAtWork =
+      aOther.m_phase == TaskPhase::Running && aOther.m_percent >= 100;
+    return &aOther != &aTask && !isAtWork;
+  });
+  return away < std::max(1, spec.m_maxDisrupted);
+}
+
+void
+Scheduler::EvacuateLongRunning(Worker& aWorker)
+{
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  for (Task* task : tasks) {
+    if (task->m_job->Spec(*task).m_isLongRunning && MayDisrupt(*task)) {
+      Relocate(*task);
+    }
+  }
+}
+
 void
 Scheduler::SetEvacuating(const std::string& aWorkerId, bool aIsEvacuating)
 {
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace bramleystall {
@@ -62,17 +63,37 @@
   void OnWorkersListed();
   void OnConfigurationChanged() { RequestPlacement(); }
 
-  /** Workers by id, for the fleet's decisions. */
-  std::map<std::string, Worker>& Workers() { return m_workers; }
+  /** Listed worker that runs on a machine, or null. */
+  Worker* WorkerOnMachine(const std::string& aMachine);
+
+  /** A worker's machine was taken, so all that ran there has ended. */
+  void OnWorkerEnded(const std::string& aWorkerId);
 
   /** No task starts on the worker until this is undone. */
   void SetEvacuating(const std::string& aWorkerId, bool aIsEvacuating);
 
-  /** Stops a running task so that it resumes elsewhere. */
-  void Relocate(Task& aTask);
-
-  /** Amount of processor that runnable tasks of a pool wait for. */
-  std::int64_t WaitingCpu(const std::string& aPool) const;
+  /**
+   * Stops the long-running tasks of a worker, as many as their steps may miss
+   * at once, so that they start elsewhere.
+   */
+  void EvacuateLongRunning(Worker& aWorker);
+
+  /** Load of a pool's tasks that run, in workers' capacities. */
+  double UsedLoad(const std::string& aPool) const;
+  /** Load of a pool's tasks that could start, in workers' capacities. */
+  double WaitingLoad(const std::string& aPool) const;
+  /** Workers that a pool's long-running tasks need at the least. */
+  int MinimumWorkers(const std::string& aPool) const;
+
+  /** Documents of the owner that others keep beside the jobs'. */
+  void Know(const std::string& aKey, std::int64_t aRevision)
+  {
+    m_writer.Know(aKey, aRevision);
+  }
+  void Put(const std::string& aKey, std::string aValue)
+  {
+    m_writer.Put(aKey, std::move(aValue));
+  }
 
   /** Calls back once all that is known is stored. */
   void AfterStored(std::function<void()> aHook)
@@ -105,6 +126,10 @@
   void PlacePool(const std::string& aPool,
                  std::vector<Job*>& aJobs,
                  Placement& aPlacement);
+  void MeasureWaiting(const std::string& aPool, const std::vector<Job*>& aJobs);
+  double LoadOf(const Resources& aNeed) const;
+  bool MayDisrupt(const Task& aTask) const;
+  void Relocate(Task& aTask);
   void PlaceStep(Job& aJob, int aOccurrence, int aStep, Placement& aPlacement);
   const std::string& PoolOf(const Job& aJob) const;
   bool IsDue(const Job& aJob, int aOccurrence) const;
@@ -141,6 +166,7 @@
   void OnRenewed(const std::string& aWorkerId,
                  absl::Time aSentAt,
                  const LeaseOrderResult& aResult);
+  void EndEarlierLives(const Worker& aWorker);
   void StartNewLife(Worker& aWorker, std::int64_t aBornMs);
   void ApplyRunning(Worker& aWorker,
                     const LeaseOrderResult& aResult,
@@ -173,8 +199,10 @@
   std::map<std::string, absl::Time> m_removals;
   std::set<std::string> m_cancelled;
   std::map<std::string, Worker> m_workers;
+  /** Capacity of the worker that was reported last. */
+  Resources m_typicalWorker;
   /** Workers with leases of an earlier owner that have not answered yet. */
-  std::map<std::string, std::int64_t> m_unresolved;
+  std::set<std::string> m_unresolved;
   std::string m_leasedWorkersText;
   std::map<std::string, StoreItem> m_progress;
   struct Advice
@@ -194,7 +222,8 @@
   bool m_isBarrierSet = false;
   absl::Time m_beganAt;
   std::string m_pendingText;
-  std::map<std::string, std::int64_t> m_waitingCpu;
+  std::map<std::string, double> m_waitingLoad;
+  std::map<std::string, int> m_minimumWorkers;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   std::unique_ptr<StoreMirror> m_jobMirror;
 };
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -27,6 +27,10 @@
   const bool isNew = !worker.m_isListed;
   worker.m_report = aReport;
   worker.m_isListed = true;
+  m_typicalWorker = aReport.m_capacity;
+  if (isNew && !aReport.m_machine.empty()) {
+    EndEarlierLives(worker);
+  }
   if (worker.m_bornMs != 0 && aReport.m_bornMs > worker.m_bornMs) {
     StartNewLife(worker, aReport.m_bornMs);
   }
@@ -58,6 +62,46 @@
                        worker->m_tasks.size()));
 }
 
+void
+Scheduler::EndEarlierLives(const Worker& aWorker)
+{
+  // A machine runs one worker at a time.
+  for (auto& [id, other] : m_workers) {
+    if (id != aWorker.m_report.m_id &&
+        other.m_report.m_machine == aWorker.m_report.m_machine &&
+        other.m_report.m_bornMs < aWorker.m_report.m_bornMs) {
+      OnWorkerEnded(id);
+    }
+  }
+}
+
+void
+Scheduler::OnWorkerEnded(const std::string& aWorkerId)
+{
+  Worker* worker = FindWorker(aWorkerId);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->m_isListed = false;
+  worker->m_leaseHorizon = m_env.m_loop.Now();
+  const std::set<Task*> tasks = worker->m_tasks;
+  for (Task* task : tasks) {
+    Release(*task);
+  }
+  ResolveEarlierLease(aWorkerId);
+}
+
+Worker*
+Scheduler::WorkerOnMachine(const std::string& aMachine)
+{
+  for (auto& [id, worker] : m_workers) {
+    if (worker.m_isListed && worker.m_report.m_machine == aMachine) {
+      return &worker;
+    }
+  }
+  return nullptr;
+}
+
 void
 Scheduler::OnWorkersListed()
 {
@@ -154,6 +198,16 @@
   Worker& worker = *found;
   worker.m_isRenewing = false;
   if (aResult.m_outcome != OrderOutcome::Accepted) {
+    if (aResult.m_outcome == OrderOutcome::WrongIncarnation) {
+      // Another worker has the address, so this one has ended.
+      LogInfo(LogPart::Workers,
+              absl::StrCat("worker has ended; worker=",
+                           aWorkerId,
+                           " tasks=",
+                           worker.m_tasks.size()));
+      OnWorkerEnded(aWorkerId);
+      return;
+    }
     ++worker.m_unanswered;
     if (worker.m_unanswered == 1) {
       const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
@@ -462,9 +516,8 @@
   std::vector<std::string> ids;
   for (const auto& [id, worker] : m_workers) {
     if (worker.m_isListed || !worker.m_tasks.empty() ||
-        m_env.m_loop.Now() < worker.m_leaseHorizon ||
         m_unresolved.contains(id)) {
-      addresses[id] = worker.m_report.m_address;
+      addresses[id] = { worker.m_report.m_address, worker.m_report.m_machine };
       ids.push_back(id);
     }
   }
