--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -143,15 +143,12 @@
 void
 Job::MarkFailed(Task& aTask, std::int64_t aAttempt)
 {
-  if (aTask.m_phase == TaskPhase::Done ||
-      aAttempt <= aTask.m_lastFailedAttempt) {
+  MarkStarted();
+  if (aTask.m_phase == TaskPhase::Done || Spec(aTask).m_isLongRunning) {
     return;
   }
-  aTask.m_lastFailedAttempt = aAttempt;
-  ++aTask.m_failures;
-  MarkStarted();
-  const bool isLimited = !Spec(aTask).m_isLongRunning;
-  if (isLimited && aTask.m_failures >= m_record.m_maxAttempts && !IsFinal()) {
+  aTask.m_failedAttempts.insert(aAttempt);
+  if (aTask.Failures() >= m_record.m_maxAttempts && !IsFinal()) {
     m_state = JobState::Failed;
   }
 }
@@ -190,22 +187,21 @@
   if (IsFinal()) {
     return body.dump();
   }
-  // Rows [occurrence, step, index, is done, failures, last failed attempt,
-  // checkpoint] of the tasks about which something is known.
+  // Rows [occurrence, step, index, is done, failed attempts, checkpoint] of
+  // the tasks about which something is known.
   json rows = json::array();
   for (const Occurrence& occurrence : m_occurrences) {
     for (const Step& step : occurrence.m_steps) {
       for (const Task& task : step.m_tasks) {
         const bool isDone = task.m_phase == TaskPhase::Done;
-        if (!isDone && task.m_failures == 0 && task.m_checkpoint.empty()) {
+        if (!isDone && task.Failures() == 0 && task.m_checkpoint.empty()) {
           continue;
         }
         rows.push_back({ task.m_occurrence,
                          task.m_step,
                          task.m_index,
                          isDone ? 1 : 0,
-                         task.m_failures,
-                         task.m_lastFailedAttempt,
+                         task.m_failedAttempts,
                          isDone ? "" : task.m_checkpoint });
       }
     }
@@ -227,9 +223,8 @@
       if (task == nullptr) {
         continue;
       }
-      task->m_failures = row.at(4).get<int>();
-      task->m_lastFailedAttempt = row.at(5).get<std::int64_t>();
-      task->m_checkpoint = row.at(6).get<std::string>();
+      task->m_failedAttempts = row.at(4).get<std::set<std::int64_t>>();
+      task->m_checkpoint = row.at(5).get<std::string>();
       if (row.at(3).get<int>() != 0) {
         MarkDone(*task);
       }
--- a/jobs/task.h
+++ b/jobs/task.h
@@ -5,6 +5,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace bramleystall {
@@ -46,9 +47,8 @@
   std::string m_worker;
   /** Number of the newest start; 0 before the first. */
   std::int64_t m_attempt = 0;
-  int m_failures = 0;
-  /** Newest attempt that is counted in m_failures. */
-  std::int64_t m_lastFailedAttempt = 0;
+  /** Attempts that failed; workers may list their ends in any order. */
+  std::set<std::int64_t> m_failedAttempts;
   std::string m_checkpoint;
   /** Worker on which the task failed last; another one is preferred. */
   std::string m_failedOn;
@@ -61,6 +61,7 @@
   /** When m_percent last rose. */
   absl::Time m_progressAt;
 
+  int Failures() const { return static_cast<int>(m_failedAttempts.size()); }
   bool IsPlaced() const { return !m_worker.empty(); }
 };
 
--- a/net/http_fetcher.cpp
+++ b/net/http_fetcher.cpp
@@ -4,6 +4,7 @@
 
 #include <curl/curl.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <unordered_map>
@@ -49,6 +50,18 @@
   return actions;
 }
 
+/**
+ * Makes a close discard what is not delivered. A request that timed out would
+ * otherwise reach the server once a partition heals, after newer ones.
+ */
+int
+ResetOnClose(void* /*aContext*/, curl_socket_t aSocket, curlsocktype /*aUse*/)
+{
+  const linger discard{ .l_onoff = 1, .l_linger = 0 };
+  setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+  return CURL_SOCKOPT_OK;
+}
+
 std::size_t
 AppendBody(char* aData, std::size_t aSize, std::size_t aCount, void* aBody)
 {
@@ -183,6 +196,7 @@
   if (request.m_usesFreshConnection) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
   }
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, ResetOnClose);
   for (const std::string& header : request.m_headers) {
     transfer->m_headers = curl_slist_append(transfer->m_headers, header.c_str());
   }
--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -281,6 +281,12 @@
       continue;
     }
     Worker* worker = WorkerOn(machine->second);
+    if (worker == nullptr &&
+        (urgency < kForceFrom ||
+         m_env.m_scheduler.HasTasksOnMachine(name))) {
+      // The store does not list the worker, which may be at work all the same.
+      continue;
+    }
     if (worker != nullptr && !worker->m_tasks.empty()) {
       if (MayTakeForUpkeep(machine->second, *worker, urgency)) {
         worker->m_isEvacuating = true;
@@ -288,7 +294,8 @@
       }
       continue;
     }
-    if (down < wave.m_maxConcurrent) {
+    if (down < wave.m_maxConcurrent &&
+        m_env.m_loop.Now() >= m_pauseAllUntil) {
       ++down;
       Maintain(machine->second, wave.m_number);
     }
@@ -368,7 +375,7 @@
     NoteDone(aMachine, order.m_wave);
     return;
   }
-  m_pauseUntil[aMachine] = m_env.m_loop.Now() + kRefusedPause;
+  PauseAfter(aMachine, aOutcome);
   if (aOutcome == MachineOutcome::Unknown) {
     // It may still be carried out; the same call again tells, since it is
     // accepted when the upkeep is already done.
@@ -498,7 +505,7 @@
   }
   bool isAnyShort = false;
   for (auto& [name, pool] : pools) {
-    while (!pool.m_isStandby &&
+    while (!pool.m_isStandby && m_env.m_loop.Now() >= m_pauseAllUntil &&
            pool.m_desired > pool.m_machines + pool.m_incoming) {
       const MachineEntry* source = FindSource(name, pools);
       if (source == nullptr) {
@@ -510,7 +517,7 @@
       Move(*source, name);
     }
   }
-  if (standby.empty() || isAnyShort) {
+  if (standby.empty() || isAnyShort || m_env.m_loop.Now() < m_pauseAllUntil) {
     return;
   }
   for (const auto& [name, machine] : m_machines) {
@@ -568,7 +575,9 @@
       aOutcome == MachineOutcome::Unknown) {
     // Without a response the list tells where the machine is.
     order.m_isAccepted = true;
-    if (aOutcome == MachineOutcome::Accepted) {
+    if (aOutcome == MachineOutcome::Unknown) {
+      PauseAfter(aMachine, aOutcome);
+    } else {
       m_env.m_scheduler.OnWorkerEnded(order.m_workerId);
       const auto machine = m_machines.find(aMachine);
       if (machine != m_machines.end()) {
@@ -578,9 +587,20 @@
     }
     return;
   }
-  m_pauseUntil[aMachine] = m_env.m_loop.Now() + kRefusedPause;
+  PauseAfter(aMachine, aOutcome);
   m_env.m_scheduler.SetEvacuating(order.m_workerId, false);
   m_orders.erase(found);
 }
 
+void
+FleetKeeper::PauseAfter(const std::string& aMachine, MachineOutcome aOutcome)
+{
+  const absl::Time until = m_env.m_loop.Now() + kRefusedPause;
+  m_pauseUntil[aMachine] = until;
+  if (aOutcome == MachineOutcome::Rejected ||
+      aOutcome == MachineOutcome::Unknown) {
+    m_pauseAllUntil = until;
+  }
+}
+
 }
--- a/scheduler/fleet_keeper.h
+++ b/scheduler/fleet_keeper.h
@@ -120,6 +120,7 @@
     std::map<std::string, PoolLoad>& aPools);
   void Move(const MachineEntry& aMachine, const std::string& aPool);
   void OnMoved(const std::string& aMachine, MachineOutcome aOutcome);
+  void PauseAfter(const std::string& aMachine, MachineOutcome aOutcome);
   bool IsIdle(const MachineEntry& aMachine, absl::Duration aFor);
   Worker* WorkerOn(const MachineEntry& aMachine);
   bool IsInOpenWave(const std::string& aMachine) const;
@@ -140,6 +141,8 @@
   std::map<std::string, absl::Time> m_idleSince;
   /** No order for a machine until then, after one was refused. */
   std::map<std::string, absl::Time> m_pauseUntil;
+  /** No order at all until then, after the platform was unreachable. */
+  absl::Time m_pauseAllUntil = absl::InfinitePast();
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -83,6 +83,22 @@
   }
 }
 
+void
+Ownership::StepDown()
+{
+  if (Is("owner")) {
+    Schedule(absl::ZeroDuration(), &Ownership::Abdicate);
+  }
+}
+
+void
+Ownership::Abdicate()
+{
+  if (Is("owner")) {
+    Lose("superseded", "a worker has orders of a later owner");
+  }
+}
+
 void
 Ownership::Move(const char* aEvent)
 {
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -60,6 +60,9 @@
   /** True while the store's own lease is certainly valid. */
   bool HoldsLease() const;
 
+  /** A later owner has been seen; this one gives no more orders. */
+  void StepDown();
+
   /** Gives the ownership up and does not take it again. */
   void Resign();
 
@@ -69,6 +72,7 @@
   void OnItem(const StoreItem& aItem);
   void Consider();
   void Acquire();
+  void Abdicate();
   void WriteOwner(const LeaseResult& aLease);
   void Renew();
   void OnRenewed(absl::Time aSentAt, const LeaseResult& aResult);
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -782,6 +782,8 @@
       worker->m_avoidUntil = m_env.m_loop.Now() + kBusyPause;
       break;
     case OrderOutcome::StaleFence:
+      m_env.m_onSuperseded();
+      return;
     case OrderOutcome::StaleAttempt:
       break;
   }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -46,6 +46,10 @@
     std::function<const JobConfiguration&()> m_configuration;
     /** Whether this daemon may still give orders; see Ownership::MayOrder. */
     std::function<bool()> m_mayOrder;
+    /** Whether the store's lease is valid; see Ownership::HoldsLease. */
+    std::function<bool()> m_holdsLease;
+    /** A worker has seen the fencing token of a later owner. */
+    std::function<void()> m_onSuperseded;
   };
 
   Scheduler(Environment aEnvironment,
@@ -65,6 +69,8 @@
 
   /** Listed worker that runs on a machine, or null. */
   Worker* WorkerOnMachine(const std::string& aMachine);
+  /** Tasks may run on the machine, whether its worker is listed or not. */
+  bool HasTasksOnMachine(const std::string& aMachine) const;
 
   /** A worker's machine was taken, so all that ran there has ended. */
   void OnWorkerEnded(const std::string& aWorkerId);
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -102,6 +102,15 @@
   return nullptr;
 }
 
+bool
+Scheduler::HasTasksOnMachine(const std::string& aMachine) const
+{
+  return std::ranges::any_of(m_workers, [&aMachine](const auto& aEntry) {
+    const Worker& worker = aEntry.second;
+    return worker.m_report.m_machine == aMachine && !worker.m_tasks.empty();
+  });
+}
+
 void
 Scheduler::OnWorkersListed()
 {
@@ -208,6 +217,10 @@
       OnWorkerEnded(aWorkerId);
       return;
     }
+    if (aResult.m_outcome == OrderOutcome::StaleFence) {
+      m_env.m_onSuperseded();
+      return;
+    }
     ++worker.m_unanswered;
     if (worker.m_unanswered == 1) {
       const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
@@ -452,7 +465,7 @@
                          " kind=",
                          kind,
                          " failures=",
-                         task->m_failures));
+                         task->Failures()));
   }
   if (job.IsFinal()) {
     FinishJob(job);
@@ -482,7 +495,9 @@
 Scheduler::ReleaseLapsed(Worker& aWorker)
 {
   if (aWorker.m_unanswered == 0 || aWorker.m_tasks.empty() ||
-      m_env.m_loop.Now() < aWorker.m_leaseHorizon) {
+      m_env.m_loop.Now() < aWorker.m_leaseHorizon || !m_env.m_holdsLease()) {
+    // Without the store's lease a successor may have seen how the tasks of an
+    // unreachable worker ended.
     return;
   }
   const std::set<Task*> tasks = aWorker.m_tasks;
