Give a long-running task a place before it is stopped

Change: machines that are leaving do not count; a pool with a waiting long-running task gets one more; a task is stopped only when another worker can take it.

--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -449,9 +449,12 @@
     const auto order = m_orders.find(name);
     if (order != m_orders.end() && order->second.m_wave == 0) {
       ++pools[order->second.m_pool].m_incoming;
-    } else if (order != m_orders.end()) {
-      ++pools[machine.m_pool].m_incoming;
-    } else if (machine.m_state == MachineState::Up) {
+      continue;
+    }
+    const Worker* worker = WorkerOn(machine);
+    const bool isLeaving =
+      order != m_orders.end() || (worker != nullptr && worker->m_isEvacuating);
+    if (machine.m_state == MachineState::Up && !isLeaving) {
       ++pools[machine.m_pool].m_machines;
     }
   }
@@ -461,6 +464,10 @@
     pool.m_desired =
       std::max(m_env.m_scheduler.MinimumWorkers(name),
                static_cast<int>(std::ceil(load * kHeadroom)));
+    if (m_env.m_scheduler.HasWaitingLongRunning(name)) {
+      // What keeps it waiting may be its limit of tasks on one worker.
+      pool.m_desired = std::max(pool.m_desired, pool.m_machines + 1);
+    }
   }
   return pools;
 }
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -392,6 +392,7 @@
   }
   m_waitingLoad.clear();
   m_minimumWorkers.clear();
+  m_poolsWithWaitingLongRunning.clear();
   for (auto& [pool, jobs] : byPool) {
     Placement placement(workers[pool], m_env.m_loop.Now());
     PlacePool(pool, jobs, placement);
@@ -478,6 +479,9 @@
         }
         const auto count = std::ranges::count(
           job->Tasks(k, s), TaskPhase::Waiting, &Task::m_phase);
+        if (spec.m_isLongRunning && count > 0) {
+          m_poolsWithWaitingLongRunning.insert(aPool);
+        }
         waiting += static_cast<double>(count) * LoadOf(OccupiedBy(spec));
       }
     }
@@ -888,9 +892,19 @@
 void
 Scheduler::EvacuateLongRunning(Worker& aWorker)
 {
+  std::vector<Worker*> pool;
+  for (auto& [id, worker] : m_workers) {
+    if (worker.m_report.m_pool == aWorker.m_report.m_pool) {
+      pool.push_back(&worker);
+    }
+  }
+  const Placement placement(pool, m_env.m_loop.Now());
   const std::set<Task*> tasks = aWorker.m_tasks;
   for (Task* task : tasks) {
-    if (task->m_job->Spec(*task).m_isLongRunning && MayDisrupt(*task)) {
+    const bool hasPlace =
+      placement.Choose(*task, [](const Worker&) { return true; }) != nullptr;
+    if (task->m_job->Spec(*task).m_isLongRunning && hasPlace &&
+        MayDisrupt(*task)) {
       Relocate(*task);
     }
   }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -79,8 +79,8 @@
   void SetEvacuating(const std::string& aWorkerId, bool aIsEvacuating);
 
   /**
-   * Stops the long-running tasks of a worker, as many as their steps may miss
-   * at once, so that they start elsewhere.
+   * Stops the long-running tasks of a worker that another one can take, as
+   * many as their steps may miss at once.
    */
   void EvacuateLongRunning(Worker& aWorker);
 
@@ -88,6 +88,11 @@
   double UsedLoad(const std::string& aPool) const;
   /** Load of a pool's tasks that could start, in workers' capacities. */
   double WaitingLoad(const std::string& aPool) const;
+  /** A long-running task of the pool finds no worker. */
+  bool HasWaitingLongRunning(const std::string& aPool) const
+  {
+    return m_poolsWithWaitingLongRunning.contains(aPool);
+  }
   /** Workers that a pool's long-running tasks need at the least. */
   int MinimumWorkers(const std::string& aPool) const;
 
@@ -230,6 +235,7 @@
   std::string m_pendingText;
   std::map<std::string, double> m_waitingLoad;
   std::map<std::string, int> m_minimumWorkers;
+  std::set<std::string> m_poolsWithWaitingLongRunning;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   std::unique_ptr<StoreMirror> m_jobMirror;
 };
