Record where a job may run and which machines were ordered

Cause: after the loss of an owner beside an unreachable worker every earlier job waited 8.6 s for the old leases, and no machine was ordered for 3.3 s. Change: a job's workers are stored before the first start there, so that only jobs with an unreachable worker wait; recent machine orders are stored before they are sent, so that only those machines wait. Ruled out: shorter leases, which end work whenever the owner changes.

--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -25,8 +25,6 @@
 constexpr absl::Duration kExitMargin = absl::Milliseconds(700);
 /** The balancer needs two misses, a second apart, to see the shutdown. */
 constexpr absl::Duration kMinShutdown = absl::Milliseconds(2500);
-/** Added to the time in which two holders do not order the same machine. */
-constexpr absl::Duration kMachineTurnMargin = absl::Milliseconds(300);
 constexpr absl::Duration kIdlePoll = absl::Milliseconds(50);
 /** Longest time that the shutdown waits to store the progress. */
 constexpr absl::Duration kHandoverTime = absl::Milliseconds(300);
@@ -190,10 +188,6 @@
                        .m_jobRetention = m_settings.m_jobRetention,
                        .m_stopTime = m_settings.m_stopTime },
     aGrant);
-  // The orders of an earlier owner may be as new as its last renewal.
-  const absl::Duration turn =
-    aGrant.m_term > 1 ? m_settings.m_machineTurn + kMachineTurnMargin
-                      : absl::ZeroDuration();
   m_fleet = std::make_unique<FleetKeeper>(
     FleetKeeper::Environment{
       .m_loop = m_loop,
@@ -209,10 +203,10 @@
         },
       .m_encodeWaveStatus = wire::EncodeWaveStatus },
     FleetSettings{ .m_moveTime = m_settings.m_moveTime,
-                   .m_upkeepTime = m_settings.m_upkeepTime },
+                   .m_upkeepTime = m_settings.m_upkeepTime,
+                   .m_machineTurn = m_settings.m_machineTurn },
     MachineAuthority{ .m_holder = m_settings.m_daemon,
-                      .m_fence = aGrant.m_fence },
-    m_loop.Now() + turn);
+                      .m_fence = aGrant.m_fence });
   for (const auto& [number, wave] : m_waves) {
     m_fleet->OnWave(wave);
   }
--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -207,6 +207,7 @@
     }
   }
   body["tasks"] = std::move(rows);
+  body["workers"] = m_workers;
   return body.dump();
 }
 
@@ -229,6 +230,8 @@
         MarkDone(*task);
       }
     }
+    m_workers = body.value("workers", std::set<std::string>{});
+    m_recordedWorkers = m_workers;
     const auto state =
       ValueOf(kJobStateNames, body.at("state").get<std::string>());
     if (!state) {
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -5,6 +5,7 @@
 #include "jobs/task.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,21 @@
   void MarkCancelled();
   void MarkFinal(JobState aState) { m_state = aState; }
 
+  /**
+   * Workers on which a task of the job may have been started. They are stored
+   * before the first start there, so that a successor knows where to look.
+   */
+  const std::set<std::string>& Workers() const { return m_workers; }
+  void AddWorker(const std::string& aWorkerId) { m_workers.insert(aWorkerId); }
+  bool IsRecordedOn(const std::string& aWorkerId) const
+  {
+    return m_recordedWorkers.contains(aWorkerId);
+  }
+  void MarkRecordedOn(const std::string& aWorkerId)
+  {
+    m_recordedWorkers.insert(aWorkerId);
+  }
+
   /** Longest chain of declared work that is left, in ms. */
   std::int64_t RemainingChainMs(int aOccurrence) const;
 
@@ -112,6 +128,8 @@
 
   JobRecord m_record;
   JobState m_state = JobState::Queued;
+  std::set<std::string> m_workers;
+  std::set<std::string> m_recordedWorkers;
   std::vector<Occurrence> m_occurrences;
   /** Steps of all occurrences that are not done. */
   int m_openSteps = 0;
--- a/jobs/task.h
+++ b/jobs/task.h
@@ -52,6 +52,8 @@
   std::string m_checkpoint;
   /** Worker on which the task failed last; another one is preferred. */
   std::string m_failedOn;
+  /** The start order waits until the job's workers are stored. */
+  bool m_isUnsent = false;
   /** Monotonic times of the start order and of its acknowledgement. */
   absl::Time m_orderedAt;
   absl::Time m_startedAt;
--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -41,6 +41,8 @@
 constexpr double kEvacuateFrom = 0.1;
 /** Share of a wave's time after which its machines are emptied in any case. */
 constexpr double kForceFrom = 0.6;
+/** Added to the time in which two holders do not order the same machine. */
+constexpr absl::Duration kTurnMargin = absl::Milliseconds(300);
 /** Machines of a pool beyond its measured load. */
 constexpr double kHeadroom = 1.1;
 
@@ -54,14 +56,13 @@
 
 FleetKeeper::FleetKeeper(Environment aEnvironment,
                          const FleetSettings& aSettings,
-                         MachineAuthority aAuthority,
-                         absl::Time aOrdersFrom)
+                         MachineAuthority aAuthority)
   : m_env(std::move(aEnvironment))
   , m_settings(aSettings)
   , m_authority(std::move(aAuthority))
-  , m_ordersFrom(aOrdersFrom)
 {
   ReadWaveProgress();
+  ReadMachineOrders();
   Step();
 }
 
@@ -118,7 +119,102 @@
 bool
 FleetKeeper::MayOrder() const
 {
-  return m_env.m_loop.Now() >= m_ordersFrom && m_env.m_holdsLease();
+  return m_hasWaveProgress && m_hasMachineOrders && m_env.m_holdsLease();
+}
+
+void
+FleetKeeper::ReadMachineOrders()
+{
+  m_env.m_store.Get(
+    keys::kMachineOrdersKey,
+    [this, alive = m_alive](const ReadResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      if (aResult.m_status != ReadStatus::Ok) {
+        m_env.m_loop.After(kStepInterval, [this, alive] {
+          if (*alive) {
+            ReadMachineOrders();
+          }
+        });
+        return;
+      }
+      for (const StoreItem& item : aResult.m_items) {
+        m_env.m_scheduler.Know(item.m_key, item.m_revision);
+        const json machines = json::parse(item.m_value, nullptr, false);
+        if (!machines.is_array()) {
+          LogError(LogPart::Fleet, "the recent machine orders are unreadable.");
+          continue;
+        }
+        // Another holder's order may be as new as its last renewal.
+        for (const json& machine : machines) {
+          m_pauseUntil[machine.get<std::string>()] =
+            m_env.m_loop.Now() + m_settings.m_machineTurn + kTurnMargin;
+        }
+      }
+      m_hasMachineOrders = true;
+    });
+}
+
+void
+FleetKeeper::RecordOrders()
+{
+  const absl::Time limit =
+    m_env.m_loop.Now() - m_settings.m_machineTurn - kTurnMargin;
+  std::erase_if(m_recentOrders, [limit](const auto& aEntry) {
+    return aEntry.second < limit;
+  });
+  json machines = json::array();
+  for (const auto& [name, at] : m_recentOrders) {
+    machines.push_back(name);
+  }
+  std::string text = machines.dump();
+  if (text != m_recentOrdersText) {
+    m_recentOrdersText = text;
+    m_env.m_scheduler.Put(keys::kMachineOrdersKey, std::move(text));
+  }
+}
+
+void
+FleetKeeper::SendOrders()
+{
+  std::vector<std::string> unsent;
+  for (const auto& [name, order] : m_orders) {
+    if (!order.m_isCalled && order.m_sentAt == m_env.m_loop.Now()) {
+      unsent.push_back(name);
+      m_recentOrders[name] = m_env.m_loop.Now();
+    }
+  }
+  RecordOrders();
+  if (unsent.empty()) {
+    return;
+  }
+  // A successor has to know which machines it must leave alone for a while.
+  m_env.m_scheduler.Hurry();
+  m_env.m_scheduler.AfterStored(
+    [this, unsent = std::move(unsent), alive = m_alive] {
+      if (!*alive) {
+        return;
+      }
+      for (const std::string& name : unsent) {
+        const auto found = m_orders.find(name);
+        if (found == m_orders.end() || found->second.m_isCalled) {
+          continue;
+        }
+        if (!MayOrder()) {
+          m_env.m_scheduler.SetEvacuating(found->second.m_workerId, false);
+          m_orders.erase(found);
+          continue;
+        }
+        found->second.m_isCalled = true;
+        found->second.m_sentAt = m_env.m_loop.Now();
+        if (found->second.m_wave != 0) {
+          CallMaintain(name);
+        } else {
+          CallMove(name);
+        }
+      }
+    });
 }
 
 void
@@ -136,9 +232,10 @@
       m_idleSince.try_emplace(name, m_env.m_loop.Now());
     }
   }
-  if (m_hasWaveProgress && !m_machines.empty() && MayOrder()) {
+  if (!m_machines.empty() && MayOrder()) {
     WorkOnWaves();
     Rebalance();
+    SendOrders();
   }
   m_env.m_loop.After(kStepInterval, [this, alive = m_alive] {
     if (*alive) {
@@ -340,13 +437,18 @@
     worker->m_isEvacuating = true;
   }
   m_orders[aMachine.m_name] = order;
+}
+
+void
+FleetKeeper::CallMaintain(const std::string& aMachine)
+{
   m_env.m_machines.Maintain(
-    aMachine.m_name,
-    aWave,
+    aMachine,
+    m_orders.at(aMachine).m_wave,
     m_authority,
-    [this, name = aMachine.m_name, alive = m_alive](MachineOutcome aOutcome) {
+    [this, aMachine, alive = m_alive](MachineOutcome aOutcome) {
       if (*alive) {
-        OnMaintained(name, aOutcome);
+        OnMaintained(aMachine, aOutcome);
       }
     });
 }
@@ -368,7 +470,6 @@
                        order.m_wave,
                        " outcome=",
                        outcome));
-  order.m_isCalling = false;
   if (aOutcome == MachineOutcome::Accepted) {
     order.m_isAccepted = true;
     m_env.m_scheduler.OnWorkerEnded(order.m_workerId);
@@ -386,15 +487,7 @@
         if (!*alive || open == m_orders.end() || !MayOrder()) {
           return;
         }
-        m_env.m_machines.Maintain(
-          aMachine,
-          open->second.m_wave,
-          m_authority,
-          [this, aMachine, alive](MachineOutcome aAgain) {
-            if (*alive) {
-              OnMaintained(aMachine, aAgain);
-            }
-          });
+        CallMaintain(aMachine);
       });
     return;
   }
@@ -549,13 +642,18 @@
     worker->m_isEvacuating = true;
   }
   m_orders[aMachine.m_name] = order;
+}
+
+void
+FleetKeeper::CallMove(const std::string& aMachine)
+{
   m_env.m_machines.Move(
-    aMachine.m_name,
-    aPool,
+    aMachine,
+    m_orders.at(aMachine).m_pool,
     m_authority,
-    [this, name = aMachine.m_name, alive = m_alive](MachineOutcome aOutcome) {
+    [this, aMachine, alive = m_alive](MachineOutcome aOutcome) {
       if (*alive) {
-        OnMoved(name, aOutcome);
+        OnMoved(aMachine, aOutcome);
       }
     });
 }
@@ -577,7 +675,6 @@
                        order.m_pool,
                        " outcome=",
                        outcome));
-  order.m_isCalling = false;
   if (aOutcome == MachineOutcome::Accepted ||
       aOutcome == MachineOutcome::Unknown) {
     // Without a response the list tells where the machine is.
--- a/scheduler/fleet_keeper.h
+++ b/scheduler/fleet_keeper.h
@@ -28,6 +28,8 @@
 {
   absl::Duration m_moveTime = absl::Milliseconds(1500);
   absl::Duration m_upkeepTime = absl::Seconds(2);
+  /** Two holders do not order the same machine within this time. */
+  absl::Duration m_machineTurn = absl::Seconds(3);
 };
 
 /**
@@ -54,11 +56,9 @@
     std::function<std::string(bool aIsCompleted)> m_encodeWaveStatus;
   };
 
-  /** Machines are ordered from aOrdersFrom on, in monotonic time. */
   FleetKeeper(Environment aEnvironment,
               const FleetSettings& aSettings,
-              MachineAuthority aAuthority,
-              absl::Time aOrdersFrom);
+              MachineAuthority aAuthority);
   ~FleetKeeper();
   FleetKeeper(const FleetKeeper&) = delete;
   FleetKeeper& operator=(const FleetKeeper&) = delete;
@@ -75,8 +75,8 @@
     std::int64_t m_wave = 0;
     absl::Time m_sentAt;
     bool m_isAccepted = false;
-    /** The call is on its way. */
-    bool m_isCalling = true;
+    /** The call has been made; before, the order is only recorded. */
+    bool m_isCalled = false;
     /** Worker that ran on the machine before. */
     std::string m_workerId;
   };
@@ -99,6 +99,9 @@
   };
 
   void ReadWaveProgress();
+  void ReadMachineOrders();
+  void SendOrders();
+  void RecordOrders();
   void ApplyWaveProgress(const StoreItem& aItem);
   void Step();
   void ListMachines();
@@ -125,15 +128,20 @@
   Worker* WorkerOn(const MachineEntry& aMachine);
   bool IsInOpenWave(const std::string& aMachine) const;
   bool MayOrder() const;
+  void CallMaintain(const std::string& aMachine);
+  void CallMove(const std::string& aMachine);
 
   Environment m_env;
   FleetSettings m_settings;
   MachineAuthority m_authority;
-  absl::Time m_ordersFrom;
   std::map<std::string, MachineEntry> m_machines;
   absl::Time m_listedAt = absl::InfinitePast();
   bool m_isListing = false;
   bool m_hasWaveProgress = false;
+  bool m_hasMachineOrders = false;
+  /** When this owner last ordered a machine, as the store knows it. */
+  std::map<std::string, absl::Time> m_recentOrders;
+  std::string m_recentOrdersText;
   std::map<std::int64_t, WaveState> m_waves;
   std::map<std::string, std::set<std::string>> m_storedDone;
   std::map<std::string, OpenOrder> m_orders;
--- a/scheduler/job_keys.h
+++ b/scheduler/job_keys.h
@@ -20,6 +20,8 @@
 /** Jobs of each queue of which no task has started. */
 inline constexpr const char* kPendingKey = "bramleystall/pending";
 
+/** Machines that the owner has ordered within the last seconds. */
+inline constexpr const char* kMachineOrdersKey = "bramleystall/machine-orders";
 /** Machines of a wave whose upkeep has begun, waves/NUMBER. */
 inline constexpr const char* kWavePrefix = "bramleystall/waves/";
 
--- a/scheduler/progress_writer.cpp
+++ b/scheduler/progress_writer.cpp
@@ -16,6 +16,8 @@
 
 /** Documents that come within this time share a transaction. */
 constexpr absl::Duration kBatchDelay = absl::Milliseconds(15);
+/** A document is usually stored within this time. */
+constexpr absl::Duration kUsualDelay = absl::Milliseconds(300);
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(150);
 /** The owner's condition, then a condition and a put for each document. */
 constexpr std::size_t kDocumentsPerCommit =
@@ -51,6 +53,7 @@
   document.m_value = std::move(aValue);
   if (document.m_generation == 0) {
     document.m_generation = m_generation;
+    document.m_queuedAt = m_loop.Now();
   }
   Schedule(kBatchDelay);
 }
@@ -69,18 +72,34 @@
 void
 ProgressWriter::Schedule(absl::Duration aDelay)
 {
-  if (m_isScheduled) {
+  const absl::Time at = m_loop.Now() + aDelay;
+  if (at >= m_flushAt) {
     return;
   }
-  m_isScheduled = true;
-  m_loop.After(aDelay, [this, alive = m_alive] {
+  m_loop.Cancel(m_timer);
+  m_flushAt = at;
+  m_timer = m_loop.After(aDelay, [this, alive = m_alive] {
     if (*alive) {
-      m_isScheduled = false;
+      m_flushAt = absl::InfiniteFuture();
       Flush();
     }
   });
 }
 
+bool
+ProgressWriter::IsBehind() const
+{
+  const absl::Time limit = m_loop.Now() - kUsualDelay;
+  for (const auto* documents : { &m_pending, &m_writing }) {
+    for (const auto& [key, document] : *documents) {
+      if (document.m_queuedAt < limit) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void
 ProgressWriter::Flush()
 {
@@ -139,6 +158,7 @@
     } else {
       newer.m_generation =
         std::min(newer.m_generation, node.mapped().m_generation);
+      newer.m_queuedAt = std::min(newer.m_queuedAt, node.mapped().m_queuedAt);
     }
   }
   if (isApplied) {
--- a/scheduler/progress_writer.h
+++ b/scheduler/progress_writer.h
@@ -2,6 +2,8 @@
 
 #include "store/key_value_store.h"
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,6 +37,12 @@
   /** Queues the newest text of a document. */
   void Put(const std::string& aKey, std::string aValue);
 
+  /** Writes what is queued without waiting for more. */
+  void Hurry() { Schedule(absl::ZeroDuration()); }
+
+  /** The store has not taken a document for longer than it usually needs. */
+  bool IsBehind() const;
+
   /** Calls back once all that was put before has been stored. */
   void AfterStored(StoredHook aHook);
 
@@ -59,6 +67,7 @@
   {
     std::string m_value;
     std::uint64_t m_generation = 0;
+    absl::Time m_queuedAt = absl::InfiniteFuture();
   };
 
   EventLoop& m_loop;
@@ -69,7 +78,9 @@
   std::map<std::string, Document> m_writing;
   std::uint64_t m_generation = 1;
   std::vector<Barrier> m_barriers;
-  bool m_isScheduled = false;
+  std::uint64_t m_timer = 0;
+  /** When the flush that is scheduled runs; infinite when none is. */
+  absl::Time m_flushAt = absl::InfiniteFuture();
   int m_openCommits = 0;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -204,7 +204,10 @@
 bool
 Scheduler::MayBeRunningUnseen(const Job& aJob) const
 {
-  return !m_unresolved.empty() && m_earlierJobs.contains(&aJob);
+  return m_earlierJobs.contains(&aJob) &&
+         std::ranges::any_of(aJob.Workers(), [this](const std::string& aId) {
+           return m_unresolved.contains(aId);
+         });
 }
 
 // Jobs.
@@ -309,7 +312,9 @@
   for (int k = 0; k < aJob.OccurrenceCount(); ++k) {
     for (std::size_t s = 0; s < aJob.Record().m_steps.size(); ++s) {
       for (Task& task : aJob.Tasks(k, static_cast<int>(s))) {
-        if (task.IsPlaced() && task.m_phase != TaskPhase::Stopping) {
+        if (task.m_isUnsent) {
+          Release(task);
+        } else if (task.IsPlaced() && task.m_phase != TaskPhase::Stopping) {
           StopTask(task, TaskPhase::Stopping);
         }
       }
@@ -382,10 +387,11 @@
   }
   std::map<std::string, std::vector<Job*>> byPool;
   for (const auto& [id, job] : m_active) {
-    if (!MayBeRunningUnseen(*job)) {
+    if (m_unresolved.empty() || !MayBeRunningUnseen(*job)) {
       byPool[PoolOf(*job)].push_back(job);
     }
   }
+  m_isStoreBehind = m_writer.IsBehind();
   std::map<std::string, std::vector<Worker*>> workers;
   for (auto& [id, worker] : m_workers) {
     workers[worker.m_report.m_pool].push_back(&worker);
@@ -397,6 +403,50 @@
     Placement placement(workers[pool], m_env.m_loop.Now());
     PlacePool(pool, jobs, placement);
   }
+  SendPlacedStarts();
+}
+
+void
+Scheduler::SendPlacedStarts()
+{
+  if (m_placedStarts.empty()) {
+    return;
+  }
+  m_writer.Hurry();
+  m_writer.AfterStored([this, starts = std::move(m_placedStarts), alive = m_alive] {
+    if (!*alive || !m_env.m_mayOrder()) {
+      return;
+    }
+    for (const PlacedStart& start : starts) {
+      Task* task = FindTask(start.m_task);
+      Worker* worker = FindWorker(start.m_worker);
+      if (task == nullptr) {
+        continue;
+      }
+      task->m_job->MarkRecordedOn(start.m_worker);
+      const bool isCurrent =
+        worker != nullptr && task->m_isUnsent &&
+        task->m_worker == start.m_worker && task->m_attempt == start.m_attempt;
+      if (isCurrent) {
+        SendStart(*task, *worker, start.m_ticket);
+      }
+    }
+  });
+  m_placedStarts.clear();
+}
+
+void
+Scheduler::ReleaseUnsentStarts()
+{
+  for (auto& [id, worker] : m_workers) {
+    const std::set<Task*> tasks = worker.m_tasks;
+    for (Task* task : tasks) {
+      if (task->m_isUnsent &&
+          m_env.m_loop.Now() > task->m_orderedAt + kUnsentTime) {
+        Release(*task);
+      }
+    }
+  }
 }
 
 void
@@ -511,8 +561,11 @@
       return;
     }
   }
-  const WorkerFilter filter = [tickets](const Worker& aWorker) {
-    return tickets == nullptr || tickets->contains(aWorker.m_report.m_id);
+  // While the store takes no writes, only workers that are already stored
+  // with the job can get its tasks.
+  const WorkerFilter filter = [this, tickets, &aJob](const Worker& aWorker) {
+    return (tickets == nullptr || tickets->contains(aWorker.m_report.m_id)) &&
+           (!m_isStoreBehind || aJob.IsRecordedOn(aWorker.m_report.m_id));
   };
   const auto ticketOf = [tickets](const Worker& aWorker) {
     return tickets == nullptr ? "" : tickets->at(aWorker.m_report.m_id);
@@ -683,6 +736,7 @@
     worker->m_used.Subtract(OccupiedBy(aTask.m_job->Spec(aTask)));
   }
   aTask.m_worker.clear();
+  aTask.m_isUnsent = false;
   if (aTask.m_phase != TaskPhase::Done) {
     aTask.m_phase = TaskPhase::Waiting;
   }
@@ -696,14 +750,32 @@
                      const std::string& aTicket)
 {
   Job& job = *aTask.m_job;
+  const std::string& workerId = aWorker.m_report.m_id;
   Assign(aTask, aWorker);
   aTask.m_phase = TaskPhase::Starting;
   aTask.m_attempt = aAttempt;
   aTask.m_percent = 0;
   aTask.m_orderedAt = m_env.m_loop.Now();
+  if (job.IsRecordedOn(workerId)) {
+    SendStart(aTask, aWorker, aTicket);
+    return;
+  }
+  aTask.m_isUnsent = true;
+  if (!job.Workers().contains(workerId)) {
+    job.AddWorker(workerId);
+    Store(job);
+  }
+  m_placedStarts.push_back({ job.NameOf(aTask), aAttempt, workerId, aTicket });
+}
+
+void
+Scheduler::SendStart(Task& aTask, Worker& aWorker, const std::string& aTicket)
+{
+  const Job& job = *aTask.m_job;
+  aTask.m_isUnsent = false;
   StartOrder order;
   order.m_task = job.NameOf(aTask);
-  order.m_attempt = aAttempt;
+  order.m_attempt = aTask.m_attempt;
   order.m_payload = job.Record().m_payload;
   order.m_leaseEndMs = NextLeaseEndMs(aWorker);
   order.m_fence = m_grant.m_fence;
@@ -714,11 +786,11 @@
     order,
     [this,
      name = order.m_task,
-     aAttempt,
+     attempt = aTask.m_attempt,
      id = aWorker.m_report.m_id,
      alive = m_alive](const OrderResult& aResult) {
       if (*alive) {
-        OnStarted(name, aAttempt, id, aResult);
+        OnStarted(name, attempt, id, aResult);
       }
     });
 }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -101,6 +101,7 @@
   {
     m_writer.Know(aKey, aRevision);
   }
+  void Hurry() { m_writer.Hurry(); }
   void Put(const std::string& aKey, std::string aValue)
   {
     m_writer.Put(aKey, std::move(aValue));
@@ -120,6 +121,9 @@
   void Begin();
   void ResolveEarlierLease(const std::string& aWorkerId);
   bool MayBeRunningUnseen(const Job& aJob) const;
+  void SendPlacedStarts();
+  void SendStart(Task& aTask, Worker& aWorker, const std::string& aTicket);
+  void ReleaseUnsentStarts();
 
   // Jobs.
   void OnJobItem(const StoreItem& aItem);
@@ -230,7 +234,16 @@
   bool m_hasWorkers = false;
   bool m_isRunning = false;
   bool m_isPlacementDue = false;
-  bool m_isBarrierSet = false;
+  /** Starts that wait until their jobs' workers are stored. */
+  struct PlacedStart
+  {
+    std::string m_task;
+    std::int64_t m_attempt = 0;
+    std::string m_worker;
+    std::string m_ticket;
+  };
+  std::vector<PlacedStart> m_placedStarts;
+  bool m_isStoreBehind = false;
   absl::Time m_beganAt;
   std::string m_pendingText;
   std::map<std::string, double> m_waitingLoad;
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -359,7 +359,7 @@
   }
   const std::set<Task*> tasks = aWorker.m_tasks;
   for (Task* task : tasks) {
-    if (listed.contains(task)) {
+    if (listed.contains(task) || task->m_isUnsent) {
       continue;
     }
     const bool isLost =
@@ -609,6 +609,7 @@
                          m_unresolved.size()));
     m_unresolved.clear();
   }
+  ReleaseUnsentStarts();
   StoreLeasedWorkers();
   RemoveExpiredJobs();
   RequestPlacement();
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -25,6 +25,8 @@
 inline constexpr double kClockDrift = 0.02;
 /** Margin for timers and the network when a lease is taken as lapsed. */
 inline constexpr absl::Duration kLeaseMargin = absl::Milliseconds(150);
+/** A placed start whose job is not stored by then is placed anew. */
+inline constexpr absl::Duration kUnsentTime = absl::Milliseconds(500);
 /** A worker without room, or one that is busy, gets no start for this time. */
 inline constexpr absl::Duration kNoRoomPause = absl::Milliseconds(150);
 inline constexpr absl::Duration kBusyPause = absl::Milliseconds(600);
