Size pools by the rate of arriving work

Change: the demand estimator gives the capacity that arrivals need, with declared run times corrected by measured ones; a step each 150 ms.

--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -21,7 +21,7 @@
 
 using nlohmann::json;
 
-constexpr absl::Duration kStepInterval = absl::Milliseconds(200);
+constexpr absl::Duration kStepInterval = absl::Milliseconds(150);
 /** Machines are listed this often; each reading counts as a call. */
 constexpr absl::Duration kListInterval = absl::Milliseconds(1000);
 /** A refused order is tried again after this time. */
@@ -36,7 +36,7 @@
  */
 constexpr absl::Duration kIdleBeforeStandby = absl::Milliseconds(1200);
 /** An idle machine may go to a pool in need after this time. */
-constexpr absl::Duration kIdleBeforeMove = absl::Milliseconds(300);
+constexpr absl::Duration kIdleBeforeMove = absl::Milliseconds(100);
 /** Share of a wave's time after which machines with tasks are emptied. */
 constexpr double kEvacuateFrom = 0.1;
 /** Share of a wave's time after which its machines are emptied in any case. */
@@ -46,6 +46,9 @@
 /** Machines of a pool beyond its measured load. */
 constexpr double kHeadroom = 1.1;
 
+/** Interval of the log lines on pools that differ from their desired size. */
+constexpr absl::Duration kPoolLogInterval = absl::Seconds(1);
+
 std::string
 WaveKey(std::int64_t aWave)
 {
@@ -552,8 +555,10 @@
     }
   }
   for (auto& [name, pool] : pools) {
-    const double load = m_env.m_scheduler.UsedLoad(name) +
-                        m_env.m_scheduler.WaitingLoad(name);
+    // Arrivals tell of a rise before their tasks wait for a worker.
+    const double load = std::max(m_env.m_scheduler.UsedLoad(name) +
+                                   m_env.m_scheduler.WaitingLoad(name),
+                                 m_env.m_scheduler.ArrivingLoad(name));
     pool.m_desired =
       std::max(m_env.m_scheduler.MinimumWorkers(name),
                static_cast<int>(std::ceil(load * kHeadroom)));
@@ -565,6 +570,33 @@
   return pools;
 }
 
+void
+FleetKeeper::LogPools(const std::map<std::string, PoolLoad>& aPools)
+{
+  if (m_env.m_loop.Now() < m_poolsLoggedAt + kPoolLogInterval) {
+    return;
+  }
+  m_poolsLoggedAt = m_env.m_loop.Now();
+  for (const auto& [name, pool] : aPools) {
+    if (pool.m_isStandby || pool.m_desired == pool.m_machines) {
+      continue;
+    }
+    LogInfo(LogPart::Fleet,
+            absl::StrCat("pool off its size; pool=",
+                         name,
+                         " machines=",
+                         pool.m_machines,
+                         " incoming=",
+                         pool.m_incoming,
+                         " desired=",
+                         pool.m_desired,
+                         " used=",
+                         m_env.m_scheduler.UsedLoad(name),
+                         " waiting=",
+                         m_env.m_scheduler.WaitingLoad(name)));
+  }
+}
+
 const MachineEntry*
 FleetKeeper::FindSource(const std::string& aPool,
                         std::map<std::string, PoolLoad>& aPools)
@@ -597,6 +629,7 @@
 FleetKeeper::Rebalance()
 {
   std::map<std::string, PoolLoad> pools = MeasurePools();
+  LogPools(pools);
   std::string standby;
   for (const auto& [name, pool] : pools) {
     if (pool.m_isStandby) {
--- a/scheduler/fleet_keeper.h
+++ b/scheduler/fleet_keeper.h
@@ -118,6 +118,7 @@
   void PublishWave(const WaveState& aState);
   void Rebalance();
   std::map<std::string, PoolLoad> MeasurePools();
+  void LogPools(const std::map<std::string, PoolLoad>& aPools);
   const MachineEntry* FindSource(
     const std::string& aPool,
     std::map<std::string, PoolLoad>& aPools);
@@ -137,6 +138,7 @@
   std::map<std::string, MachineEntry> m_machines;
   absl::Time m_listedAt = absl::InfinitePast();
   bool m_isListing = false;
+  absl::Time m_poolsLoggedAt = absl::InfinitePast();
   bool m_hasWaveProgress = false;
   bool m_hasMachineOrders = false;
   /** When this owner last ordered a machine, as the store knows it. */
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -245,6 +245,7 @@
     auto job = std::make_unique<Job>(DecodeJobRecord(aId, aItem.m_value));
     if (m_isRunning) {
       m_active[aId] = job.get();
+      NoteArrival(*job);
       RequestPlacement();
     }
     m_jobs[aId] = std::move(job);
@@ -682,6 +683,30 @@
                   share(aNeed.m_memoryMb, m_typicalWorker.m_memoryMb));
 }
 
+void
+Scheduler::NoteArrival(const Job& aJob)
+{
+  const JobRecord& record = aJob.Record();
+  if (record.m_repeats > 0) {
+    return;
+  }
+  double work = 0;
+  for (const StepSpec& step : record.m_steps) {
+    if (!step.m_isLongRunning) {
+      work += step.m_count * LoadOf(OccupiedBy(step)) * step.m_estimateMs /
+              1000.0;
+    }
+  }
+  m_demand.AddArrival(
+    PoolOf(aJob), record.m_queue, work, m_env.m_loop.Now());
+}
+
+double
+Scheduler::ArrivingLoad(const std::string& aPool) const
+{
+  return m_demand.ArrivingLoad(aPool, m_env.m_loop.Now());
+}
+
 double
 Scheduler::UsedLoad(const std::string& aPool) const
 {
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/worker_gateway.h"
+#include "jobs/demand_estimator.h"
 #include "jobs/job.h"
 #include "jobs/job_configuration.h"
 #include "jobs/worker.h"
@@ -84,6 +85,8 @@
    */
   void EvacuateLongRunning(Worker& aWorker);
 
+  /** Workers that the jobs arriving now keep busy. */
+  double ArrivingLoad(const std::string& aPool) const;
   /** Load of a pool's tasks that run, in workers' capacities. */
   double UsedLoad(const std::string& aPool) const;
   /** Load of a pool's tasks that could start, in workers' capacities. */
@@ -142,6 +145,7 @@
                  std::vector<Job*>& aJobs,
                  Placement& aPlacement);
   void MeasureWaiting(const std::string& aPool, const std::vector<Job*>& aJobs);
+  void NoteArrival(const Job& aJob);
   double LoadOf(const Resources& aNeed) const;
   bool MayDisrupt(const Task& aTask) const;
   void Relocate(Task& aTask);
@@ -216,6 +220,7 @@
   std::map<std::string, Worker> m_workers;
   /** Capacity of the worker that was reported last. */
   Resources m_typicalWorker;
+  DemandEstimator m_demand;
   /** Workers with leases of an earlier owner that have not answered yet. */
   std::set<std::string> m_unresolved;
   std::string m_leasedWorkersText;
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -428,6 +428,12 @@
   const bool wasFinal = job.IsFinal();
   const bool wasStopped = task->m_phase == TaskPhase::Stopping;
   if (isHere) {
+    if (aEnd.m_kind == TaskEndKind::Done && task->m_checkpoint.empty()) {
+      m_demand.AddRunTime(
+        job.Record().m_queue,
+        absl::Milliseconds(job.Spec(*task).m_estimateMs),
+        m_env.m_loop.Now() - task->m_startedAt);
+    }
     Release(*task);
   }
   if (wasFinal || task->m_phase == TaskPhase::Done) {
