Correct the demand estimate and pace the machine orders

Cause: on the grown sites a pool asked for up to 389,700 machines: a task whose end was listed before its start was acknowledged counted with a run time since the epoch, and declared run times are far off. The orders that followed passed the platform's rate and were refused (715 of 2,309). Change: run times are measured from the order and averaged by queue; orders keep to 0.85 of the platform's rate; larger daemons become owner first; a worker is found by its machine through an index.

--- a/core/job_settings.cpp
+++ b/core/job_settings.cpp
@@ -40,14 +40,20 @@
   return value.get<std::string>();
 }
 
-absl::Duration
-Time(const json& aObject, const std::string& aName, absl::Duration aUnit)
+double
+Number(const json& aObject, const std::string& aName)
 {
   const json& value = Field(aObject, aName);
   if (!value.is_number() || value.get<double>() < 0) {
     Fail(absl::StrCat("'", aName, "' must be a number that is not negative"));
   }
-  return value.get<double>() * aUnit;
+  return value.get<double>();
+}
+
+absl::Duration
+Time(const json& aObject, const std::string& aName, absl::Duration aUnit)
+{
+  return Number(aObject, aName) * aUnit;
 }
 
 }
@@ -81,6 +87,8 @@
   settings.m_moveTime = Time(body, "move_s", s);
   settings.m_upkeepTime = Time(body, "upkeep_s", s);
   settings.m_machineTurn = Time(body, "machine_turn_ms", ms);
+  settings.m_machineOrdersPerSecond = Number(body, "machine_orders_per_s");
+  settings.m_cores = Number(body, "cores");
   return settings;
 }
 
--- a/core/job_settings.h
+++ b/core/job_settings.h
@@ -31,6 +31,10 @@
   /** Time that the move or the upkeep of a machine takes. */
   absl::Duration m_moveTime;
   absl::Duration m_upkeepTime;
+  /** Machine orders that the platform accepts in a second. */
+  double m_machineOrdersPerSecond = 0;
+  /** Share of a core that the daemon has. */
+  double m_cores = 0;
   /** Two holders do not order the same machine within this time. */
   absl::Duration m_machineTurn;
 };
--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -63,6 +63,7 @@
     m_store,
     StateChart::Load(absl::StrCat(aChartsFolder, "/owner_term.json")),
     m_settings.m_daemon,
+    m_settings.m_cores,
     [this](const OwnershipGrant& aGrant) { StartScheduling(aGrant); },
     [this](const std::string&) { StopScheduling(); });
   m_front = std::make_unique<JobFront>(
@@ -204,6 +205,7 @@
       .m_encodeWaveStatus = wire::EncodeWaveStatus },
     FleetSettings{ .m_moveTime = m_settings.m_moveTime,
                    .m_upkeepTime = m_settings.m_upkeepTime,
+                   .m_ordersPerSecond = m_settings.m_machineOrdersPerSecond,
                    .m_machineTurn = m_settings.m_machineTurn },
     MachineAuthority{ .m_holder = m_settings.m_daemon,
                       .m_fence = aGrant.m_fence });
--- a/jobs/demand_estimator.cpp
+++ b/jobs/demand_estimator.cpp
@@ -1,5 +1,6 @@
 #include "jobs/demand_estimator.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace bramleystall {
@@ -13,8 +14,10 @@
 constexpr double kRateSeconds = 0.8;
 /** Weight that older run times keep with each new one. */
 constexpr double kRunTimeMemory = 0.98;
-/** Declared seconds that stand for the prior, a ratio of one. */
-constexpr double kPriorSeconds = 5.0;
+/** Weight of the declared run time, in measured tasks. */
+constexpr double kPriorWeight = 3.0;
+/** A declared run time counts at most this much. */
+constexpr absl::Duration kMaxDeclared = absl::Seconds(3);
 
 double
 Decay(absl::Duration aAge)
@@ -26,26 +29,20 @@
 
 void
 DemandEstimator::AddArrival(const std::string& aPool,
-                            const std::string& aQueue,
-                            double aDeclaredWork,
+                            double aWork,
                             absl::Time aNow)
 {
   Rate& rate = m_rates[aPool];
-  const double work = aDeclaredWork * RunTimeRatio(aQueue);
-  rate.m_value = rate.m_value * Decay(aNow - rate.m_at) + work / kRateSeconds;
+  rate.m_value = rate.m_value * Decay(aNow - rate.m_at) + aWork / kRateSeconds;
   rate.m_at = aNow;
 }
 
 void
-DemandEstimator::AddRunTime(const std::string& aQueue,
-                            absl::Duration aDeclared,
-                            absl::Duration aActual)
+DemandEstimator::AddRunTime(const std::string& aQueue, absl::Duration aActual)
 {
   RunTimes& times = m_runTimes[aQueue];
-  times.m_declared =
-    times.m_declared * kRunTimeMemory + absl::ToDoubleSeconds(aDeclared);
-  times.m_actual =
-    times.m_actual * kRunTimeMemory + absl::ToDoubleSeconds(aActual);
+  times.m_sum = times.m_sum * kRunTimeMemory + absl::ToDoubleSeconds(aActual);
+  times.m_weight = times.m_weight * kRunTimeMemory + 1.0;
 }
 
 double
@@ -57,15 +54,19 @@
            : found->second.m_value * Decay(aNow - found->second.m_at);
 }
 
-double
-DemandEstimator::RunTimeRatio(const std::string& aQueue) const
+absl::Duration
+DemandEstimator::RunTime(const std::string& aQueue,
+                         absl::Duration aDeclared) const
 {
+  const double declared =
+    absl::ToDoubleSeconds(std::min(aDeclared, kMaxDeclared));
   const auto found = m_runTimes.find(aQueue);
   if (found == m_runTimes.end()) {
-    return 1.0;
+    return absl::Seconds(declared);
   }
-  return (found->second.m_actual + kPriorSeconds) /
-         (found->second.m_declared + kPriorSeconds);
+  const RunTimes& times = found->second;
+  return absl::Seconds((times.m_sum + declared * kPriorWeight) /
+                       (times.m_weight + kPriorWeight));
 }
 
 }
--- a/jobs/demand_estimator.h
+++ b/jobs/demand_estimator.h
@@ -9,28 +9,24 @@
 
 /**
  * Estimates the capacity that each pool's arriving work needs. Work is counted
- * in seconds of a whole worker; declared run times are corrected by what tasks
- * of the same queue have taken.
+ * in seconds of a whole worker. Declared run times only bridge the time until
+ * tasks of the same queue have been measured, since they are far off.
  */
 class DemandEstimator
 {
 public:
-  /** Work of a job that has just arrived, by its declared run times. */
-  void AddArrival(const std::string& aPool,
-                  const std::string& aQueue,
-                  double aDeclaredWork,
-                  absl::Time aNow);
+  /** Work of a job that has just arrived. */
+  void AddArrival(const std::string& aPool, double aWork, absl::Time aNow);
 
-  /** A task of a queue that has run to its end. */
-  void AddRunTime(const std::string& aQueue,
-                  absl::Duration aDeclared,
-                  absl::Duration aActual);
+  /** A task of a queue has run to its end. */
+  void AddRunTime(const std::string& aQueue, absl::Duration aActual);
 
   /** Workers that the present rate of arrivals keeps busy. */
   double ArrivingLoad(const std::string& aPool, absl::Time aNow) const;
 
-  /** Measured run time of a queue's tasks over the declared one. */
-  double RunTimeRatio(const std::string& aQueue) const;
+  /** Expected run time of a queue's task, given the declared one. */
+  absl::Duration RunTime(const std::string& aQueue,
+                         absl::Duration aDeclared) const;
 
 private:
   struct Rate
@@ -40,8 +36,9 @@
   };
   struct RunTimes
   {
-    double m_declared = 0;
-    double m_actual = 0;
+    /** Decaying sum in seconds, and weight of the terms. */
+    double m_sum = 0;
+    double m_weight = 0;
   };
 
   std::map<std::string, Rate> m_rates;
--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -43,6 +43,12 @@
 constexpr double kForceFrom = 0.6;
 /** Added to the time in which two holders do not order the same machine. */
 constexpr absl::Duration kTurnMargin = absl::Milliseconds(300);
+/** Share of the platform's rate of orders that is used. */
+constexpr double kOrderRateShare = 0.85;
+/** Orders that were not used are kept for this time. */
+constexpr absl::Duration kOrderBurst = absl::Milliseconds(500);
+/** Orders that are kept for pools in need when machines go to standby. */
+constexpr double kStandbyReserve = 10;
 /** Machines of a pool beyond its measured load. */
 constexpr double kHeadroom = 1.1;
 
@@ -125,6 +131,29 @@
   return m_hasWaveProgress && m_hasMachineOrders && m_env.m_holdsLease();
 }
 
+void
+FleetKeeper::RefillTokens()
+{
+  const absl::Time now = m_env.m_loop.Now();
+  const double rate = m_settings.m_ordersPerSecond * kOrderRateShare;
+  if (m_tokensAt != absl::InfinitePast()) {
+    m_orderTokens += rate * absl::ToDoubleSeconds(now - m_tokensAt);
+  }
+  m_orderTokens =
+    std::min(m_orderTokens, rate * absl::ToDoubleSeconds(kOrderBurst));
+  m_tokensAt = now;
+}
+
+bool
+FleetKeeper::TakeToken(double aReserve)
+{
+  if (m_orderTokens < 1 + aReserve) {
+    return false;
+  }
+  m_orderTokens -= 1;
+  return true;
+}
+
 void
 FleetKeeper::ReadMachineOrders()
 {
@@ -235,6 +264,7 @@
     }
   }
   if (!m_machines.empty() && MayOrder()) {
+    RefillTokens();
     WorkOnWaves();
     Rebalance();
     SendOrders();
@@ -392,7 +422,8 @@
       }
       continue;
     }
-    if (down < wave.m_maxConcurrent && m_env.m_loop.Now() >= m_pauseAllUntil) {
+    if (down < wave.m_maxConcurrent &&
+        m_env.m_loop.Now() >= m_pauseAllUntil && TakeToken(0)) {
       ++down;
       Maintain(machine->second, wave.m_number);
     }
@@ -633,7 +664,7 @@
     while (!pool.m_isStandby && m_env.m_loop.Now() >= m_pauseAllUntil &&
            pool.m_desired > pool.m_machines + pool.m_incoming) {
       const MachineEntry* source = FindSource(name, pools);
-      if (source == nullptr) {
+      if (source == nullptr || !TakeToken(0)) {
         isAnyShort = true;
         break;
       }
@@ -648,7 +679,8 @@
   for (const auto& [name, machine] : m_machines) {
     PoolLoad& pool = pools[machine.m_pool];
     if (!pool.m_isStandby && pool.m_machines > pool.m_desired &&
-        IsIdle(machine, kIdleBeforeStandby) && !IsInOpenWave(name)) {
+        IsIdle(machine, kIdleBeforeStandby) && !IsInOpenWave(name) &&
+        TakeToken(kStandbyReserve)) {
       --pool.m_machines;
       Move(machine, standby);
     }
--- a/scheduler/fleet_keeper.h
+++ b/scheduler/fleet_keeper.h
@@ -28,6 +28,8 @@
 {
   absl::Duration m_moveTime = absl::Milliseconds(1500);
   absl::Duration m_upkeepTime = absl::Seconds(2);
+  /** Orders that the platform accepts in a second. */
+  double m_ordersPerSecond = 64;
   /** Two holders do not order the same machine within this time. */
   absl::Duration m_machineTurn = absl::Seconds(3);
 };
@@ -128,6 +130,9 @@
   Worker* WorkerOn(const MachineEntry& aMachine);
   bool IsInOpenWave(const std::string& aMachine) const;
   bool MayOrder() const;
+  void RefillTokens();
+  /** Takes a token; false when no more orders fit the platform's rate. */
+  bool TakeToken(double aReserve);
   void CallMaintain(const std::string& aMachine);
   void CallMove(const std::string& aMachine);
 
@@ -143,6 +148,9 @@
   /** When this owner last ordered a machine, as the store knows it. */
   std::map<std::string, absl::Time> m_recentOrders;
   std::string m_recentOrdersText;
+  /** Orders that may be given now; refilled with the time. */
+  double m_orderTokens = 0;
+  absl::Time m_tokensAt = absl::InfinitePast();
   std::map<std::int64_t, WaveState> m_waves;
   std::map<std::string, std::set<std::string>> m_storedDone;
   std::map<std::string, OpenOrder> m_orders;
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -10,6 +10,7 @@
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -28,6 +29,9 @@
 constexpr absl::Duration kAuthority = absl::Milliseconds(6500);
 constexpr absl::Duration kRenewInterval = absl::Milliseconds(600);
 constexpr absl::Duration kRetryInterval = absl::Milliseconds(200);
+/** Delay of a candidate without a processor, so that a larger one is first. */
+constexpr absl::Duration kSmallDaemonDelay = absl::Milliseconds(500);
+constexpr double kLargeDaemonCores = 0.5;
 /** Candidates of one instant differ by up to this delay. */
 constexpr int kMaxCandidateDelayMs = 60;
 
@@ -37,6 +41,7 @@
                      KeyValueStore& aStore,
                      StateChart aChart,
                      std::string aDaemon,
+                     double aCores,
                      GrantHook aOnGrant,
                      LossHook aOnLoss)
   : m_loop(aLoop)
@@ -44,6 +49,7 @@
   , m_chart(std::move(aChart))
   , m_state(m_chart.Initial())
   , m_daemon(std::move(aDaemon))
+  , m_cores(aCores)
   , m_onGrant(std::move(aOnGrant))
   , m_onLoss(std::move(aOnLoss))
 {
@@ -167,7 +173,10 @@
   const auto seed =
     static_cast<std::int64_t>(std::hash<std::string>{}(m_daemon) +
                               static_cast<std::size_t>(m_termRevision));
-  Schedule(absl::Milliseconds((seed & 0xffff) % kMaxCandidateDelayMs),
+  const absl::Duration handicap =
+    kSmallDaemonDelay * (1.0 - std::min(1.0, m_cores / kLargeDaemonCores));
+  Schedule(handicap +
+             absl::Milliseconds((seed & 0xffff) % kMaxCandidateDelayMs),
            &Ownership::Acquire);
 }
 
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -43,6 +43,7 @@
             KeyValueStore& aStore,
             StateChart aChart,
             std::string aDaemon,
+            double aCores,
             GrantHook aOnGrant,
             LossHook aOnLoss);
   ~Ownership();
@@ -84,6 +85,8 @@
   StateChart m_chart;
   std::string m_state;
   std::string m_daemon;
+  /** Share of a core; larger daemons become candidates sooner. */
+  double m_cores;
   GrantHook m_onGrant;
   LossHook m_onLoss;
   bool m_isResigned = false;
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -693,11 +693,13 @@
   double work = 0;
   for (const StepSpec& step : record.m_steps) {
     if (!step.m_isLongRunning) {
-      work +=
-        step.m_count * LoadOf(OccupiedBy(step)) * step.m_estimateMs / 1000.0;
+      const absl::Duration time = m_demand.RunTime(
+        record.m_queue, absl::Milliseconds(step.m_estimateMs));
+      work += step.m_count * LoadOf(OccupiedBy(step)) *
+              absl::ToDoubleSeconds(time);
     }
   }
-  m_demand.AddArrival(PoolOf(aJob), record.m_queue, work, m_env.m_loop.Now());
+  m_demand.AddArrival(PoolOf(aJob), work, m_env.m_loop.Now());
 }
 
 double
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -218,6 +218,8 @@
   std::map<std::string, absl::Time> m_removals;
   std::set<std::string> m_cancelled;
   std::map<std::string, Worker> m_workers;
+  /** Worker that was listed last on each machine. */
+  std::unordered_map<std::string, std::string> m_workerOfMachine;
   /** Capacity of the worker that was reported last. */
   Resources m_typicalWorker;
   DemandEstimator m_demand;
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -29,6 +29,7 @@
   worker.m_isListed = true;
   m_typicalWorker = aReport.m_capacity;
   if (isNew && !aReport.m_machine.empty()) {
+    m_workerOfMachine[aReport.m_machine] = aReport.m_id;
     EndEarlierLives(worker);
   }
   if (worker.m_bornMs != 0 && aReport.m_bornMs > worker.m_bornMs) {
@@ -94,12 +95,10 @@
 Worker*
 Scheduler::WorkerOnMachine(const std::string& aMachine)
 {
-  for (auto& [id, worker] : m_workers) {
-    if (worker.m_isListed && worker.m_report.m_machine == aMachine) {
-      return &worker;
-    }
-  }
-  return nullptr;
+  const auto found = m_workerOfMachine.find(aMachine);
+  Worker* worker =
+    found == m_workerOfMachine.end() ? nullptr : FindWorker(found->second);
+  return worker != nullptr && worker->m_isListed ? worker : nullptr;
 }
 
 bool
@@ -341,6 +340,7 @@
       // Started by an earlier owner, or by an order that was carried out late.
       Assign(*task, aWorker);
       task->m_attempt = running.m_attempt;
+      task->m_orderedAt = absl::Time();
       task->m_phase = TaskPhase::Running;
       task->m_startedAt = aSentAt;
       task->m_progressAt = m_env.m_loop.Now();
@@ -432,10 +432,12 @@
   const bool wasFinal = job.IsFinal();
   const bool wasStopped = task->m_phase == TaskPhase::Stopping;
   if (isHere) {
-    if (aEnd.m_kind == TaskEndKind::Done && task->m_checkpoint.empty()) {
+    // The start of an adopted task is unknown; a short task may end before
+    // its start is acknowledged.
+    if (aEnd.m_kind == TaskEndKind::Done && task->m_checkpoint.empty() &&
+        task->m_orderedAt != absl::Time()) {
       m_demand.AddRunTime(job.Record().m_queue,
-                          absl::Milliseconds(job.Spec(*task).m_estimateMs),
-                          m_env.m_loop.Now() - task->m_startedAt);
+                          m_env.m_loop.Now() - task->m_orderedAt);
     }
     Release(*task);
   }
