Place tasks with less processor time

Change: what a job's rank depends on is kept with the job; a placement is followed by a pause of eight times its own time; progress is encoded once for all ends of an answer; a worker that leaves a start unanswered gets a look before more tasks; the owner is chosen by processor and link.

--- a/core/job_settings.h
+++ b/core/job_settings.h
@@ -33,8 +33,9 @@
   absl::Duration m_upkeepTime;
   /** Machine orders that the platform accepts in a second. */
   double m_machineOrdersPerSecond = 0;
-  /** Share of a core that the daemon has. */
+  /** Share of a core that the daemon has, and its link in Mbit/s. */
   double m_cores = 0;
+  double m_linkMbps = 0;
   /** Two holders do not order the same machine within this time. */
   absl::Duration m_machineTurn;
 };
--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -25,10 +26,22 @@
 constexpr absl::Duration kExitMargin = absl::Milliseconds(700);
 /** The balancer needs two misses, a second apart, to see the shutdown. */
 constexpr absl::Duration kMinShutdown = absl::Milliseconds(2500);
+/** What the owner needs at the peak of 350 workers, see docs/CAPACITY.md. */
+constexpr double kOwnerCores = 0.5;
+constexpr double kOwnerLinkMbps = 100;
 constexpr absl::Duration kIdlePoll = absl::Milliseconds(50);
 /** Longest time that the shutdown waits to store the progress. */
 constexpr absl::Duration kHandoverTime = absl::Milliseconds(300);
 
+/** How well a daemon can schedule, 0 to 1, by its scarcer resource. */
+double
+FitnessOf(const JobSettings& aSettings)
+{
+  return std::min({ 1.0,
+                    aSettings.m_cores / kOwnerCores,
+                    aSettings.m_linkMbps / kOwnerLinkMbps });
+}
+
 CallerCodec
 MakeCallerCodec()
 {
@@ -63,7 +76,7 @@
     m_store,
     StateChart::Load(absl::StrCat(aChartsFolder, "/owner_term.json")),
     m_settings.m_daemon,
-    m_settings.m_cores,
+    FitnessOf(m_settings),
     [this](const OwnershipGrant& aGrant) { StartScheduling(aGrant); },
     [this](const std::string&) { StopScheduling(); });
   m_front = std::make_unique<JobFront>(
--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -156,23 +156,12 @@
   }
 }
 
-std::int64_t
-Job::RemainingChainMs(int aOccurrence) const
+int
+Job::OpenChainLength() const
 {
-  // Steps only depend on earlier ones, so one pass finds the longest chain.
-  std::vector<std::int64_t> chains(m_record.m_steps.size(), 0);
-  std::int64_t longest = 0;
-  for (std::size_t s = 0; s < chains.size(); ++s) {
-    const StepSpec& spec = m_record.m_steps[s];
-    std::int64_t before = 0;
-    for (const int earlier : spec.m_after) {
-      before = std::max(before, chains[static_cast<std::size_t>(earlier)]);
-    }
-    const bool isDone = IsStepDone(aOccurrence, static_cast<int>(s));
-    chains[s] = before + (isDone ? 0 : spec.m_estimateMs);
-    longest = std::max(longest, chains[s]);
-  }
-  return longest;
+  // Most jobs are chains, so the open steps stand for the longest one.
+  const int steps = static_cast<int>(m_record.m_steps.size());
+  return std::clamp(m_openSteps, 0, steps);
 }
 
 std::string
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -101,8 +101,12 @@
     m_recordedWorkers.insert(aWorkerId);
   }
 
-  /** Longest chain of declared work that is left, in ms. */
-  std::int64_t RemainingChainMs(int aOccurrence) const;
+  /** Steps of the first open occurrence that are not done. */
+  int OpenChainLength() const;
+
+  /** Number in the order in which this process has read the jobs. */
+  std::uint64_t Order() const { return m_order; }
+  void SetOrder(std::uint64_t aOrder) { m_order = aOrder; }
 
   /** JSON of all that has to outlive the process; see ApplyProgress. */
   std::string EncodeProgress() const;
@@ -128,6 +132,7 @@
 
   JobRecord m_record;
   JobState m_state = JobState::Queued;
+  std::uint64_t m_order = 0;
   std::set<std::string> m_workers;
   std::set<std::string> m_recordedWorkers;
   std::vector<Occurrence> m_occurrences;
--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -422,8 +422,8 @@
       }
       continue;
     }
-    if (down < wave.m_maxConcurrent &&
-        m_env.m_loop.Now() >= m_pauseAllUntil && TakeToken(0)) {
+    if (down < wave.m_maxConcurrent && m_env.m_loop.Now() >= m_pauseAllUntil &&
+        TakeToken(0)) {
       ++down;
       Maintain(machine->second, wave.m_number);
     }
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -29,9 +29,8 @@
 constexpr absl::Duration kAuthority = absl::Milliseconds(6500);
 constexpr absl::Duration kRenewInterval = absl::Milliseconds(600);
 constexpr absl::Duration kRetryInterval = absl::Milliseconds(200);
-/** Delay of a candidate without a processor, so that a larger one is first. */
+/** Delay of the least fit candidate, so that a fitter one is first. */
 constexpr absl::Duration kSmallDaemonDelay = absl::Milliseconds(500);
-constexpr double kLargeDaemonCores = 0.5;
 /** Candidates of one instant differ by up to this delay. */
 constexpr int kMaxCandidateDelayMs = 60;
 
@@ -41,7 +40,7 @@
                      KeyValueStore& aStore,
                      StateChart aChart,
                      std::string aDaemon,
-                     double aCores,
+                     double aFitness,
                      GrantHook aOnGrant,
                      LossHook aOnLoss)
   : m_loop(aLoop)
@@ -49,7 +48,7 @@
   , m_chart(std::move(aChart))
   , m_state(m_chart.Initial())
   , m_daemon(std::move(aDaemon))
-  , m_cores(aCores)
+  , m_fitness(aFitness)
   , m_onGrant(std::move(aOnGrant))
   , m_onLoss(std::move(aOnLoss))
 {
@@ -174,7 +173,7 @@
     static_cast<std::int64_t>(std::hash<std::string>{}(m_daemon) +
                               static_cast<std::size_t>(m_termRevision));
   const absl::Duration handicap =
-    kSmallDaemonDelay * (1.0 - std::min(1.0, m_cores / kLargeDaemonCores));
+    kSmallDaemonDelay * (1.0 - std::clamp(m_fitness, 0.0, 1.0));
   Schedule(handicap +
              absl::Milliseconds((seed & 0xffff) % kMaxCandidateDelayMs),
            &Ownership::Acquire);
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -43,7 +43,7 @@
             KeyValueStore& aStore,
             StateChart aChart,
             std::string aDaemon,
-            double aCores,
+            double aFitness,
             GrantHook aOnGrant,
             LossHook aOnLoss);
   ~Ownership();
@@ -85,8 +85,8 @@
   StateChart m_chart;
   std::string m_state;
   std::string m_daemon;
-  /** Share of a core; larger daemons become candidates sooner. */
-  double m_cores;
+  /** 0 to 1; daemons with more resources become candidates sooner. */
+  double m_fitness;
   GrantHook m_onGrant;
   LossHook m_onLoss;
   bool m_isResigned = false;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -66,7 +66,7 @@
   void OnWorkerRemoved(const std::string& aWorkerId);
   /** All workers of the store have been reported. */
   void OnWorkersListed();
-  void OnConfigurationChanged() { RequestPlacement(); }
+  void OnConfigurationChanged();
 
   /** Listed worker that runs on a machine, or null. */
   Worker* WorkerOnMachine(const std::string& aMachine);
@@ -113,10 +113,25 @@
   /** Calls back once all that is known is stored. */
   void AfterStored(std::function<void()> aHook)
   {
+    PutChangedJobs();
     m_writer.AfterStored(std::move(aHook));
   }
 
 private:
+  /** A job that is not final, with what its rank depends on. */
+  struct ActiveJob
+  {
+    Job* m_job = nullptr;
+    std::string m_pool;
+    int m_priority = 0;
+    bool m_needsAdvice = false;
+    bool m_isLongRunning = false;
+    /** Expected time of one step in ms. */
+    std::int64_t m_stepMs = 0;
+    /** Wall-clock ms until which the job counts as in time. */
+    std::int64_t m_objectiveMs = 0;
+  };
+
   // Takeover.
   void ReadProgress(const std::string& aAfter);
   void ReadLeasedWorkers();
@@ -133,7 +148,10 @@
   void LoadJob(const std::string& aId, const StoreItem& aItem);
   void ForgetJob(const std::string& aId);
   void Cancel(Job& aJob);
+  /** Writes the job's progress soon, with other changed jobs. */
   void Store(Job& aJob);
+  void PutChangedJobs();
+  ActiveJob MakeActive(Job& aJob) const;
   void FinishJob(Job& aJob);
   Task* FindTask(const std::string& aName);
   void PublishPending();
@@ -142,14 +160,21 @@
   void RequestPlacement();
   void PlaceAll();
   void PlacePool(const std::string& aPool,
-                 std::vector<Job*>& aJobs,
+                 const std::vector<const ActiveJob*>& aJobs,
                  Placement& aPlacement);
-  void MeasureWaiting(const std::string& aPool, const std::vector<Job*>& aJobs);
+  int TierOf(const ActiveJob& aActive) const;
+  void MeasureWaiting(const std::string& aPool,
+                      Job& aJob,
+                      int aOccurrence,
+                      int aStep);
   void NoteArrival(const Job& aJob);
   double LoadOf(const Resources& aNeed) const;
   bool MayDisrupt(const Task& aTask) const;
   void Relocate(Task& aTask);
-  void PlaceStep(Job& aJob, int aOccurrence, int aStep, Placement& aPlacement);
+  void PlaceStep(const ActiveJob& aActive,
+                 int aOccurrence,
+                 int aStep,
+                 Placement& aPlacement);
   const std::string& PoolOf(const Job& aJob) const;
   bool IsDue(const Job& aJob, int aOccurrence) const;
   const std::map<std::string, std::string>* TicketsFor(const Job& aJob,
@@ -166,6 +191,7 @@
                  std::int64_t aAttempt,
                  const std::string& aWorkerId,
                  const OrderResult& aResult);
+  void NoteSilence(Worker& aWorker);
   void StopTask(Task& aTask, TaskPhase aPhase);
   void SendStop(const std::string& aName,
                 std::int64_t aAttempt,
@@ -211,7 +237,13 @@
   ProgressWriter m_writer;
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   /** Jobs that are not final, in the order of their ids. */
-  std::map<std::string, Job*> m_active;
+  std::map<std::string, ActiveJob> m_active;
+  /** Jobs whose progress has to be written. */
+  std::set<const Job*> m_changedJobs;
+  std::uint64_t m_nextOrder = 1;
+  /** Wall-clock ms at the last placement, and how long it took. */
+  std::int64_t m_wallNowMs = 0;
+  absl::Duration m_placementTime;
   /** Jobs that were accepted before this term and may run unseen. */
   std::set<const Job*> m_earlierJobs;
   /** Monotonic time at which a final job's keys are removed. */
--- /dev/null
+++ b/scheduler/scheduler_placement.cpp
@@ -0,0 +1,431 @@
+// The part of the scheduler that chooses workers for the tasks of all jobs.
+// See scheduler.h.
+
+#include "scheduler/scheduler.h"
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "core/metrics.h"
+#include "jobs/job_codec.h"
+#include "jobs/placement.h"
+#include "net/event_loop.h"
+#include "scheduler/job_keys.h"
+#include "scheduler/scheduling_limits.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleystall {
+
+void
+Scheduler::RequestPlacement()
+{
+  if (m_isPlacementDue || !m_isRunning) {
+    return;
+  }
+  m_isPlacementDue = true;
+  After(std::max(kPlacementInterval, m_placementTime * kPlacementPause),
+        [this] {
+          m_isPlacementDue = false;
+          PlaceAll();
+        });
+}
+
+const std::string&
+Scheduler::PoolOf(const Job& aJob) const
+{
+  const QueueSpec* queue = m_env.m_configuration().Find(aJob.Record().m_queue);
+  return queue == nullptr ? aJob.Record().m_pool : queue->m_pool;
+}
+
+Scheduler::ActiveJob
+Scheduler::MakeActive(Job& aJob) const
+{
+  const JobRecord& record = aJob.Record();
+  const QueueSpec* queue = m_env.m_configuration().Find(record.m_queue);
+  absl::Duration chain;
+  for (const StepSpec& step : record.m_steps) {
+    chain +=
+      m_demand.RunTime(record.m_queue, absl::Milliseconds(step.m_estimateMs));
+  }
+  ActiveJob active;
+  active.m_job = &aJob;
+  active.m_pool = queue == nullptr ? record.m_pool : queue->m_pool;
+  active.m_priority = queue == nullptr ? record.m_priority : queue->m_priority;
+  active.m_needsAdvice = queue != nullptr && queue->m_needsAdvice;
+  active.m_isLongRunning = record.m_steps.front().m_isLongRunning;
+  active.m_stepMs = absl::ToInt64Milliseconds(chain) /
+                    static_cast<std::int64_t>(record.m_steps.size());
+  active.m_objectiveMs =
+    record.m_acceptedAtMs +
+    absl::ToInt64Milliseconds(chain *
+                              (queue == nullptr ? 1.0 : queue->m_stretch)) +
+    (queue == nullptr ? 0 : queue->m_objectiveMs);
+  return active;
+}
+
+void
+Scheduler::OnConfigurationChanged()
+{
+  for (auto& [id, active] : m_active) {
+    active = MakeActive(*active.m_job);
+  }
+  RequestPlacement();
+}
+
+bool
+Scheduler::IsDue(const Job& aJob, int aOccurrence) const
+{
+  return m_wallNowMs >= aJob.DueMs(aOccurrence);
+}
+
+void
+Scheduler::PlaceAll()
+{
+  if (!m_env.m_mayOrder()) {
+    return;
+  }
+  const absl::Time begin = m_env.m_loop.ReadClock();
+  m_wallNowMs = ToMillis(absl::Now());
+  std::map<std::string, std::vector<const ActiveJob*>> byPool;
+  for (const auto& [id, active] : m_active) {
+    if (m_unresolved.empty() || !MayBeRunningUnseen(*active.m_job)) {
+      byPool[active.m_pool].push_back(&active);
+    }
+  }
+  m_isStoreBehind = m_writer.IsBehind();
+  std::map<std::string, std::vector<Worker*>> workers;
+  for (auto& [id, worker] : m_workers) {
+    workers[worker.m_report.m_pool].push_back(&worker);
+  }
+  m_waitingLoad.clear();
+  m_minimumWorkers.clear();
+  m_poolsWithWaitingLongRunning.clear();
+  for (auto& [pool, jobs] : byPool) {
+    Placement placement(workers[pool], m_env.m_loop.Now());
+    PlacePool(pool, jobs, placement);
+  }
+  SendPlacedStarts();
+  m_placementTime = m_env.m_loop.ReadClock() - begin;
+}
+
+void
+Scheduler::SendPlacedStarts()
+{
+  if (m_placedStarts.empty()) {
+    return;
+  }
+  m_writer.Hurry();
+  AfterStored([this, starts = std::move(m_placedStarts), alive = m_alive] {
+    if (!*alive || !m_env.m_mayOrder()) {
+      return;
+    }
+    for (const PlacedStart& start : starts) {
+      Task* task = FindTask(start.m_task);
+      Worker* worker = FindWorker(start.m_worker);
+      if (task == nullptr) {
+        continue;
+      }
+      task->m_job->MarkRecordedOn(start.m_worker);
+      const bool isCurrent = worker != nullptr && task->m_isUnsent &&
+                             task->m_worker == start.m_worker &&
+                             task->m_attempt == start.m_attempt;
+      if (isCurrent) {
+        SendStart(*task, *worker, start.m_ticket);
+      }
+    }
+  });
+  m_placedStarts.clear();
+}
+
+void
+Scheduler::ReleaseUnsentStarts()
+{
+  for (auto& [id, worker] : m_workers) {
+    const std::set<Task*> tasks = worker.m_tasks;
+    for (Task* task : tasks) {
+      if (task->m_isUnsent &&
+          m_env.m_loop.Now() > task->m_orderedAt + kUnsentTime) {
+        Release(*task);
+      }
+    }
+  }
+}
+
+void
+Scheduler::PlacePool(const std::string& aPool,
+                     const std::vector<const ActiveJob*>& aJobs,
+                     Placement& aPlacement)
+{
+  struct Rank
+  {
+    int m_priority;
+    int m_tier;
+    std::int64_t m_objectiveMs;
+    const ActiveJob* m_active;
+
+    auto Key() const
+    {
+      return std::tuple(
+        m_priority, m_tier, m_objectiveMs, m_active->m_job->Order());
+    }
+  };
+  std::vector<Rank> ranks;
+  ranks.reserve(aJobs.size());
+  for (const ActiveJob* active : aJobs) {
+    ranks.push_back(
+      { active->m_priority, TierOf(*active), active->m_objectiveMs, active });
+  }
+  std::ranges::sort(ranks, {}, &Rank::Key);
+  for (const Rank& rank : ranks) {
+    Job& job = *rank.m_active->m_job;
+    const int steps = static_cast<int>(job.Record().m_steps.size());
+    for (int k = 0; k < job.OccurrenceCount(); ++k) {
+      if (!IsDue(job, k)) {
+        continue;
+      }
+      for (int s = 0; s < steps; ++s) {
+        if (!job.IsStepDone(k, s) && job.IsStepReady(k, s)) {
+          PlaceStep(*rank.m_active, k, s, aPlacement);
+          MeasureWaiting(aPool, job, k, s);
+        }
+      }
+    }
+  }
+}
+
+int
+Scheduler::TierOf(const ActiveJob& aActive) const
+{
+  if (aActive.m_isLongRunning) {
+    return 0;
+  }
+  // What can no longer be in time yields to what still can.
+  const std::int64_t left =
+    aActive.m_stepMs * aActive.m_job->OpenChainLength() / 2;
+  return m_wallNowMs + left > aActive.m_objectiveMs ? 2 : 1;
+}
+
+void
+Scheduler::MeasureWaiting(const std::string& aPool,
+                          Job& aJob,
+                          int aOccurrence,
+                          int aStep)
+{
+  const StepSpec& spec = aJob.Record().m_steps[static_cast<std::size_t>(aStep)];
+  const auto count = std::ranges::count(
+    aJob.Tasks(aOccurrence, aStep), TaskPhase::Waiting, &Task::m_phase);
+  if (spec.m_isLongRunning) {
+    const int perWorker = std::max(1, spec.m_maxPerWorker);
+    int& minimum = m_minimumWorkers[aPool];
+    if (spec.m_maxPerWorker > 0) {
+      minimum = std::max(minimum, (spec.m_count + perWorker - 1) / perWorker);
+    }
+    if (count > 0) {
+      m_poolsWithWaitingLongRunning.insert(aPool);
+    }
+  }
+  m_waitingLoad[aPool] += static_cast<double>(count) * LoadOf(OccupiedBy(spec));
+}
+
+void
+Scheduler::PlaceStep(const ActiveJob& aActive,
+                     int aOccurrence,
+                     int aStep,
+                     Placement& aPlacement)
+{
+  Job& job = *aActive.m_job;
+  std::vector<Task>& tasks = job.Tasks(aOccurrence, aStep);
+  const StepSpec& spec = job.Record().m_steps[static_cast<std::size_t>(aStep)];
+  if (!aPlacement.LargestFree().Fits(OccupiedBy(spec)) ||
+      std::ranges::none_of(tasks, [](const Task& aTask) {
+        return aTask.m_phase == TaskPhase::Waiting;
+      })) {
+    return;
+  }
+  const std::map<std::string, std::string>* tickets = nullptr;
+  if (aActive.m_needsAdvice) {
+    tickets = TicketsFor(job, aOccurrence, aStep);
+    if (tickets == nullptr) {
+      return;
+    }
+  }
+  // While the store takes no writes, only workers that are already stored
+  // with the job can get its tasks.
+  const WorkerFilter filter = [this, tickets, &job](const Worker& aWorker) {
+    return (tickets == nullptr || tickets->contains(aWorker.m_report.m_id)) &&
+           (!m_isStoreBehind || job.IsRecordedOn(aWorker.m_report.m_id));
+  };
+  const auto ticketOf = [tickets](const Worker& aWorker) {
+    return tickets == nullptr ? "" : tickets->at(aWorker.m_report.m_id);
+  };
+  if (spec.m_isGang) {
+    const bool areAllWaiting =
+      std::ranges::all_of(tasks, [](const Task& aTask) {
+        return aTask.m_phase == TaskPhase::Waiting;
+      });
+    if (!areAllWaiting) {
+      return;
+    }
+    const std::vector<Worker*> chosen = aPlacement.ChooseGang(tasks, filter);
+    if (chosen.empty()) {
+      return;
+    }
+    std::int64_t attempt = 0;
+    std::string checkpoint;
+    for (const Task& task : tasks) {
+      attempt = std::max(attempt, NextAttempt(task));
+      checkpoint = task.m_checkpoint.empty() ? checkpoint : task.m_checkpoint;
+    }
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+      tasks[i].m_checkpoint = checkpoint;
+      StartTask(tasks[i], *chosen[i], attempt, ticketOf(*chosen[i]));
+    }
+    aPlacement.RefreshLargestFree();
+    return;
+  }
+  bool hasStarted = false;
+  for (Task& task : tasks) {
+    if (task.m_phase != TaskPhase::Waiting) {
+      continue;
+    }
+    Worker* worker = aPlacement.Choose(task, filter);
+    if (worker == nullptr) {
+      break;
+    }
+    StartTask(task, *worker, NextAttempt(task), ticketOf(*worker));
+    hasStarted = true;
+  }
+  if (hasStarted) {
+    aPlacement.RefreshLargestFree();
+  }
+}
+
+const std::map<std::string, std::string>*
+Scheduler::TicketsFor(const Job& aJob, int aOccurrence, int aStep)
+{
+  const std::string step =
+    absl::StrCat(aJob.Id(), ".", aOccurrence, ".", aStep);
+  Advice& advice = m_advice[step];
+  if (m_env.m_loop.Now() < advice.m_validUntil && !advice.m_tickets.empty()) {
+    return &advice.m_tickets;
+  }
+  if (!advice.m_isOpen &&
+      m_env.m_loop.Now() >= advice.m_askedAt + kAdviceRetry) {
+    AskAdvice(step, PoolOf(aJob));
+  }
+  return nullptr;
+}
+
+void
+Scheduler::AskAdvice(const std::string& aStep, const std::string& aPool)
+{
+  std::vector<std::pair<std::int64_t, std::string>> workers;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.m_isListed && worker.m_report.m_pool == aPool &&
+        !worker.m_report.m_isDraining && worker.m_unanswered == 0) {
+      workers.emplace_back(-worker.Free().m_cpu, id);
+    }
+  }
+  std::ranges::sort(workers);
+  workers.resize(std::min(workers.size(), kMaxAdvisedWorkers));
+  std::vector<std::string> ids;
+  std::ranges::transform(workers,
+                         std::back_inserter(ids),
+                         [](const auto& aRow) { return aRow.second; });
+  if (ids.empty()) {
+    return;
+  }
+  Advice& advice = m_advice[aStep];
+  advice.m_isOpen = true;
+  advice.m_askedAt = m_env.m_loop.Now();
+  m_env.m_workers.Advise(
+    aStep, ids, [this, aStep, alive = m_alive](const AdviceResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      Advice& answered = m_advice[aStep];
+      answered.m_isOpen = false;
+      if (!aResult.m_isAnswered) {
+        m_env.m_metrics.Count("retries", { { "reason", "advice_unanswered" } });
+        return;
+      }
+      answered.m_tickets.clear();
+      for (const AdviceTicket& ticket : aResult.m_tickets) {
+        answered.m_tickets[ticket.m_workerId] = ticket.m_ticket;
+      }
+      // The validity counts from the answer's creation, which is earlier.
+      answered.m_validUntil = answered.m_askedAt + aResult.m_validFor;
+      RequestPlacement();
+    });
+}
+
+double
+Scheduler::LoadOf(const Resources& aNeed) const
+{
+  const auto share = [](std::int64_t aPart, std::int64_t aWhole) {
+    return aWhole > 0 ? static_cast<double>(aPart) / static_cast<double>(aWhole)
+                      : 0.0;
+  };
+  return std::max(share(aNeed.m_cpu, m_typicalWorker.m_cpu),
+                  share(aNeed.m_memoryMb, m_typicalWorker.m_memoryMb));
+}
+
+void
+Scheduler::NoteArrival(const Job& aJob)
+{
+  const JobRecord& record = aJob.Record();
+  if (record.m_repeats > 0) {
+    return;
+  }
+  double work = 0;
+  for (const StepSpec& step : record.m_steps) {
+    if (!step.m_isLongRunning) {
+      const absl::Duration time =
+        m_demand.RunTime(record.m_queue, absl::Milliseconds(step.m_estimateMs));
+      work +=
+        step.m_count * LoadOf(OccupiedBy(step)) * absl::ToDoubleSeconds(time);
+    }
+  }
+  m_demand.AddArrival(PoolOf(aJob), work, m_env.m_loop.Now());
+}
+
+double
+Scheduler::ArrivingLoad(const std::string& aPool) const
+{
+  return m_demand.ArrivingLoad(aPool, m_env.m_loop.Now());
+}
+
+double
+Scheduler::UsedLoad(const std::string& aPool) const
+{
+  double load = 0;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.m_report.m_pool == aPool) {
+      load += LoadOf(worker.m_used);
+    }
+  }
+  return load;
+}
+
+double
+Scheduler::WaitingLoad(const std::string& aPool) const
+{
+  const auto found = m_waitingLoad.find(aPool);
+  return found == m_waitingLoad.end() ? 0.0 : found->second;
+}
+
+int
+Scheduler::MinimumWorkers(const std::string& aPool) const
+{
+  const auto found = m_minimumWorkers.find(aPool);
+  // A pool without a worker could start nothing while a machine moves.
+  return std::max(1, found == m_minimumWorkers.end() ? 0 : found->second);
+}
+
+}
--- /dev/null
+++ b/scheduler/scheduler_tasks.cpp
@@ -0,0 +1,316 @@
+// The part of the scheduler that starts and stops tasks. See scheduler.h.
+
+#include "scheduler/scheduler.h"
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "core/metrics.h"
+#include "jobs/job_codec.h"
+#include "jobs/placement.h"
+#include "net/event_loop.h"
+#include "scheduler/job_keys.h"
+#include "scheduler/scheduling_limits.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleystall {
+
+std::int64_t
+Scheduler::NextAttempt(const Task& aTask) const
+{
+  return std::max(aTask.m_attempt, (m_grant.m_term - 1) * kAttemptsPerTerm) + 1;
+}
+
+void
+Scheduler::Assign(Task& aTask, Worker& aWorker)
+{
+  aTask.m_worker = aWorker.m_report.m_id;
+  if (aWorker.m_tasks.insert(&aTask).second) {
+    aWorker.m_used.Add(OccupiedBy(aTask.m_job->Spec(aTask)));
+  }
+}
+
+void
+Scheduler::Release(Task& aTask)
+{
+  Worker* worker = FindWorker(aTask.m_worker);
+  if (worker != nullptr && worker->m_tasks.erase(&aTask) > 0) {
+    worker->m_used.Subtract(OccupiedBy(aTask.m_job->Spec(aTask)));
+  }
+  aTask.m_worker.clear();
+  aTask.m_isUnsent = false;
+  if (aTask.m_phase != TaskPhase::Done) {
+    aTask.m_phase = TaskPhase::Waiting;
+  }
+  RequestPlacement();
+}
+
+void
+Scheduler::StartTask(Task& aTask,
+                     Worker& aWorker,
+                     std::int64_t aAttempt,
+                     const std::string& aTicket)
+{
+  Job& job = *aTask.m_job;
+  const std::string& workerId = aWorker.m_report.m_id;
+  Assign(aTask, aWorker);
+  aTask.m_phase = TaskPhase::Starting;
+  aTask.m_attempt = aAttempt;
+  aTask.m_percent = 0;
+  aTask.m_orderedAt = m_env.m_loop.Now();
+  if (job.IsRecordedOn(workerId)) {
+    SendStart(aTask, aWorker, aTicket);
+    return;
+  }
+  aTask.m_isUnsent = true;
+  if (!job.Workers().contains(workerId)) {
+    job.AddWorker(workerId);
+    Store(job);
+  }
+  m_placedStarts.push_back({ job.NameOf(aTask), aAttempt, workerId, aTicket });
+}
+
+void
+Scheduler::SendStart(Task& aTask, Worker& aWorker, const std::string& aTicket)
+{
+  const Job& job = *aTask.m_job;
+  aTask.m_isUnsent = false;
+  StartOrder order;
+  order.m_task = job.NameOf(aTask);
+  order.m_attempt = aTask.m_attempt;
+  order.m_payload = job.Record().m_payload;
+  order.m_leaseEndMs = NextLeaseEndMs(aWorker);
+  order.m_fence = m_grant.m_fence;
+  order.m_checkpoint = aTask.m_checkpoint;
+  order.m_ticket = aTicket;
+  m_env.m_workers.Start(AddressOf(aWorker),
+                        order,
+                        [this,
+                         name = order.m_task,
+                         attempt = aTask.m_attempt,
+                         id = aWorker.m_report.m_id,
+                         alive = m_alive](const OrderResult& aResult) {
+                          if (*alive) {
+                            OnStarted(name, attempt, id, aResult);
+                          }
+                        });
+}
+
+void
+Scheduler::OnStarted(const std::string& aName,
+                     std::int64_t aAttempt,
+                     const std::string& aWorkerId,
+                     const OrderResult& aResult)
+{
+  Worker* worker = FindWorker(aWorkerId);
+  if (worker != nullptr && aResult.m_workerClockMs > 0) {
+    worker->m_clockMs = aResult.m_workerClockMs;
+    worker->m_clockReadAt = m_env.m_loop.Now();
+  }
+  const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
+  m_env.m_metrics.Count("task_starts", { { "outcome", outcome } });
+  Task* task = FindTask(aName);
+  const bool isCurrent = task != nullptr && task->m_worker == aWorkerId &&
+                         task->m_attempt == aAttempt;
+  if (!isCurrent || worker == nullptr) {
+    return;
+  }
+  if (aResult.m_outcome != OrderOutcome::Accepted) {
+    LogInfo(LogPart::Jobs,
+            absl::StrCat("task not started; task=",
+                         aName,
+                         " attempt=",
+                         aAttempt,
+                         " worker=",
+                         aWorkerId,
+                         " outcome=",
+                         outcome,
+                         " error=",
+                         aResult.m_error));
+  }
+  switch (aResult.m_outcome) {
+    case OrderOutcome::Accepted:
+      if (task->m_phase == TaskPhase::Starting) {
+        task->m_phase = TaskPhase::Running;
+        task->m_startedAt = m_env.m_loop.Now();
+        task->m_progressAt = task->m_startedAt;
+        task->m_job->MarkStarted();
+      }
+      Touch(*worker);
+      return;
+    case OrderOutcome::Unknown:
+      NoteSilence(*worker);
+      if (task->m_phase == TaskPhase::Starting) {
+        StopTask(*task, TaskPhase::Unresolved);
+      }
+      Touch(*worker);
+      return;
+    case OrderOutcome::NoRoom:
+      worker->m_avoidUntil = m_env.m_loop.Now() + kNoRoomPause;
+      break;
+    case OrderOutcome::TicketRejected:
+      m_advice.clear();
+      break;
+    case OrderOutcome::NotSent:
+      NoteSilence(*worker);
+      break;
+    case OrderOutcome::Busy:
+    case OrderOutcome::WrongIncarnation:
+    case OrderOutcome::Invalid:
+    case OrderOutcome::LeaseExpired:
+      worker->m_avoidUntil = m_env.m_loop.Now() + kBusyPause;
+      break;
+    case OrderOutcome::StaleFence:
+      m_env.m_onSuperseded();
+      return;
+    case OrderOutcome::StaleAttempt:
+      break;
+  }
+  if (task->m_phase == TaskPhase::Starting ||
+      task->m_phase == TaskPhase::Stopping) {
+    Release(*task);
+  }
+}
+
+void
+Scheduler::NoteSilence(Worker& aWorker)
+{
+  // No more tasks go there until the worker has answered a look.
+  aWorker.m_unanswered = std::max(aWorker.m_unanswered, 1);
+  ScheduleRenewal(aWorker, absl::ZeroDuration());
+}
+
+void
+Scheduler::StopTask(Task& aTask, TaskPhase aPhase)
+{
+  aTask.m_phase = aPhase;
+  aTask.m_stopAckedAt = absl::InfiniteFuture();
+  SendStop(aTask.m_job->NameOf(aTask), aTask.m_attempt, aTask.m_worker);
+}
+
+void
+Scheduler::SendStop(const std::string& aName,
+                    std::int64_t aAttempt,
+                    const std::string& aWorkerId)
+{
+  Worker* worker = FindWorker(aWorkerId);
+  if (worker == nullptr || !m_env.m_mayOrder()) {
+    return;
+  }
+  m_env.m_workers.Stop(
+    AddressOf(*worker),
+    { .m_task = aName, .m_attempt = aAttempt, .m_fence = m_grant.m_fence },
+    [this, aName, aAttempt, aWorkerId, alive = m_alive](
+      const OrderResult& aResult) {
+      if (*alive) {
+        OnStopped(aName, aAttempt, aWorkerId, aResult);
+      }
+    });
+}
+
+void
+Scheduler::OnStopped(const std::string& aName,
+                     std::int64_t aAttempt,
+                     const std::string& aWorkerId,
+                     const OrderResult& aResult)
+{
+  Task* task = FindTask(aName);
+  const bool isCurrent = task != nullptr && task->m_worker == aWorkerId &&
+                         task->m_attempt == aAttempt;
+  if (!isCurrent || (task->m_phase != TaskPhase::Stopping &&
+                     task->m_phase != TaskPhase::Unresolved)) {
+    return;
+  }
+  Worker* worker = FindWorker(aWorkerId);
+  if (aResult.m_outcome == OrderOutcome::Accepted) {
+    // The end of what ran is listed within the stop time; what did not run
+    // yet is refused from now on and lists no end.
+    task->m_stopAckedAt = m_env.m_loop.Now();
+    if (worker != nullptr) {
+      ScheduleRenewal(*worker,
+                      task->m_phase == TaskPhase::Unresolved
+                        ? absl::ZeroDuration()
+                        : m_settings.m_stopTime / 2);
+    }
+    return;
+  }
+  m_env.m_metrics.Count(
+    "retries",
+    { { "reason",
+        absl::StrCat(
+          "stop_",
+          std::string(NameOf(kOrderOutcomeNames, aResult.m_outcome))) } });
+  After(kStopRetry, [this, aName, aAttempt, aWorkerId] {
+    const Task* stopping = FindTask(aName);
+    if (stopping != nullptr && stopping->m_worker == aWorkerId &&
+        stopping->m_attempt == aAttempt &&
+        (stopping->m_phase == TaskPhase::Stopping ||
+         stopping->m_phase == TaskPhase::Unresolved)) {
+      SendStop(aName, aAttempt, aWorkerId);
+    }
+  });
+}
+
+void
+Scheduler::Relocate(Task& aTask)
+{
+  if (aTask.m_phase == TaskPhase::Running) {
+    StopTask(aTask, TaskPhase::Stopping);
+  }
+}
+
+bool
+Scheduler::MayDisrupt(const Task& aTask) const
+{
+  const StepSpec& spec = aTask.m_job->Spec(aTask);
+  const std::vector<Task>& tasks =
+    aTask.m_job->Tasks(aTask.m_occurrence, aTask.m_step);
+  const auto away =
+    std::ranges::count_if(tasks, [this, &aTask](const Task& aOther) {
+      // What a silent worker said last may no longer hold.
+      const auto worker = m_workers.find(aOther.m_worker);
+      const bool isAtWork =
+        aOther.m_phase == TaskPhase::Running && aOther.m_percent >= 100 &&
+        worker != m_workers.end() && worker->second.m_unanswered == 0;
+      return &aOther != &aTask && !isAtWork;
+    });
+  return away < std::max(1, spec.m_maxDisrupted);
+}
+
+void
+Scheduler::EvacuateLongRunning(Worker& aWorker)
+{
+  std::vector<Worker*> pool;
+  for (auto& [id, worker] : m_workers) {
+    if (worker.m_report.m_pool == aWorker.m_report.m_pool) {
+      pool.push_back(&worker);
+    }
+  }
+  const Placement placement(pool, m_env.m_loop.Now());
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  for (Task* task : tasks) {
+    const bool hasPlace =
+      placement.Choose(*task, [](const Worker&) { return true; }) != nullptr;
+    if (task->m_job->Spec(*task).m_isLongRunning && hasPlace &&
+        MayDisrupt(*task)) {
+      Relocate(*task);
+    }
+  }
+}
+
+void
+Scheduler::SetEvacuating(const std::string& aWorkerId, bool aIsEvacuating)
+{
+  Worker* worker = FindWorker(aWorkerId);
+  if (worker != nullptr) {
+    worker->m_isEvacuating = aIsEvacuating;
+  }
+}
+
+}
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -269,11 +269,11 @@
     RequestPlacement();
   }
   if (worker.m_appliedEnd > before) {
-    m_writer.AfterStored([this,
-                          aWorkerId,
-                          born = worker.m_bornMs,
-                          number = worker.m_appliedEnd,
-                          alive = m_alive] {
+    AfterStored([this,
+                 aWorkerId,
+                 born = worker.m_bornMs,
+                 number = worker.m_appliedEnd,
+                 alive = m_alive] {
       Worker* stored = *alive ? FindWorker(aWorkerId) : nullptr;
       if (stored != nullptr && stored->m_bornMs == born) {
         stored->m_recordedEnd = std::max(stored->m_recordedEnd, number);
@@ -552,7 +552,7 @@
   }
   m_leasedWorkersText = text;
   m_writer.Put(keys::kLeasedWorkersKey, std::move(text));
-  m_writer.AfterStored([this, ids = std::move(ids), alive = m_alive] {
+  AfterStored([this, ids = std::move(ids), alive = m_alive] {
     if (!*alive) {
       return;
     }
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -9,6 +9,8 @@
 
 /** Placement runs at most this often. */
 inline constexpr absl::Duration kPlacementInterval = absl::Milliseconds(8);
+/** A placement is followed by a pause of this many times its own time. */
+inline constexpr double kPlacementPause = 8.0;
 inline constexpr absl::Duration kTickInterval = absl::Milliseconds(200);
 inline constexpr absl::Duration kPendingInterval = absl::Milliseconds(800);
 /** A renewal waits this long at the worker for the end of a task. */
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -19,7 +19,7 @@
     m_store,
     StateChart::Load(BRAMLEYSTALL_SOURCE_DIR "/charts/owner_term.json"),
     aName,
-    0.5,
+    1.0,
     [this](const OwnershipGrant& aGrant) {
       m_scheduler = std::make_unique<Scheduler>(
         Scheduler::Environment{
--- a/tests/scheduler/test_ownership.cpp
+++ b/tests/scheduler/test_ownership.cpp
@@ -34,7 +34,7 @@
       *one.m_store,
       StateChart::Load(BRAMLEYSTALL_SOURCE_DIR "/charts/owner_term.json"),
       aName,
-      0.5,
+      1.0,
       [&one](const OwnershipGrant& aGrant) { one.m_grants.push_back(aGrant); },
       [&one](const std::string&) { ++one.m_losses; });
     return one;
