Keep a newer worker apart from a stale entry of its machine

Change: the list of leased workers holds each one's start time; a worker without one is not ended by another.

--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -64,10 +64,17 @@
                  std::uint32_t aEvents,
                  DescriptorCallback aCallback)
 {
+  const auto known = m_descriptors.find(aDescriptor);
+  const bool isKnown = known != m_descriptors.end();
+  if (isKnown && known->second.m_events == aEvents) {
+    // The old callback may be the one that is running.
+    known->second.m_callback =
+      std::make_shared<DescriptorCallback>(std::move(aCallback));
+    return;
+  }
   epoll_event event{};
   event.events = aEvents;
   event.data.fd = aDescriptor;
-  const bool isKnown = m_descriptors.contains(aDescriptor);
   const int operation = isKnown ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
   if (epoll_ctl(m_epoll, operation, aDescriptor, &event) != 0) {
     // The descriptor may have been closed and reused since it was watched.
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -30,7 +30,7 @@
 constexpr absl::Duration kRenewInterval = absl::Milliseconds(600);
 constexpr absl::Duration kRetryInterval = absl::Milliseconds(200);
 /** Delay of the least fit candidate, so that a fitter one is first. */
-constexpr absl::Duration kSmallDaemonDelay = absl::Milliseconds(500);
+constexpr absl::Duration kSmallDaemonDelay = absl::Milliseconds(300);
 /** Candidates of one instant differ by up to this delay. */
 constexpr int kMaxCandidateDelayMs = 60;
 
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -126,6 +126,7 @@
             worker.m_report.m_id = id;
             worker.m_report.m_address = row.at(0).get<std::string>();
             worker.m_report.m_machine = row.at(1).get<std::string>();
+            worker.m_report.m_bornMs = row.at(2).get<std::int64_t>();
           }
         }
       }
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -70,6 +70,7 @@
   for (auto& [id, other] : m_workers) {
     if (id != aWorker.m_report.m_id &&
         other.m_report.m_machine == aWorker.m_report.m_machine &&
+        other.m_report.m_bornMs != 0 &&
         other.m_report.m_bornMs < aWorker.m_report.m_bornMs) {
       OnWorkerEnded(id);
     }
@@ -542,7 +543,9 @@
   for (const auto& [id, worker] : m_workers) {
     if (worker.m_isListed || !worker.m_tasks.empty() ||
         m_unresolved.contains(id)) {
-      addresses[id] = { worker.m_report.m_address, worker.m_report.m_machine };
+      addresses[id] = { worker.m_report.m_address,
+                        worker.m_report.m_machine,
+                        worker.m_report.m_bornMs };
       ids.push_back(id);
     }
   }
--- a/tests/scheduler/test_scheduler.cpp
+++ b/tests/scheduler/test_scheduler.cpp
@@ -311,6 +311,42 @@
   REQUIRE(worker->m_tasks.size() == 1);
 }
 
+// Guards against taking an older worker of the same machine for the newer one
+// when the store lists only the older one (TWICE in a hunt of lican-gt).
+TEST_CASE("A stale entry does not end a newer worker of its machine",
+          "[scheduler]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(1);
+  cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
+    return FakeRunPlan{ .m_time = absl::Milliseconds(3000) };
+  });
+  WorkerReport newer = JobCluster::MakeReport(1);
+  newer.m_machine = "machine-0";
+  newer.m_bornMs = 5000;
+  cluster.m_workers.Add(newer);
+  cluster.m_reports[newer.m_id] = newer;
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  cluster.Run(absl::Milliseconds(500));
+  REQUIRE(cluster.m_workers.RunningOn("job1.0.0.0") ==
+          std::vector<std::string>{ newer.m_id });
+  // The successor cannot reach the newer worker, and the store has lost it.
+  cluster.m_reports.erase(newer.m_id);
+  cluster.KillDaemon("one");
+  cluster.AddDaemon("two");
+  cluster.At("two").m_workers.m_cut = { newer.m_id };
+  cluster.Run(absl::Seconds(5));
+  REQUIRE(cluster.Owner() == "two");
+  REQUIRE(cluster.m_workers.Starts() == 2);
+  cluster.At("two").m_workers.m_cut.clear();
+  cluster.Run(absl::Seconds(5));
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.Starts() == 2);
+  CheckPromises(cluster);
+}
+
 // Guards against work that stops while the store is away.
 TEST_CASE("Steps go on through a short outage of the store", "[scheduler]")
 {
