--- a/cli/explain_command.cpp
+++ b/cli/explain_command.cpp
@@ -2,8 +2,8 @@
 #include "cli/command_context.h"
 #include "cli/commands.h"
 #include "cli/text_table.h"
-#include "core/url.h"
 #include "core/error.h"
+#include "core/url.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,6 +1,6 @@
 #include "cli/tool.h"
-#include "core/log.h"
 #include "consul/consul_store.h"
+#include "core/log.h"
 
 #include <gflags/gflags.h>
 
--- a/cli/order_sender.cpp
+++ b/cli/order_sender.cpp
@@ -1,9 +1,9 @@
 #include "cli/order_sender.h"
 
 #include "cli/admin_client.h"
+#include "consul/order_writer.h"
 #include "core/clock.h"
 #include "core/error.h"
-#include "consul/order_writer.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
--- a/cli/publish_command.cpp
+++ b/cli/publish_command.cpp
@@ -1,8 +1,8 @@
 #include "cli/command_context.h"
 #include "cli/commands.h"
 #include "cli/version_wait.h"
-#include "core/service_file.h"
 #include "consul/configuration_publisher.h"
+#include "core/service_file.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
--- a/cli/tool_environment.h
+++ b/cli/tool_environment.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "core/tool_settings.h"
 #include "consul/http_client.h"
 #include "consul/platform_store.h"
 #include "consul/writer_hooks.h"
+#include "core/tool_settings.h"
 
 #include <functional>
 #include <iosfwd>
--- a/cluster/decider_lease.h
+++ b/cluster/decider_lease.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "cluster/backoff.h"
+#include "consul/platform_store.h"
 #include "core/enum_names.h"
 #include "core/metrics.h"
 #include "core/state_chart.h"
-#include "consul/platform_store.h"
 
 #include <absl/time/time.h>
 
--- a/cluster/document_watcher.h
+++ b/cluster/document_watcher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cluster/backoff.h"
-#include "core/metrics.h"
 #include "consul/platform_store.h"
+#include "core/metrics.h"
 
 #include <absl/time/time.h>
 
--- a/cluster/drain_acknowledgement.h
+++ b/cluster/drain_acknowledgement.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cluster/cluster_node.h"
-#include "core/fleet_document.h"
 #include "consul/vm_list.h"
+#include "core/fleet_document.h"
 
 #include <optional>
 #include <set>
--- a/cluster/fenced_writer.h
+++ b/cluster/fenced_writer.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "cluster/backoff.h"
+#include "consul/platform_store.h"
 #include "core/enum_names.h"
 #include "core/metrics.h"
-#include "consul/platform_store.h"
 
 #include <absl/time/time.h>
 
--- a/consul/configuration_publisher.h
+++ b/consul/configuration_publisher.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/configuration.h"
 #include "consul/platform_store.h"
 #include "consul/writer_hooks.h"
+#include "core/configuration.h"
 
 #include <cstdint>
 #include <optional>
--- a/consul/consul_client.h
+++ b/consul/consul_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/metrics.h"
 #include "consul/http_client.h"
+#include "core/metrics.h"
 
 #include <absl/time/time.h>
 
--- a/consul/order_writer.h
+++ b/consul/order_writer.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/order_document.h"
 #include "consul/platform_store.h"
 #include "consul/writer_hooks.h"
+#include "core/order_document.h"
 
 #include <cstddef>
 #include <string>
--- a/daemon/decider_loop.cpp
+++ b/daemon/decider_loop.cpp
@@ -2,14 +2,14 @@
 
 #include "cluster/drain_acknowledgement.h"
 #include "cluster/fleet_observations.h"
+#include "consul/order_writer.h"
+#include "consul/writer_hooks.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/log.h"
 #include "daemon/plan_writes.h"
 #include "daemon/store_keys.h"
 #include "fleet/planner.h"
-#include "consul/order_writer.h"
-#include "consul/writer_hooks.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
--- a/daemon/decider_loop.h
+++ b/daemon/decider_loop.h
@@ -3,6 +3,9 @@
 #include "cluster/cluster_node.h"
 #include "cluster/decider_lease.h"
 #include "cluster/fenced_writer.h"
+#include "consul/platform_store.h"
+#include "consul/vm_control.h"
+#include "consul/vm_list.h"
 #include "core/configuration.h"
 #include "core/metrics.h"
 #include "core/state_chart.h"
@@ -10,9 +13,6 @@
 #include "fleet/fleet_plan.h"
 #include "fleet/fleet_snapshot.h"
 #include "fleet/planner_memory.h"
-#include "consul/platform_store.h"
-#include "consul/vm_control.h"
-#include "consul/vm_list.h"
 
 #include <absl/time/time.h>
 
--- a/daemon/explain_source.cpp
+++ b/daemon/explain_source.cpp
@@ -1,9 +1,9 @@
 #include "daemon/explain_source.h"
 
+#include "consul/order_writer.h"
 #include "core/error.h"
 #include "daemon/store_keys.h"
 #include "fleet/explain.h"
-#include "consul/order_writer.h"
 
 namespace bramleystall {
 
--- a/daemon/explain_source.h
+++ b/daemon/explain_source.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "consul/platform_store.h"
 #include "core/configuration.h"
 #include "fleet/fleet_plan.h"
-#include "consul/platform_store.h"
 
 #include <mutex>
 #include <optional>
--- a/daemon/plan_writes.cpp
+++ b/daemon/plan_writes.cpp
@@ -1,9 +1,9 @@
 #include "daemon/plan_writes.h"
 
+#include "consul/order_writer.h"
 #include "daemon/fleet_state.h"
 #include "daemon/store_keys.h"
 #include "fleet/fleet_plan.h"
-#include "consul/order_writer.h"
 
 namespace bramleystall {
 
--- a/fleet/fleet_snapshot.h
+++ b/fleet/fleet_snapshot.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "consul/vm_list.h"
 #include "core/configuration.h"
 #include "core/fleet_document.h"
 #include "core/order_document.h"
 #include "core/state_chart.h"
 #include "fleet/vm_observation.h"
-#include "consul/vm_list.h"
 
 #include <absl/time/time.h>
 
--- a/tests/cli/test_publish_process.cpp
+++ b/tests/cli/test_publish_process.cpp
@@ -1,5 +1,5 @@
-#include "core/clock.h"
 #include "consul/http_client.h"
+#include "core/clock.h"
 #include "tests/cli/tool_fixture.h"
 #include "tests/fakes/child_process.h"
 
--- a/tests/cluster/test_lease_processes.cpp
+++ b/tests/cluster/test_lease_processes.cpp
@@ -1,7 +1,7 @@
 #include "cluster/decider_lease.h"
 #include "cluster/document_watcher.h"
-#include "core/clock.h"
 #include "consul/consul_store.h"
+#include "core/clock.h"
 #include "tests/fakes/child_process.h"
 
 #include <absl/strings/str_cat.h>
--- a/tests/consul/test_configuration_publisher.cpp
+++ b/tests/consul/test_configuration_publisher.cpp
@@ -1,6 +1,6 @@
+#include "consul/configuration_publisher.h"
 #include "core/configuration_codec.h"
 #include "core/error.h"
-#include "consul/configuration_publisher.h"
 #include "tests/fakes/fake_platform_store.h"
 
 #include <absl/strings/str_cat.h>
--- a/tests/consul/test_consul_adapter.cpp
+++ b/tests/consul/test_consul_adapter.cpp
@@ -1,9 +1,9 @@
-#include "core/clock.h"
-#include "core/metrics.h"
 #include "consul/consul_store.h"
 #include "consul/consul_vm_control.h"
 #include "consul/consul_vm_list.h"
 #include "consul/http_client.h"
+#include "core/clock.h"
+#include "core/metrics.h"
 #include "tests/fakes/child_process.h"
 
 #include <absl/time/clock.h>
--- a/tests/consul/test_order_writer.cpp
+++ b/tests/consul/test_order_writer.cpp
@@ -1,5 +1,5 @@
-#include "core/error.h"
 #include "consul/order_writer.h"
+#include "core/error.h"
 #include "tests/fakes/fake_platform_store.h"
 
 #include <absl/strings/str_cat.h>
--- a/tests/consul/test_publish_interleavings.cpp
+++ b/tests/consul/test_publish_interleavings.cpp
@@ -1,5 +1,5 @@
-#include "core/error.h"
 #include "consul/configuration_publisher.h"
+#include "core/error.h"
 #include "tests/fakes/fake_platform_store.h"
 #include "tests/fakes/interleaving.h"
 
--- a/tests/daemon/test_daemon_process.cpp
+++ b/tests/daemon/test_daemon_process.cpp
@@ -1,7 +1,7 @@
-#include "core/uuid7.h"
 #include "consul/configuration_publisher.h"
 #include "consul/consul_store.h"
 #include "consul/http_client.h"
+#include "core/uuid7.h"
 #include "tests/fakes/deployment.h"
 
 #include <absl/time/clock.h>
--- a/tests/fakes/deployment.cpp
+++ b/tests/fakes/deployment.cpp
@@ -1,10 +1,10 @@
 #include "tests/fakes/deployment.h"
 
-#include "core/configuration_codec.h"
-#include "core/service_file.h"
 #include "consul/configuration_publisher.h"
 #include "consul/consul_store.h"
 #include "consul/http_client.h"
+#include "core/configuration_codec.h"
+#include "core/service_file.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
--- a/tests/fakes/interleaving.h
+++ b/tests/fakes/interleaving.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/error.h"
 #include "consul/platform_store.h"
+#include "core/error.h"
 #include "tests/fakes/fake_platform_store.h"
 
 #include <any>
--- a/tests/measure/process_measure.cpp
+++ b/tests/measure/process_measure.cpp
@@ -1,8 +1,8 @@
 #include "tests/measure/process_measure.h"
 
-#include "core/clock.h"
 #include "consul/configuration_publisher.h"
 #include "consul/consul_store.h"
+#include "core/clock.h"
 #include "tests/fakes/deployment.h"
 #include "tests/naive/polling_reader.h"
 
--- a/tests/naive/polling_reader.h
+++ b/tests/naive/polling_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/configuration.h"
 #include "consul/platform_store.h"
+#include "core/configuration.h"
 
 #include <absl/time/time.h>
 
--- a/tests/server/test_admin_server.cpp
+++ b/tests/server/test_admin_server.cpp
@@ -1,5 +1,5 @@
-#include "core/error.h"
 #include "consul/http_client.h"
+#include "core/error.h"
 #include "server/admin_server.h"
 
 #include <absl/strings/str_cat.h>
