--- a/core/log.cpp
+++ b/core/log.cpp
@@ -48,14 +48,17 @@
 }
 
 void
-InitLog(LogLevel aLevel, LogFormat aFormat, const std::string& aProcess)
+InitLog(LogLevel aLevel,
+        LogFormat aFormat,
+        const std::string& aProcess,
+        LogStream aStream)
 {
   gSetup = { aLevel, aFormat, aProcess };
   namespace expr = boost::log::expressions;
-  boost::log::add_console_log(std::cerr,
-                              boost::log::keywords::format = expr::stream
-                                                             << expr::smessage,
-                              boost::log::keywords::auto_flush = true);
+  boost::log::add_console_log(
+    aStream == LogStream::StandardOutput ? std::cout : std::cerr,
+    boost::log::keywords::format = expr::stream << expr::smessage,
+    boost::log::keywords::auto_flush = true);
 }
 
 void
--- a/core/log.h
+++ b/core/log.h
@@ -62,9 +62,19 @@
   { LogFormat::Json, "json" },
 } };
 
-/** Sets up logging to standard error. Call it once, before threads start. */
+/** Stream that the log goes to. */
+enum class LogStream
+{
+  StandardError,
+  StandardOutput,
+};
+
+/** Sets up logging. Call it once, before threads start. */
 void
-InitLog(LogLevel aLevel, LogFormat aFormat, const std::string& aProcess);
+InitLog(LogLevel aLevel,
+        LogFormat aFormat,
+        const std::string& aProcess,
+        LogStream aStream = LogStream::StandardError);
 
 /** Writes one line: time, level, process, prefix of the part, message. */
 void
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "core/daemon_settings.h"
 #include "core/error.h"
+#include "core/job_settings.h"
 #include "core/log.h"
 #include "daemon/daemon.h"
 #include "daemon/job_daemon.h"
@@ -64,7 +65,10 @@
 int
 RunJobs()
 {
-  InitLog(LogLevel::Info, LogFormat::Text, "");
+  InitLog(LogLevel::Info,
+          LogFormat::Text,
+          LoadJobSettings(FLAGS_settings).m_daemon,
+          LogStream::StandardOutput);
   std::signal(SIGPIPE, SIG_IGN);
   curl_global_init(CURL_GLOBAL_DEFAULT);
   JobDaemon daemon(FLAGS_settings, FLAGS_charts);
--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -295,7 +295,8 @@
 {
   m_listedAt = m_env.m_loop.Now();
   if (!aResult.m_isComplete) {
-    m_env.m_metrics.Count("retries", { { "reason", "machine_list" } });
+    m_env.m_metrics.Count("bramleystall_job_retries_total",
+                          { { "reason", "machine_list" } });
     return;
   }
   m_machines.clear();
@@ -488,7 +489,8 @@
 FleetKeeper::OnMaintained(const std::string& aMachine, MachineOutcome aOutcome)
 {
   const std::string outcome(NameOf(kMachineOutcomeNames, aOutcome));
-  m_env.m_metrics.Count("upkeeps", { { "outcome", outcome } });
+  m_env.m_metrics.Count("bramleystall_upkeeps_total",
+                        { { "outcome", outcome } });
   const auto found = m_orders.find(aMachine);
   if (found == m_orders.end()) {
     return;
@@ -719,7 +721,7 @@
 FleetKeeper::OnMoved(const std::string& aMachine, MachineOutcome aOutcome)
 {
   const std::string outcome(NameOf(kMachineOutcomeNames, aOutcome));
-  m_env.m_metrics.Count("moves", { { "outcome", outcome } });
+  m_env.m_metrics.Count("bramleystall_moves_total", { { "outcome", outcome } });
   const auto found = m_orders.find(aMachine);
   if (found == m_orders.end()) {
     return;
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -316,11 +316,13 @@
   m_earlierJobs.erase(&aJob);
   m_removals[aJob.Id()] = m_env.m_loop.Now() + m_settings.m_jobRetention;
   const std::string state(NameOf(kJobStateNames, aJob.State()));
-  m_env.m_metrics.Count("jobs_finished", { { "state", state } });
+  m_env.m_metrics.Count("bramleystall_jobs_finished_total",
+                        { { "state", state } });
   const std::int64_t ageMs =
     ToMillis(absl::Now()) - aJob.Record().m_acceptedAtMs;
-  m_env.m_metrics.Observe(
-    "job_duration_seconds", { { "state", state } }, absl::Milliseconds(ageMs));
+  m_env.m_metrics.Observe("bramleystall_job_duration_seconds",
+                          { { "state", state } },
+                          absl::Milliseconds(ageMs));
   LogInfo(
     LogPart::Jobs,
     absl::StrCat(
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -352,7 +352,8 @@
       Advice& answered = m_advice[aStep];
       answered.m_isOpen = false;
       if (!aResult.m_isAnswered) {
-        m_env.m_metrics.Count("retries", { { "reason", "advice_unanswered" } });
+        m_env.m_metrics.Count("bramleystall_job_retries_total",
+                              { { "reason", "advice_unanswered" } });
         return;
       }
       answered.m_tickets.clear();
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -114,7 +114,8 @@
     worker->m_clockReadAt = m_env.m_loop.Now();
   }
   const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
-  m_env.m_metrics.Count("task_starts", { { "outcome", outcome } });
+  m_env.m_metrics.Count("bramleystall_task_starts_total",
+                        { { "outcome", outcome } });
   Task* task = FindTask(aName);
   const bool isCurrent = task != nullptr && task->m_worker == aWorkerId &&
                          task->m_attempt == aAttempt;
@@ -241,7 +242,7 @@
     return;
   }
   m_env.m_metrics.Count(
-    "retries",
+    "bramleystall_job_retries_total",
     { { "reason",
         absl::StrCat(
           "stop_",
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -186,7 +186,7 @@
       order.m_wait = kRenewalWait;
     }
   }
-  m_env.m_metrics.Count("worker_looks");
+  m_env.m_metrics.Count("bramleystall_worker_looks_total");
   m_env.m_workers.RenewLease(
     AddressOf(aWorker),
     order,
@@ -378,7 +378,8 @@
                               task->m_job->NameOf(*task),
                               " worker=",
                               aWorker.m_report.m_id));
-      m_env.m_metrics.Count("tasks_lost", { { "reason", "not_listed" } });
+      m_env.m_metrics.Count("bramleystall_tasks_lost_total",
+                            { { "reason", "not_listed" } });
     }
     if (isLost || isStopped || task->m_phase == TaskPhase::Done) {
       Release(*task);
@@ -412,7 +413,8 @@
                           aWorker.m_report.m_id,
                           " percent=",
                           aTask.m_percent));
-  m_env.m_metrics.Count("tasks_lost", { { "reason", "stalled" } });
+  m_env.m_metrics.Count("bramleystall_tasks_lost_total",
+                        { { "reason", "stalled" } });
   aTask.m_failedOn = aWorker.m_report.m_id;
   aWorker.m_avoidUntil = now + kSuspectPause;
   StopTask(aTask, TaskPhase::Stopping);
@@ -422,7 +424,7 @@
 Scheduler::ApplyEnd(Worker& aWorker, const TaskEnd& aEnd)
 {
   const std::string kind(NameOf(kTaskEndKindNames, aEnd.m_kind));
-  m_env.m_metrics.Count("task_ends", { { "kind", kind } });
+  m_env.m_metrics.Count("bramleystall_task_ends_total", { { "kind", kind } });
   Task* task = FindTask(aEnd.m_task);
   if (task == nullptr) {
     return;
@@ -517,8 +519,9 @@
                           aWorker.m_report.m_id,
                           " tasks=",
                           tasks.size()));
-  m_env.m_metrics.Count(
-    "tasks_lost", { { "reason", "lease_lapsed" } }, tasks.size());
+  m_env.m_metrics.Count("bramleystall_tasks_lost_total",
+                        { { "reason", "lease_lapsed" } },
+                        tasks.size());
   for (Task* task : tasks) {
     Release(*task);
   }
--- a/server/job_front.cpp
+++ b/server/job_front.cpp
@@ -115,7 +115,7 @@
                  int aStatus,
                  const HttpListener::Responder& aRespond)
 {
-  m_metrics.Count("refusals", { { "reason", aReason } });
+  m_metrics.Count("bramleystall_job_refusals_total", { { "reason", aReason } });
   LogInfo(
     LogPart::Server,
     absl::StrCat(
@@ -223,7 +223,8 @@
 void
 JobFront::ReadBack(const Submission& aSubmission)
 {
-  m_metrics.Count("retries", { { "reason", "acceptance_unknown" } });
+  m_metrics.Count("bramleystall_job_retries_total",
+                  { { "reason", "acceptance_unknown" } });
   m_store.Get(keys::JobKey(aSubmission.m_id),
               [this, aSubmission, alive = m_alive](const ReadResult& aResult) {
                 if (!*alive) {
@@ -246,7 +247,7 @@
 void
 JobFront::Accept(const Submission& aSubmission, const char* aHow)
 {
-  m_metrics.Count("jobs_accepted", { { "how", aHow } });
+  m_metrics.Count("bramleystall_jobs_accepted_total", { { "how", aHow } });
   LogInfo(LogPart::Server,
           absl::StrCat("job accepted; job=", aSubmission.m_id, " how=", aHow));
   aSubmission.m_respond({ .m_status = kOk, .m_body = "{}" });
@@ -341,7 +342,7 @@
       switch (aResult.m_status) {
         case CommitStatus::Applied:
           LogInfo(LogPart::Server, absl::StrCat("job cancelled; job=", aId));
-          m_metrics.Count("jobs_cancelled");
+          m_metrics.Count("bramleystall_jobs_cancelled_total");
           aRespond({ .m_status = kOk, .m_body = "{}" });
           break;
         case CommitStatus::Conflict:
--- /dev/null
+++ b/tests/core/test_job_settings.cpp
@@ -0,0 +1,63 @@
+#include "core/error.h"
+#include "core/job_settings.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace bramleystall;
+
+namespace {
+
+nlohmann::json
+Valid()
+{
+  return { { "daemon", "front-1" },
+           { "data_centre", "gt-a" },
+           { "listen",
+             { { "callers", "10.0.0.1:80" }, { "ready", "10.0.0.1:81" } } },
+           { "store", "10.0.0.2:80" },
+           { "machines", "10.0.0.3:80" },
+           { "advice", "" },
+           { "grace_ms", 6000 },
+           { "max_worker_lease_ms", 10000 },
+           { "stop_ms", 200 },
+           { "job_retention_s", 120 },
+           { "notice_ms", 4500 },
+           { "move_s", 1.5 },
+           { "upkeep_s", 2 },
+           { "machine_turn_ms", 3000 },
+           { "machine_orders_per_s", 64.0 },
+           { "cores", 0.25 },
+           { "link_mbps", 1000.0 } };
+}
+
+}
+
+TEST_CASE("Settings of the job daemon are parsed", "[job_settings]")
+{
+  const JobSettings settings = ParseJobSettings(Valid().dump());
+  REQUIRE(settings.m_daemon == "front-1");
+  REQUIRE(settings.m_grace == absl::Seconds(6));
+  REQUIRE(settings.m_moveTime == absl::Milliseconds(1500));
+  REQUIRE(settings.m_cores == 0.25);
+}
+
+TEST_CASE("A missing or wrong setting is named", "[job_settings]")
+{
+  const nlohmann::json valid = Valid();
+  for (const auto& [name, value] : valid.items()) {
+    if (name == "advice") {
+      continue;
+    }
+    nlohmann::json missing = valid;
+    missing.erase(name);
+    nlohmann::json wrong = valid;
+    wrong[name] = nlohmann::json::array();
+    for (const nlohmann::json& settings : { missing, wrong }) {
+      INFO(settings.dump());
+      REQUIRE_THROWS_WITH(ParseJobSettings(settings.dump()),
+                          Catch::Contains("'" + name + "'"));
+    }
+  }
+  REQUIRE_THROWS_AS(ParseJobSettings("{"), Error);
+}
--- /dev/null
+++ b/tests/fakes/fake_machines.cpp
@@ -0,0 +1,76 @@
+#include "tests/fakes/fake_machines.h"
+
+#include <algorithm>
+
+namespace bramleystall {
+
+namespace {
+
+constexpr absl::Duration kLatency = absl::Milliseconds(3);
+constexpr absl::Duration kOrderTime = absl::Milliseconds(1500);
+
+}
+
+void
+FakeMachines::List(ListCallback aCallback)
+{
+  m_loop.After(kLatency, [this, callback = std::move(aCallback)] {
+    MachineListResult result;
+    result.m_isComplete = true;
+    for (const auto& [name, entry] : m_entries) {
+      result.m_machines.push_back(entry);
+    }
+    callback(result);
+  });
+}
+
+void
+FakeMachines::Move(const std::string& aMachine,
+                   const std::string& aPool,
+                   const MachineAuthority& aAuthority,
+                   OrderCallback aCallback)
+{
+  Take(aMachine, aPool, aAuthority, MachineState::Moving, aCallback);
+}
+
+void
+FakeMachines::Maintain(const std::string& aMachine,
+                       std::int64_t /*aWave*/,
+                       const MachineAuthority& aAuthority,
+                       OrderCallback aCallback)
+{
+  Take(aMachine, "", aAuthority, MachineState::Upkeep, aCallback);
+}
+
+void
+FakeMachines::Take(const std::string& aMachine,
+                   const std::string& aPool,
+                   const MachineAuthority& aAuthority,
+                   MachineState aState,
+                   const OrderCallback& aCallback)
+{
+  m_loop.After(
+    kLatency, [this, aMachine, aPool, aAuthority, aState, aCallback] {
+      MachineEntry& entry = m_entries.at(aMachine);
+      if (entry.m_state != MachineState::Up) {
+        aCallback(MachineOutcome::Busy);
+        return;
+      }
+      m_orders.push_back({ aMachine, aPool, aAuthority.m_fence, m_loop.Now() });
+      entry.m_state = aState;
+      const auto down =
+        std::ranges::count_if(m_entries, [](const auto& aEntry) {
+          return aEntry.second.m_state == MachineState::Upkeep;
+        });
+      m_mostDown = std::max(m_mostDown, static_cast<int>(down));
+      m_onTaken(aMachine, aPool);
+      m_loop.After(kOrderTime, [this, aMachine, aPool] {
+        MachineEntry& back = m_entries.at(aMachine);
+        back.m_state = MachineState::Up;
+        back.m_pool = aPool.empty() ? back.m_pool : aPool;
+      });
+      aCallback(MachineOutcome::Accepted);
+    });
+}
+
+}
--- /dev/null
+++ b/tests/fakes/fake_machines.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/machine_gateway.h"
+#include "net/event_loop.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+/** The platform's machines in simulated time. */
+class FakeMachines : public MachineGateway
+{
+public:
+  /** One order as the platform has received it. */
+  struct Order
+  {
+    std::string m_machine;
+    /** Target pool; empty for an upkeep. */
+    std::string m_pool;
+    std::int64_t m_fence = 0;
+    absl::Time m_at;
+  };
+  /** Called when an order ends what runs on a machine. */
+  using TakenHook =
+    std::function<void(const std::string& aMachine, const std::string& aPool)>;
+
+  explicit FakeMachines(EventLoop& aLoop)
+    : m_loop(aLoop)
+  {
+  }
+
+  void Add(const MachineEntry& aEntry) { m_entries[aEntry.m_name] = aEntry; }
+  void SetOnTaken(TakenHook aHook) { m_onTaken = std::move(aHook); }
+  const std::vector<Order>& Orders() const { return m_orders; }
+  int MostDown() const { return m_mostDown; }
+  MachineEntry& At(const std::string& aName) { return m_entries.at(aName); }
+
+  void List(ListCallback aCallback) override;
+  void Move(const std::string& aMachine,
+            const std::string& aPool,
+            const MachineAuthority& aAuthority,
+            OrderCallback aCallback) override;
+  void Maintain(const std::string& aMachine,
+                std::int64_t aWave,
+                const MachineAuthority& aAuthority,
+                OrderCallback aCallback) override;
+
+private:
+  void Take(const std::string& aMachine,
+            const std::string& aPool,
+            const MachineAuthority& aAuthority,
+            MachineState aState,
+            const OrderCallback& aCallback);
+
+  EventLoop& m_loop;
+  TakenHook m_onTaken = [](const std::string&, const std::string&) {};
+  std::map<std::string, MachineEntry> m_entries;
+  std::vector<Order> m_orders;
+  int m_mostDown = 0;
+};
+
+}
--- a/tests/fakes/fake_workers.cpp
+++ b/tests/fakes/fake_workers.cpp
@@ -187,7 +187,8 @@
       row.m_percent = 100;
     } else if (!run.m_plan.m_isStalled) {
       row.m_percent = static_cast<int>(
-        100 * ((m_loop.Now() - run.m_startedAt) / run.m_plan.m_time));
+        100 *
+        absl::FDivDuration(m_loop.Now() - run.m_startedAt, run.m_plan.m_time));
     }
     result.m_running.push_back(row);
   }
--- /dev/null
+++ b/tests/scheduler/test_fleet_keeper.cpp
@@ -0,0 +1,219 @@
+#include "scheduler/fleet_keeper.h"
+#include "scheduler/job_keys.h"
+#include "tests/fakes/fake_machines.h"
+#include "tests/fakes/job_cluster.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/log/core.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace bramleystall;
+
+namespace {
+
+/** A cluster of one daemon whose workers run on machines of the platform. */
+struct FleetFixture
+{
+  explicit FleetFixture(int aMachines)
+    : m_cluster(aMachines)
+  {
+    boost::log::core::get()->set_logging_enabled(false);
+    m_cluster.m_configuration.m_pools["spare"] = { .m_name = "spare",
+                                                   .m_isStandby = true };
+    for (const auto& [id, report] : m_cluster.m_reports) {
+      m_machines.Add({ .m_name = report.m_machine,
+                       .m_pool = "counter",
+                       .m_state = MachineState::Up,
+                       .m_workerId = id });
+    }
+    m_machines.SetOnTaken(
+      [this](const std::string& aMachine, const std::string& aPool) {
+        Replace(aMachine, aPool);
+      });
+    m_cluster.AddDaemon("one");
+    m_cluster.Run(absl::Milliseconds(300));
+  }
+
+  ~FleetFixture()
+  {
+    m_keeper.reset();
+    boost::log::core::get()->set_logging_enabled(true);
+  }
+
+  void StartKeeper()
+  {
+    m_keeper = std::make_unique<FleetKeeper>(
+      FleetKeeper::Environment{
+        .m_loop = m_cluster.m_loop,
+        .m_store = m_cluster.At("one").m_store,
+        .m_machines = m_machines,
+        .m_scheduler = *m_cluster.At("one").m_scheduler,
+        .m_metrics = m_cluster.m_metrics,
+        .m_configuration = [this]() -> const JobConfiguration& {
+          return m_cluster.m_configuration;
+        },
+        .m_holdsLease =
+          [this] { return m_cluster.At("one").m_ownership->HoldsLease(); },
+        .m_waveStatusKey =
+          [](std::int64_t aWave) {
+            return absl::StrCat("wave-status/", aWave);
+          },
+        .m_encodeWaveStatus =
+          [](bool aIsCompleted) { return aIsCompleted ? "done" : "open"; } },
+      FleetSettings{},
+      MachineAuthority{ .m_holder = "one", .m_fence = 7 });
+  }
+
+  /** What the platform does after an order: a new worker comes later. */
+  void Replace(const std::string& aMachine, const std::string& aPool)
+  {
+    const auto found = std::ranges::find_if(
+      m_cluster.m_reports, [&aMachine](const auto& aEntry) {
+        return aEntry.second.m_machine == aMachine;
+      });
+    WorkerReport report = found->second;
+    Scheduler* scheduler = m_cluster.At("one").m_scheduler.get();
+    m_cluster.m_workers.Crash(report.m_id);
+    m_cluster.m_reports.erase(found);
+    scheduler->OnWorkerRemoved(report.m_id);
+    report.m_id += "x";
+    report.m_bornMs += 1000;
+    report.m_pool = aPool.empty() ? report.m_pool : aPool;
+    m_cluster.m_reports[report.m_id] = report;
+    if (aPool == "spare") {
+      return;
+    }
+    m_cluster.m_loop.After(absl::Milliseconds(1500), [this, report] {
+      m_cluster.m_workers.Add(report);
+      if (m_cluster.At("one").m_scheduler != nullptr) {
+        m_cluster.At("one").m_scheduler->OnWorkerReport(report);
+      }
+    });
+  }
+
+  JobCluster m_cluster;
+  FakeMachines m_machines{ m_cluster.m_loop };
+  std::unique_ptr<FleetKeeper> m_keeper;
+};
+
+MaintenanceWave
+MakeWave(int aMachines, int aMaxConcurrent)
+{
+  MaintenanceWave wave;
+  wave.m_number = 1;
+  wave.m_durationS = 20;
+  wave.m_maxConcurrent = aMaxConcurrent;
+  for (int i = 0; i < aMachines; ++i) {
+    wave.m_machines.push_back(absl::StrCat("machine-", i));
+  }
+  return wave;
+}
+
+}
+
+// Guards against more machines down at once than the wave allows (LIMIT) and
+// against a wave that is shown as completed too early (MIXED).
+TEST_CASE("A wave maintains each machine and keeps to its cap",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(6);
+  fleet.StartKeeper();
+  fleet.m_keeper->OnWave(MakeWave(6, 2));
+  for (int i = 0;
+       i < 200 && fleet.m_cluster.m_store.Value("wave-status/1") != "done";
+       ++i) {
+    fleet.m_cluster.Run(absl::Milliseconds(100));
+  }
+  std::set<std::string> maintained;
+  for (const FakeMachines::Order& order : fleet.m_machines.Orders()) {
+    if (order.m_pool.empty()) {
+      maintained.insert(order.m_machine);
+    }
+  }
+  REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
+  REQUIRE(maintained.size() == 6);
+  REQUIRE(fleet.m_machines.MostDown() <= 2);
+}
+
+// Guards against machines that stand idle in a pool, and against a pool that
+// stays short while the standby pool has machines.
+TEST_CASE("Machines follow the load to and from standby", "[fleet_keeper]")
+{
+  FleetFixture fleet(6);
+  fleet.StartKeeper();
+  fleet.m_cluster.Run(absl::Seconds(4));
+  const auto inStandby = [&fleet] {
+    int count = 0;
+    for (int i = 0; i < 6; ++i) {
+      count +=
+        fleet.m_machines.At(absl::StrCat("machine-", i)).m_pool == "spare" ? 1
+                                                                           : 0;
+    }
+    return count;
+  };
+  REQUIRE(inStandby() == 5);
+  fleet.m_cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
+    return FakeRunPlan{ .m_time = absl::Seconds(3) };
+  });
+  fleet.m_cluster.Submit(JobCluster::MakeJob("job1", 16, 1));
+  fleet.m_cluster.Run(absl::Seconds(3));
+  REQUIRE(inStandby() <= 2);
+  fleet.m_cluster.Run(absl::Seconds(6));
+  REQUIRE(fleet.m_cluster.State("job1") == "completed");
+}
+
+// Guards against taking a machine whose worker the store has lost sight of
+// while tasks run there (AVAIL, scale-1 of lican-gt).
+TEST_CASE("A machine with an unlisted worker and tasks is left alone",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(1);
+  fleet.m_cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
+    return FakeRunPlan{ .m_isLongRunning = true };
+  });
+  JobRecord record = JobCluster::MakeJob("job1", 2, 1);
+  record.m_steps.front().m_isLongRunning = true;
+  fleet.m_cluster.Submit(record);
+  fleet.m_cluster.Run(absl::Seconds(1));
+  fleet.m_cluster.At("one").m_scheduler->OnWorkerRemoved("worker-0");
+  fleet.StartKeeper();
+  fleet.m_keeper->OnWave(MakeWave(1, 1));
+  fleet.m_cluster.Run(absl::Seconds(18));
+  REQUIRE(fleet.m_machines.Orders().empty());
+}
+
+// Guards against two owners that take turns at one machine (ONE).
+TEST_CASE("A machine that an earlier owner ordered is left alone for its turn",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(4);
+  fleet.m_cluster.m_store.Set(keys::kMachineOrdersKey, R"(["machine-1"])");
+  const absl::Time start = fleet.m_cluster.m_loop.Now();
+  fleet.StartKeeper();
+  fleet.m_keeper->OnWave(MakeWave(4, 4));
+  fleet.m_cluster.Run(absl::Seconds(10));
+  bool hasOther = false;
+  for (const FakeMachines::Order& order : fleet.m_machines.Orders()) {
+    if (order.m_machine == "machine-1") {
+      REQUIRE(order.m_at - start >= absl::Seconds(3));
+    } else {
+      hasOther = hasOther || order.m_at - start < absl::Seconds(3);
+    }
+  }
+  REQUIRE(hasOther);
+}
+
+// Guards against orders that no successor knows of.
+TEST_CASE("An order is sent only after the store has it", "[fleet_keeper]")
+{
+  FleetFixture fleet(2);
+  fleet.StartKeeper();
+  fleet.m_cluster.Run(absl::Milliseconds(400));
+  fleet.m_cluster.At("one").m_store.m_isRefusing = true;
+  fleet.m_keeper->OnWave(MakeWave(2, 2));
+  fleet.m_cluster.Run(absl::Milliseconds(900));
+  REQUIRE(fleet.m_machines.Orders().empty());
+}
