--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -87,8 +87,9 @@
     m_loop,
     m_settings.m_callerAddress,
     kMaxBodyBytes,
-    [this](ListenerRequest aRequest, HttpListener::Responder aRespond) {
-      m_front->Handle(std::move(aRequest), std::move(aRespond));
+    [this](const ListenerRequest& aRequest,
+           const HttpListener::Responder& aRespond) {
+      m_front->Handle(aRequest, aRespond);
     });
   m_readyListener = std::make_unique<HttpListener>(
     m_loop,
--- a/server/job_front.cpp
+++ b/server/job_front.cpp
@@ -71,7 +71,8 @@
 }
 
 void
-JobFront::Handle(ListenerRequest aRequest, HttpListener::Responder aRespond)
+JobFront::Handle(const ListenerRequest& aRequest,
+                 const HttpListener::Responder& aRespond)
 {
   const JobConfiguration* configuration = m_configuration();
   if (configuration == nullptr) {
--- a/server/job_front.h
+++ b/server/job_front.h
@@ -49,7 +49,8 @@
   JobFront(const JobFront&) = delete;
   JobFront& operator=(const JobFront&) = delete;
 
-  void Handle(ListenerRequest aRequest, HttpListener::Responder aRespond);
+  void Handle(const ListenerRequest& aRequest,
+              const HttpListener::Responder& aRespond);
 
 private:
   struct Submission
--- a/store/store_mirror.cpp
+++ b/store/store_mirror.cpp
@@ -45,15 +45,16 @@
     m_read.clear();
     m_firstAsOf = 0;
   }
-  m_store.List(m_prefix, aAfter, [this, alive = m_alive](ReadResult aResult) {
-    if (*alive) {
-      OnPage(std::move(aResult));
-    }
-  });
+  m_store.List(
+    m_prefix, aAfter, [this, alive = m_alive](const ReadResult& aResult) {
+      if (*alive) {
+        OnPage(aResult);
+      }
+    });
 }
 
 void
-StoreMirror::OnPage(ReadResult aResult)
+StoreMirror::OnPage(const ReadResult& aResult)
 {
   if (aResult.m_status != ReadStatus::Ok) {
     Retry();
@@ -111,15 +112,15 @@
   m_store.Watch(m_prefix,
                 m_revision,
                 kWatchWait,
-                [this, alive = m_alive](ReadResult aResult) {
+                [this, alive = m_alive](const ReadResult& aResult) {
                   if (*alive) {
-                    OnEvents(std::move(aResult));
+                    OnEvents(aResult);
                   }
                 });
 }
 
 void
-StoreMirror::OnEvents(ReadResult aResult)
+StoreMirror::OnEvents(const ReadResult& aResult)
 {
   if (aResult.m_status != ReadStatus::Ok) {
     m_mustRead = aResult.m_status == ReadStatus::Compacted;
--- a/store/store_mirror.h
+++ b/store/store_mirror.h
@@ -45,10 +45,10 @@
 
 private:
   void Read(const std::string& aAfter);
-  void OnPage(ReadResult aResult);
+  void OnPage(const ReadResult& aResult);
   void FinishRead();
   void Watch();
-  void OnEvents(ReadResult aResult);
+  void OnEvents(const ReadResult& aResult);
   void Retry();
   void SetSynchronized(bool aIsSynchronized);
   void Apply(const StoreItem& aItem);
