Leave machines alone until their workers have answered

Change: a machine is idle, and may be maintained, only after its worker has answered in this term and is not among those with unresolved leases. Ruled out: stops by the scheduler; both tasks were on one worker and ended at the same time. Figures: the new test fails without the change and passes with it.

--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -257,7 +257,7 @@
   CloseOrders();
   for (const auto& [name, machine] : m_machines) {
     const Worker* worker = WorkerOn(machine);
-    if (worker == nullptr || !worker->m_tasks.empty()) {
+    if (worker == nullptr || m_env.m_scheduler.MayRunTasks(*worker)) {
       m_idleSince.erase(name);
     } else {
       m_idleSince.try_emplace(name, m_env.m_loop.Now());
@@ -412,7 +412,7 @@
     }
     Worker* worker = WorkerOn(machine->second);
     if (worker == nullptr &&
-        (urgency < kForceFrom || m_env.m_scheduler.HasTasksOnMachine(name))) {
+        (urgency < kForceFrom || m_env.m_scheduler.MayRunTasksOn(name))) {
       // The store does not list the worker, which may be at work all the same.
       continue;
     }
@@ -423,6 +423,9 @@
       }
       continue;
     }
+    if (worker != nullptr && m_env.m_scheduler.MayRunTasks(*worker)) {
+      continue;
+    }
     if (down < wave.m_maxConcurrent && m_env.m_loop.Now() >= m_pauseAllUntil &&
         TakeToken(0)) {
       ++down;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -70,8 +70,10 @@
 
   /** Listed worker that runs on a machine, or null. */
   Worker* WorkerOnMachine(const std::string& aMachine);
-  /** Tasks may run on the machine, whether its worker is listed or not. */
-  bool HasTasksOnMachine(const std::string& aMachine) const;
+  /** Tasks run on the worker, or it has not said yet that none does. */
+  bool MayRunTasks(const Worker& aWorker) const;
+  /** The same for a machine, whether its worker is listed or not. */
+  bool MayRunTasksOn(const std::string& aMachine) const;
 
   /** A worker's machine was taken, so all that ran there has ended. */
   void OnWorkerEnded(const std::string& aWorkerId);
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -103,11 +103,20 @@
 }
 
 bool
-Scheduler::HasTasksOnMachine(const std::string& aMachine) const
+Scheduler::MayRunTasks(const Worker& aWorker) const
 {
-  return std::ranges::any_of(m_workers, [&aMachine](const auto& aEntry) {
+  return !aWorker.m_tasks.empty() || aWorker.m_unanswered > 0 ||
+         aWorker.m_clockReadAt == absl::InfinitePast() ||
+         m_unresolved.contains(aWorker.m_report.m_id);
+}
+
+bool
+Scheduler::MayRunTasksOn(const std::string& aMachine) const
+{
+  return std::ranges::any_of(m_workers, [&](const auto& aEntry) {
     const Worker& worker = aEntry.second;
-    return worker.m_report.m_machine == aMachine && !worker.m_tasks.empty();
+    return worker.m_report.m_machine == aMachine &&
+           (!worker.m_tasks.empty() || m_unresolved.contains(aEntry.first));
   });
 }
 
--- a/tests/scheduler/test_fleet_keeper.cpp
+++ b/tests/scheduler/test_fleet_keeper.cpp
@@ -185,6 +185,32 @@
   REQUIRE(fleet.m_machines.Orders().empty());
 }
 
+// Guards against a successor that takes a machine before its worker has said
+// what runs there (AVAIL, fresh-76be of cavefraiche-sched).
+TEST_CASE("A machine is left alone until its worker has answered",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(3);
+  fleet.m_cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
+    return FakeRunPlan{ .m_isLongRunning = true };
+  });
+  JobRecord record = JobCluster::MakeJob("job1", 2, 1);
+  record.m_steps.front().m_isLongRunning = true;
+  fleet.m_cluster.Submit(record);
+  fleet.m_cluster.Run(absl::Seconds(1));
+  fleet.m_cluster.KillDaemon("one");
+  fleet.m_cluster.AddDaemon("one");
+  fleet.m_cluster.At("one").m_workers.m_cut = { "worker-0",
+                                                "worker-1",
+                                                "worker-2" };
+  fleet.m_cluster.Run(absl::Milliseconds(150));
+  REQUIRE(fleet.m_cluster.At("one").m_scheduler != nullptr);
+  fleet.StartKeeper();
+  fleet.m_keeper->OnWave(MakeWave(3, 3));
+  fleet.m_cluster.Run(absl::Seconds(2));
+  REQUIRE(fleet.m_machines.Orders().empty());
+}
+
 // Guards against two owners that take turns at one machine (ONE).
 TEST_CASE("A machine that an earlier owner ordered is left alone for its turn",
           "[fleet_keeper]")
