Read the clock when a worker's answer comes

The time of the worker's clock was that of the start of the loop's turn, which is long while the processor is short, so an answer read late in a turn counted as older than it was. Change: the time is read when the answer is handled and when a lease's end is computed. Ruled out: the drift of the worker's clock, for which the horizon has 2%.

--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -111,7 +111,7 @@
   Worker* worker = FindWorker(aWorkerId);
   if (worker != nullptr && aResult.m_workerClockMs > 0) {
     worker->m_clockMs = aResult.m_workerClockMs;
-    worker->m_clockReadAt = m_env.m_loop.Now();
+    worker->m_clockReadAt = m_env.m_loop.ReadClock();
   }
   const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
   m_env.m_metrics.Count("bramleystall_task_starts_total",
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -138,7 +138,7 @@
 {
   const absl::Duration lease =
     std::min(kWorkerLease, m_settings.m_maxWorkerLease);
-  const absl::Duration age = m_env.m_loop.Now() - aWorker.m_clockReadAt;
+  const absl::Duration age = m_env.m_loop.ReadClock() - aWorker.m_clockReadAt;
   aWorker.m_leaseHorizon =
     std::max(aWorker.m_leaseHorizon,
              aWorker.m_clockReadAt + Stretch(age + lease) + kLeaseMargin);
@@ -264,7 +264,8 @@
   }
   worker.m_bornMs = aResult.m_bornMs;
   worker.m_clockMs = aResult.m_workerClockMs;
-  worker.m_clockReadAt = m_env.m_loop.Now();
+  // The answer may have come late in a long turn of the loop.
+  worker.m_clockReadAt = m_env.m_loop.ReadClock();
   worker.m_renewedAt = m_env.m_loop.Now();
   const std::int64_t before = worker.m_appliedEnd;
   for (const TaskEnd& end : aResult.m_ends) {
