Read a job's record in one place

Cause: the state of a job without progress and its cancel read the record and answered a missing one with the same code. Change: both use JobFront::FindRecord; an accessor without a caller is gone.

--- a/server/job_front.cpp
+++ b/server/job_front.cpp
@@ -269,7 +269,11 @@
         return;
       }
       if (aResult.m_items.empty()) {
-        AnswerIfStored(aId, aRespond);
+        // A job without progress has not been started.
+        FindRecord(aId, aRespond, [this, aRespond](const StoreItem&) {
+          aRespond(
+            { .m_status = kOk, .m_body = m_codec.m_encodeState("queued") });
+        });
         return;
       }
       const json body =
@@ -286,12 +290,14 @@
 }
 
 void
-JobFront::AnswerIfStored(const std::string& aId,
-                         const HttpListener::Responder& aRespond)
+JobFront::FindRecord(const std::string& aId,
+                     const HttpListener::Responder& aRespond,
+                     std::function<void(const StoreItem&)> aOnFound)
 {
   m_store.Get(
     keys::JobKey(aId),
-    [this, aId, aRespond, alive = m_alive](const ReadResult& aResult) {
+    [this, aId, aRespond, onFound = std::move(aOnFound), alive = m_alive](
+      const ReadResult& aResult) {
       if (!*alive) {
         return;
       }
@@ -300,8 +306,7 @@
       } else if (aResult.m_items.empty()) {
         Refuse(aId, "unknown_job", kGone, aRespond);
       } else {
-        aRespond(
-          { .m_status = kOk, .m_body = m_codec.m_encodeState("queued") });
+        onFound(aResult.m_items.front());
       }
     });
 }
@@ -310,20 +315,9 @@
 JobFront::Cancel(const std::string& aId,
                  const HttpListener::Responder& aRespond)
 {
-  m_store.Get(
-    keys::JobKey(aId),
-    [this, aId, aRespond, alive = m_alive](const ReadResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      if (aResult.m_status != ReadStatus::Ok) {
-        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
-      } else if (aResult.m_items.empty()) {
-        Refuse(aId, "unknown_job", kGone, aRespond);
-      } else {
-        WriteCancel(aId, aResult.m_items.front().m_revision, aRespond);
-      }
-    });
+  FindRecord(aId, aRespond, [this, aId, aRespond](const StoreItem& aRecord) {
+    WriteCancel(aId, aRecord.m_revision, aRespond);
+  });
 }
 
 void
--- a/server/job_front.h
+++ b/server/job_front.h
@@ -70,8 +70,10 @@
   void Accept(const Submission& aSubmission, const char* aHow);
   void AnswerState(const std::string& aId,
                    const HttpListener::Responder& aRespond);
-  void AnswerIfStored(const std::string& aId,
-                      const HttpListener::Responder& aRespond);
+  /** Reads a job's record; answers the caller itself when there is none. */
+  void FindRecord(const std::string& aId,
+                  const HttpListener::Responder& aRespond,
+                  std::function<void(const StoreItem&)> aOnFound);
   void Cancel(const std::string& aId, const HttpListener::Responder& aRespond);
   void WriteCancel(const std::string& aId,
                    std::int64_t aRevision,
--- a/store/store_mirror.h
+++ b/store/store_mirror.h
@@ -41,8 +41,6 @@
   /** Monotonic time of the last successful answer. */
   absl::Time LastAnswerAt() const { return m_lastAnswerAt; }
 
-  std::int64_t Revision() const { return m_revision; }
-
 private:
   void Read(const std::string& aAfter);
   void OnPage(const ReadResult& aResult);
