--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -26,10 +26,14 @@
 constexpr absl::Duration kExitMargin = absl::Milliseconds(700);
 /** The balancer needs two misses, a second apart, to see the shutdown. */
 constexpr absl::Duration kMinShutdown = absl::Milliseconds(2500);
-/** What the owner needs at the peak of 350 workers, see docs/CAPACITY.md. */
+/** A daemon with these can own a shard at its peak, see docs/CAPACITY.md. */
 constexpr double kOwnerCores = 0.5;
 constexpr double kOwnerLinkMbps = 100;
 constexpr absl::Duration kIdlePoll = absl::Milliseconds(50);
+/** Handicap of the least fit candidate, so that a fitter one is first. */
+constexpr absl::Duration kSmallDaemonHandicap = absl::Milliseconds(300);
+/** Handicap for each shard that a candidate owns already. */
+constexpr absl::Duration kOwnedShardHandicap = absl::Milliseconds(150);
 /** Longest time that the shutdown waits to store the progress. */
 constexpr absl::Duration kHandoverTime = absl::Milliseconds(300);
 
@@ -52,8 +56,7 @@
 
 }
 
-JobDaemon::JobDaemon(std::string aSettingsPath,
-                     const std::string& aChartsFolder)
+JobDaemon::JobDaemon(std::string aSettingsPath, std::string aChartsFolder)
   : m_settingsPath(std::move(aSettingsPath))
   , m_settings(LoadJobSettings(m_settingsPath))
   , m_storeFetcher(m_loop, kStoreConnections)
@@ -61,6 +64,7 @@
   , m_store(m_storeFetcher, m_settings.m_storeAddress)
   , m_workers(m_workerFetcher, m_settings.m_adviceAddress)
   , m_machines(m_workerFetcher, m_settings.m_machineAddress)
+  , m_chartsFolder(std::move(aChartsFolder))
 {
   m_operatorMirror = std::make_unique<StoreMirror>(
     m_loop,
@@ -71,18 +75,19 @@
       LogInfo(LogPart::Store,
               aIsSynchronized ? "store reached." : "store lost.");
     });
-  m_ownership = std::make_unique<Ownership>(
+  m_layoutReader = std::make_unique<LayoutReader>(
     m_loop,
     m_store,
-    StateChart::Load(absl::StrCat(aChartsFolder, "/owner_term.json")),
+    m_machines,
     m_settings.m_daemon,
-    FitnessOf(m_settings),
-    [this](const OwnershipGrant& aGrant) { StartScheduling(aGrant); },
-    [this](const std::string&) { StopScheduling(); });
+    [this](const ShardLayout& aLayout) { OnLayout(aLayout); });
   m_front = std::make_unique<JobFront>(
-    m_loop, m_store, m_metrics, MakeCallerCodec(), [this] {
-      return m_configuration ? &*m_configuration : nullptr;
-    });
+    m_loop,
+    m_store,
+    m_metrics,
+    MakeCallerCodec(),
+    [this] { return m_configuration ? &*m_configuration : nullptr; },
+    [this] { return m_layout ? &*m_layout : nullptr; });
   m_callerListener = std::make_unique<HttpListener>(
     m_loop,
     m_settings.m_callerAddress,
@@ -143,8 +148,8 @@
                        " queues=",
                        next.m_queues.size()));
   m_configuration = std::move(next);
-  if (m_scheduler) {
-    m_scheduler->OnConfigurationChanged();
+  for (const auto& shard : m_shards) {
+    shard->OnConfigurationChanged();
   }
 }
 
@@ -159,97 +164,74 @@
                        wave.m_machines.size(),
                        " cap=",
                        wave.m_maxConcurrent));
-  if (m_fleet) {
-    m_fleet->OnWave(wave);
+  for (const auto& shard : m_shards) {
+    shard->OnWave(wave);
   }
   m_waves[wave.m_number] = std::move(wave);
 }
 
 void
-JobDaemon::OnWorkerItem(const StoreItem& aItem)
-{
-  const std::string id =
-    aItem.m_key.substr(std::string(wire::kWorkerPrefix).size());
-  if (aItem.m_isRemoved) {
-    m_scheduler->OnWorkerRemoved(id);
-    return;
-  }
-  try {
-    m_scheduler->OnWorkerReport(wire::DecodeWorkerReport(id, aItem.m_value));
-  } catch (const Error& error) {
-    LogWarning(LogPart::Workers,
-               absl::StrCat("entry ignored; worker=", id, " ", error.what()));
-  }
-}
-
-void
-JobDaemon::StartScheduling(const OwnershipGrant& aGrant)
+JobDaemon::OnLayout(const ShardLayout& aLayout)
 {
   static const JobConfiguration kNoConfiguration;
-  const auto configuration = [this]() -> const JobConfiguration& {
-    return m_configuration ? *m_configuration : kNoConfiguration;
-  };
-  m_scheduler = std::make_unique<Scheduler>(
-    Scheduler::Environment{
-      .m_loop = m_loop,
-      .m_store = m_store,
-      .m_workers = m_workers,
-      .m_metrics = m_metrics,
-      .m_configuration = configuration,
-      .m_mayOrder = [this] { return m_ownership->MayOrder(); },
-      .m_holdsLease = [this] { return m_ownership->HoldsLease(); },
-      .m_onSuperseded = [this] { m_ownership->StepDown(); } },
-    SchedulerSettings{ .m_maxWorkerLease = m_settings.m_maxWorkerLease,
-                       .m_jobRetention = m_settings.m_jobRetention,
-                       .m_stopTime = m_settings.m_stopTime },
-    aGrant);
-  m_fleet = std::make_unique<FleetKeeper>(
-    FleetKeeper::Environment{
-      .m_loop = m_loop,
-      .m_store = m_store,
-      .m_machines = m_machines,
-      .m_scheduler = *m_scheduler,
-      .m_metrics = m_metrics,
-      .m_configuration = configuration,
-      .m_holdsLease = [this] { return m_ownership->HoldsLease(); },
-      .m_waveStatusKey =
-        [](std::int64_t aWave) {
-          return absl::StrCat(wire::kWaveStatusPrefix, aWave);
+  m_layout = aLayout;
+  const StateChart chart =
+    StateChart::Load(absl::StrCat(m_chartsFolder, "/owner_term.json"));
+  for (int shard = 0; shard < m_layout->Count(); ++shard) {
+    m_shards.push_back(std::make_unique<ShardRunner>(
+      ShardRunner::Environment{
+        .m_loop = m_loop,
+        .m_metrics = m_metrics,
+        .m_store = m_store,
+        .m_workers = m_workers,
+        .m_machines = m_machines,
+        .m_settings = m_settings,
+        .m_layout = *m_layout,
+        .m_waves = m_waves,
+        .m_configuration = [this]() -> const JobConfiguration& {
+          return m_configuration ? *m_configuration : kNoConfiguration;
         },
-      .m_encodeWaveStatus = wire::EncodeWaveStatus },
-    FleetSettings{ .m_moveTime = m_settings.m_moveTime,
-                   .m_upkeepTime = m_settings.m_upkeepTime,
-                   .m_ordersPerSecond = m_settings.m_machineOrdersPerSecond,
-                   .m_machineTurn = m_settings.m_machineTurn },
-    MachineAuthority{ .m_holder = m_settings.m_daemon,
-                      .m_fence = aGrant.m_fence });
-  for (const auto& [number, wave] : m_waves) {
-    m_fleet->OnWave(wave);
+        .m_handicap = [this] { return Handicap(); } },
+      shard,
+      chart));
   }
-  m_workerMirror = std::make_unique<StoreMirror>(
+  m_ownershipMirror = std::make_unique<StoreMirror>(
     m_loop,
     m_store,
-    wire::kWorkerPrefix,
-    [this](const StoreItem& aItem) { OnWorkerItem(aItem); },
+    keys::kOwnershipPrefix,
+    [this](const StoreItem& aItem) {
+      for (const auto& shard : m_shards) {
+        shard->Owner().OnItem(aItem);
+      }
+    },
     [this](bool aIsSynchronized) {
-      if (aIsSynchronized) {
-        m_scheduler->OnWorkersListed();
+      for (const auto& shard : m_shards) {
+        shard->Owner().OnSynchronized(aIsSynchronized);
       }
     });
 }
 
+absl::Duration
+JobDaemon::Handicap() const
+{
+  const auto owned = std::ranges::count_if(
+    m_shards, [](const auto& aShard) { return aShard->Owner().IsEngaged(); });
+  return kSmallDaemonHandicap * (1.0 - FitnessOf(m_settings)) +
+         kOwnedShardHandicap * owned;
+}
+
 void
-JobDaemon::StopScheduling()
+JobDaemon::ResignAll()
 {
-  m_workerMirror.reset();
-  m_fleet.reset();
-  m_scheduler.reset();
+  for (const auto& shard : m_shards) {
+    shard->Owner().Resign();
+  }
 }
 
 bool
 JobDaemon::IsReady() const
 {
-  return !m_isStopping && m_configuration.has_value() &&
+  return !m_isStopping && m_configuration.has_value() && m_layout.has_value() &&
          m_loop.Now() < m_operatorMirror->LastAnswerAt() + kStoreSilence;
 }
 
@@ -286,12 +268,20 @@
   m_stopBy = m_loop.Now() + m_settings.m_grace - kExitMargin;
   LogInfo(LogPart::Main, "stop signal; finishing requests in flight.");
   m_callerListener->CloseConnectionsAfterResponse();
-  const auto resign = [this] { m_ownership->Resign(); };
-  if (m_scheduler) {
-    m_scheduler->AfterStored(
-      [this, resign] { m_loop.After(absl::ZeroDuration(), resign); });
+  bool isOwner = false;
+  for (const auto& shard : m_shards) {
+    if (shard->Jobs() == nullptr) {
+      shard->Owner().Resign();
+      continue;
+    }
+    isOwner = true;
+    Ownership& ownership = shard->Owner();
+    shard->Jobs()->AfterStored([this, &ownership] {
+      m_loop.After(absl::ZeroDuration(), [&ownership] { ownership.Resign(); });
+    });
   }
-  m_loop.After(m_scheduler ? kHandoverTime : absl::ZeroDuration(), resign);
+  m_loop.After(isOwner ? kHandoverTime : absl::ZeroDuration(),
+               [this] { ResignAll(); });
   m_loop.After(std::min(kMinShutdown, m_settings.m_grace - kExitMargin),
                [this] { ExitWhenIdle(); });
 }
--- a/daemon/job_daemon.h
+++ b/daemon/job_daemon.h
@@ -2,6 +2,7 @@
 
 #include "core/job_settings.h"
 #include "core/metrics.h"
+#include "daemon/shard_runner.h"
 #include "jobs/job_configuration.h"
 #include "jobs/maintenance_wave.h"
 #include "net/event_loop.h"
@@ -10,9 +11,7 @@
 #include "platform/kv_store_client.h"
 #include "platform/machine_client.h"
 #include "platform/worker_client.h"
-#include "scheduler/fleet_keeper.h"
-#include "scheduler/ownership.h"
-#include "scheduler/scheduler.h"
+#include "scheduler/layout_reader.h"
 #include "server/job_front.h"
 #include "store/store_mirror.h"
 
@@ -21,18 +20,19 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace bramleystall {
 
 /**
- * The daemon on the users' platform: accepts callers' jobs, and schedules all
- * jobs while it is the owner. One thread runs everything.
+ * The daemon on the users' platform: accepts callers' jobs, and schedules the
+ * jobs of the shards that it owns. One thread runs everything.
  */
 class JobDaemon
 {
 public:
   /** Paths of the settings file, which SIGHUP reads again, and the charts. */
-  JobDaemon(std::string aSettingsPath, const std::string& aChartsFolder);
+  JobDaemon(std::string aSettingsPath, std::string aChartsFolder);
   ~JobDaemon();
   JobDaemon(const JobDaemon&) = delete;
   JobDaemon& operator=(const JobDaemon&) = delete;
@@ -44,9 +44,10 @@
   void OnOperatorItem(const StoreItem& aItem);
   void ApplyConfiguration(const StoreItem& aItem);
   void ApplyWave(const StoreItem& aItem);
-  void OnWorkerItem(const StoreItem& aItem);
-  void StartScheduling(const OwnershipGrant& aGrant);
-  void StopScheduling();
+  void OnLayout(const ShardLayout& aLayout);
+  /** Time that this daemon leaves to better candidates for a shard. */
+  absl::Duration Handicap() const;
+  void ResignAll();
   void HandleReady(const ListenerRequest& aRequest,
                    const HttpListener::Responder& aRespond);
   bool IsReady() const;
@@ -65,11 +66,12 @@
   MachineClient m_machines;
   std::optional<JobConfiguration> m_configuration;
   std::map<std::int64_t, MaintenanceWave> m_waves;
-  std::unique_ptr<Scheduler> m_scheduler;
-  std::unique_ptr<FleetKeeper> m_fleet;
-  std::unique_ptr<StoreMirror> m_workerMirror;
+  std::string m_chartsFolder;
+  std::optional<ShardLayout> m_layout;
+  std::vector<std::unique_ptr<ShardRunner>> m_shards;
   std::unique_ptr<StoreMirror> m_operatorMirror;
-  std::unique_ptr<Ownership> m_ownership;
+  std::unique_ptr<StoreMirror> m_ownershipMirror;
+  std::unique_ptr<LayoutReader> m_layoutReader;
   std::unique_ptr<JobFront> m_front;
   std::unique_ptr<HttpListener> m_callerListener;
   std::unique_ptr<HttpListener> m_readyListener;
--- /dev/null
+++ b/daemon/shard_runner.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "jobs/maintenance_wave.h"
+#include "scheduler/fleet_keeper.h"
+#include "scheduler/ownership.h"
+#include "scheduler/scheduler.h"
+#include "scheduler/shard_layout.h"
+#include "store/store_mirror.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace bramleystall {
+
+class KvStoreClient;
+class MachineClient;
+class WorkerClient;
+struct JobSettings;
+
+/**
+ * One shard of the fleet in this daemon: a candidate for its ownership, and,
+ * while the daemon is the owner, its scheduler and its fleet keeper.
+ */
+class ShardRunner
+{
+public:
+  /** Collaborators; all outlive the runner. */
+  struct Environment
+  {
+    EventLoop& m_loop;
+    Metrics& m_metrics;
+    KvStoreClient& m_store;
+    WorkerClient& m_workers;
+    MachineClient& m_machines;
+    const JobSettings& m_settings;
+    const ShardLayout& m_layout;
+    const std::map<std::int64_t, MaintenanceWave>& m_waves;
+    std::function<const JobConfiguration&()> m_configuration;
+    /** See Ownership::HandicapHook. */
+    Ownership::HandicapHook m_handicap;
+  };
+
+  ShardRunner(Environment aEnvironment, int aShard, StateChart aChart);
+  ShardRunner(const ShardRunner&) = delete;
+  ShardRunner& operator=(const ShardRunner&) = delete;
+
+  Ownership& Owner() { return m_ownership; }
+  /** Null unless this daemon owns the shard. */
+  Scheduler* Jobs() { return m_scheduler.get(); }
+  void OnConfigurationChanged();
+  void OnWave(const MaintenanceWave& aWave);
+
+private:
+  void Start(const OwnershipGrant& aGrant);
+  void Stop();
+  void OnWorkerItem(const StoreItem& aItem);
+
+  Environment m_env;
+  int m_shard;
+  keys::ShardKeys m_keys;
+  std::unique_ptr<Scheduler> m_scheduler;
+  std::unique_ptr<FleetKeeper> m_fleet;
+  std::unique_ptr<StoreMirror> m_workerMirror;
+  Ownership m_ownership;
+};
+
+}
--- a/jobs/job_codec.cpp
+++ b/jobs/job_codec.cpp
@@ -13,6 +13,9 @@
 
 using nlohmann::json;
 
+/** Field of a reference that names the shard of the job. */
+constexpr const char* kShardField = "shard";
+
 template<typename T>
 void
 SetIf(json& aObject, const char* aName, const T& aValue)
@@ -73,6 +76,23 @@
 
 }
 
+std::string
+EncodeJobReference(int aShard)
+{
+  return json{ { kShardField, aShard } }.dump();
+}
+
+std::optional<int>
+DecodeJobReference(const std::string& aJson)
+{
+  const json body = json::parse(aJson, nullptr, false);
+  if (!body.is_object() || !body.contains(kShardField) ||
+      !body[kShardField].is_number_integer()) {
+    return std::nullopt;
+  }
+  return body[kShardField].get<int>();
+}
+
 std::string
 EncodeJobRecord(const JobRecord& aRecord)
 {
@@ -89,6 +109,9 @@
   SetIf(record, "repeats", aRecord.m_repeats);
   SetIf(record, "first_due_ms", aRecord.m_firstDueMs);
   SetIf(record, "interval_ms", aRecord.m_intervalMs);
+  if (aRecord.m_referenceShard >= 0) {
+    record["reference_shard"] = aRecord.m_referenceShard;
+  }
   return record.dump();
 }
 
@@ -110,6 +133,7 @@
     record.m_repeats = body.value("repeats", 0);
     record.m_firstDueMs = body.value("first_due_ms", std::int64_t{ 0 });
     record.m_intervalMs = body.value("interval_ms", std::int64_t{ 0 });
+    record.m_referenceShard = body.value("reference_shard", -1);
     return record;
   } catch (const json::exception& error) {
     throw Error(ErrorCode::InvalidInput,
--- a/jobs/job_record.h
+++ b/jobs/job_record.h
@@ -28,6 +28,11 @@
   /** Of the queue at submission: failed attempts after which a task fails. */
   int m_maxAttempts = 1;
   int m_priority = 0;
+  /**
+   * Shard in which callers look for the job first, where it is not the job's
+   * own; a reference is stored there. -1 for none.
+   */
+  int m_referenceShard = -1;
 };
 
 }
--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -4,8 +4,9 @@
 #include "core/metrics.h"
 #include "jobs/job_configuration.h"
 #include "net/event_loop.h"
-#include "scheduler/job_keys.h"
 #include "scheduler/scheduler.h"
+#include "scheduler/shard_layout.h"
+#include "scheduler/wave_share.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -55,12 +56,6 @@
 /** Interval of the log lines on pools that differ from their desired size. */
 constexpr absl::Duration kPoolLogInterval = absl::Seconds(1);
 
-std::string
-WaveKey(std::int64_t aWave)
-{
-  return absl::StrCat(keys::kWavePrefix, aWave);
-}
-
 }
 
 FleetKeeper::FleetKeeper(Environment aEnvironment,
@@ -68,9 +63,17 @@
                          MachineAuthority aAuthority)
   : m_env(std::move(aEnvironment))
   , m_settings(aSettings)
+  , m_keys(m_env.m_shard)
   , m_authority(std::move(aAuthority))
 {
-  ReadWaveProgress();
+  m_waveMirror = std::make_unique<StoreMirror>(
+    m_env.m_loop,
+    m_env.m_store,
+    keys::kWavePrefix,
+    [this](const StoreItem& aItem) { ApplyWaveProgress(aItem); },
+    [this](bool aIsSynchronized) {
+      m_hasWaveProgress = m_hasWaveProgress || aIsSynchronized;
+    });
   ReadMachineOrders();
   Step();
 }
@@ -88,41 +91,51 @@
     state.m_knownAt = m_env.m_loop.Now();
   }
   state.m_wave = aWave;
-}
-
-void
-FleetKeeper::ReadWaveProgress()
-{
-  m_env.m_store.List(
-    keys::kWavePrefix, "", [this, alive = m_alive](const ReadResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      if (aResult.m_status != ReadStatus::Ok) {
-        m_env.m_loop.After(kStepInterval, [this, alive] {
-          if (*alive) {
-            ReadWaveProgress();
-          }
-        });
-        return;
-      }
-      for (const StoreItem& item : aResult.m_items) {
-        ApplyWaveProgress(item);
-      }
-      m_hasWaveProgress = true;
-    });
+  state.m_machines.assign(static_cast<std::size_t>(m_env.m_layout.Count()), 0);
+  for (const std::string& machine : aWave.m_machines) {
+    ++state.m_machines[static_cast<std::size_t>(
+      m_env.m_layout.OfMachine(machine))];
+  }
 }
 
 void
 FleetKeeper::ApplyWaveProgress(const StoreItem& aItem)
 {
-  m_env.m_scheduler.Know(aItem.m_key, aItem.m_revision);
+  if (aItem.m_isRemoved) {
+    return;
+  }
+  if (!m_hasWaveProgress) {
+    m_env.m_scheduler.Know(aItem.m_key, aItem.m_revision);
+  }
   const json body = json::parse(aItem.m_value, nullptr, false);
-  if (!body.is_array()) {
+  if (!body.is_object() || !body.contains("done")) {
     LogError(LogPart::Fleet, absl::StrCat("unreadable ", aItem.m_key));
     return;
   }
-  m_storedDone[aItem.m_key] = body.get<std::set<std::string>>();
+  WaveProgress& progress = m_waveProgress[aItem.m_key];
+  progress.m_done = body["done"].get<std::set<std::string>>();
+  progress.m_isCompleted = body.value("completed", false);
+}
+
+void
+FleetKeeper::StoreWaveProgress(const WaveState& aState)
+{
+  m_env.m_scheduler.Put(
+    m_keys.Wave(aState.m_wave.m_number),
+    json{ { "done", aState.m_done }, { "completed", aState.m_isCompleted } }
+      .dump());
+}
+
+int
+FleetKeeper::LimitOf(const WaveState& aState) const
+{
+  std::vector<int> open = aState.m_machines;
+  for (int shard = 0; shard < m_env.m_layout.Count(); ++shard) {
+    if (IsCompletedElsewhere(aState, shard)) {
+      open[static_cast<std::size_t>(shard)] = 0;
+    }
+  }
+  return WaveShare(open, m_env.m_shard, aState.m_wave.m_maxConcurrent);
 }
 
 bool
@@ -158,8 +171,7 @@
 FleetKeeper::ReadMachineOrders()
 {
   m_env.m_store.Get(
-    keys::kMachineOrdersKey,
-    [this, alive = m_alive](const ReadResult& aResult) {
+    m_keys.MachineOrders(), [this, alive = m_alive](const ReadResult& aResult) {
       if (!*alive) {
         return;
       }
@@ -202,7 +214,7 @@
   std::string text = machines.dump();
   if (text != m_recentOrdersText) {
     m_recentOrdersText = text;
-    m_env.m_scheduler.Put(keys::kMachineOrdersKey, std::move(text));
+    m_env.m_scheduler.Put(m_keys.MachineOrders(), std::move(text));
   }
 }
 
@@ -301,6 +313,9 @@
   }
   m_machines.clear();
   for (MachineEntry& entry : aResult.m_machines) {
+    if (m_env.m_layout.OfMachine(entry.m_name) != m_env.m_shard) {
+      continue;
+    }
     const std::string name = entry.m_name;
     m_machines[name] = std::move(entry);
   }
@@ -366,15 +381,19 @@
   for (auto& [number, state] : m_waves) {
     if (!state.m_hasProgress) {
       state.m_hasProgress = true;
-      const auto stored = m_storedDone.find(WaveKey(number));
-      if (stored != m_storedDone.end()) {
-        state.m_done = stored->second;
+      const auto stored = m_waveProgress.find(m_keys.Wave(number));
+      if (stored != m_waveProgress.end()) {
+        state.m_done = stored->second.m_done;
       }
-      PublishWave(state);
+      PublishWave(state, false);
     }
     if (!state.m_isCompleted) {
       WorkOnWave(state);
     }
+    if (!state.m_isReported && IsCompletedEverywhere(state)) {
+      state.m_isReported = true;
+      PublishWave(state, true);
+    }
   }
 }
 
@@ -382,6 +401,7 @@
 FleetKeeper::WorkOnWave(WaveState& aState)
 {
   const MaintenanceWave& wave = aState.m_wave;
+  const int limit = LimitOf(aState);
   int down = 0;
   for (const std::string& name : wave.m_machines) {
     const auto order = m_orders.find(name);
@@ -426,17 +446,18 @@
     if (worker != nullptr && m_env.m_scheduler.MayRunTasks(*worker)) {
       continue;
     }
-    if (down < wave.m_maxConcurrent && m_env.m_loop.Now() >= m_pauseAllUntil &&
-        TakeToken(0)) {
+    if (down < limit && m_env.m_loop.Now() >= m_pauseAllUntil && TakeToken(0)) {
       ++down;
       Maintain(machine->second, wave.m_number);
     }
   }
   if (!isOpen && down == 0) {
     aState.m_isCompleted = true;
-    LogInfo(LogPart::Fleet,
-            absl::StrCat("wave completed; wave=", wave.m_number));
-    PublishWave(aState);
+    LogInfo(
+      LogPart::Fleet,
+      absl::StrCat(
+        "wave completed; wave=", wave.m_number, " shard=", m_env.m_shard));
+    StoreWaveProgress(aState);
   }
 }
 
@@ -541,14 +562,46 @@
     return;
   }
   found->second.m_done.insert(aMachine);
-  m_env.m_scheduler.Put(WaveKey(aWave), json(found->second.m_done).dump());
+  StoreWaveProgress(found->second);
+}
+
+bool
+FleetKeeper::IsCompletedElsewhere(const WaveState& aState, int aShard) const
+{
+  const auto stored =
+    m_waveProgress.find(keys::ShardKeys(aShard).Wave(aState.m_wave.m_number));
+  return aShard != m_env.m_shard && stored != m_waveProgress.end() &&
+         stored->second.m_isCompleted;
+}
+
+bool
+FleetKeeper::IsCompletedEverywhere(const WaveState& aState) const
+{
+  if (!aState.m_isCompleted) {
+    return false;
+  }
+  for (int shard = 0; shard < m_env.m_layout.Count(); ++shard) {
+    if (shard != m_env.m_shard && !IsCompletedElsewhere(aState, shard)) {
+      return false;
+    }
+  }
+  return true;
 }
 
 void
-FleetKeeper::PublishWave(const WaveState& aState)
+FleetKeeper::PublishWave(const WaveState& aState, bool aIsCompleted)
 {
+  if (m_env.m_shard != 0) {
+    // One writer, so that a late report cannot undo a newer one.
+    return;
+  }
+  LogInfo(LogPart::Fleet,
+          absl::StrCat("wave reported; wave=",
+                       aState.m_wave.m_number,
+                       " completed=",
+                       aIsCompleted));
   m_env.m_scheduler.Put(m_env.m_waveStatusKey(aState.m_wave.m_number),
-                        m_env.m_encodeWaveStatus(aState.m_isCompleted));
+                        m_env.m_encodeWaveStatus(aIsCompleted));
 }
 
 // Moves.
--- a/scheduler/fleet_keeper.h
+++ b/scheduler/fleet_keeper.h
@@ -2,6 +2,8 @@
 
 #include "core/machine_gateway.h"
 #include "jobs/maintenance_wave.h"
+#include "scheduler/job_keys.h"
+#include "store/store_mirror.h"
 
 #include <absl/time/time.h>
 
@@ -19,8 +21,8 @@
 class KeyValueStore;
 class Metrics;
 class Scheduler;
+class ShardLayout;
 struct JobConfiguration;
-struct StoreItem;
 struct Worker;
 
 /** Figures of the deployment that the fleet keeper works with. */
@@ -28,16 +30,16 @@
 {
   absl::Duration m_moveTime = absl::Milliseconds(1500);
   absl::Duration m_upkeepTime = absl::Seconds(2);
-  /** Orders that the platform accepts in a second. */
+  /** Orders that the platform accepts in a second, for this shard. */
   double m_ordersPerSecond = 64;
   /** Two holders do not order the same machine within this time. */
   absl::Duration m_machineTurn = absl::Seconds(3);
 };
 
 /**
- * Moves machines between pools as the demand asks and carries out the
- * operator's maintenance waves, while this daemon is the owner. The owner is
- * the only one that orders machines.
+ * Moves the machines of a shard between pools as the demand asks and carries
+ * out the operator's maintenance waves on them, while this daemon is the
+ * shard's owner. The owner is the only one that orders these machines.
  */
 class FleetKeeper
 {
@@ -50,6 +52,9 @@
     MachineGateway& m_machines;
     Scheduler& m_scheduler;
     Metrics& m_metrics;
+    /** Division of the fleet, and the shard of this keeper. */
+    const ShardLayout& m_layout;
+    int m_shard = 0;
     std::function<const JobConfiguration&()> m_configuration;
     /** Whether the store's lease is valid; see Ownership::HoldsLease. */
     std::function<bool()> m_holdsLease;
@@ -87,9 +92,15 @@
   {
     MaintenanceWave m_wave;
     absl::Time m_knownAt;
+    /** Machines of this shard whose upkeep has begun. */
     std::set<std::string> m_done;
+    /** All machines of this shard are done and none is down. */
     bool m_isCompleted = false;
     bool m_hasProgress = false;
+    /** Machines of the wave in each shard. */
+    std::vector<int> m_machines;
+    /** The operator has been told that all shards have completed it. */
+    bool m_isReported = false;
   };
 
   struct PoolLoad
@@ -100,11 +111,12 @@
     bool m_isStandby = false;
   };
 
-  void ReadWaveProgress();
   void ReadMachineOrders();
   void SendOrders();
   void RecordOrders();
   void ApplyWaveProgress(const StoreItem& aItem);
+  void StoreWaveProgress(const WaveState& aState);
+  int LimitOf(const WaveState& aState) const;
   void Step();
   void ListMachines();
   void OnListed(absl::Time aSentAt, MachineListResult aResult);
@@ -117,7 +129,9 @@
   void Maintain(const MachineEntry& aMachine, std::int64_t aWave);
   void OnMaintained(const std::string& aMachine, MachineOutcome aOutcome);
   void NoteDone(const std::string& aMachine, std::int64_t aWave);
-  void PublishWave(const WaveState& aState);
+  bool IsCompletedElsewhere(const WaveState& aState, int aShard) const;
+  bool IsCompletedEverywhere(const WaveState& aState) const;
+  void PublishWave(const WaveState& aState, bool aIsCompleted);
   void Rebalance();
   std::map<std::string, PoolLoad> MeasurePools();
   void LogPools(const std::map<std::string, PoolLoad>& aPools);
@@ -138,6 +152,7 @@
 
   Environment m_env;
   FleetSettings m_settings;
+  keys::ShardKeys m_keys;
   MachineAuthority m_authority;
   std::map<std::string, MachineEntry> m_machines;
   absl::Time m_listedAt = absl::InfinitePast();
@@ -152,7 +167,13 @@
   double m_orderTokens = 0;
   absl::Time m_tokensAt = absl::InfinitePast();
   std::map<std::int64_t, WaveState> m_waves;
-  std::map<std::string, std::set<std::string>> m_storedDone;
+  /** Stored progress of each wave, by key. */
+  struct WaveProgress
+  {
+    std::set<std::string> m_done;
+    bool m_isCompleted = false;
+  };
+  std::map<std::string, WaveProgress> m_waveProgress;
   std::map<std::string, OpenOrder> m_orders;
   /** Since when a machine has had no task. */
   std::map<std::string, absl::Time> m_idleSince;
@@ -161,6 +182,7 @@
   /** No order at all until then, after the platform was unreachable. */
   absl::Time m_pauseAllUntil = absl::InfinitePast();
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  std::unique_ptr<StoreMirror> m_waveMirror;
 };
 
 }
--- a/scheduler/job_keys.h
+++ b/scheduler/job_keys.h
@@ -4,43 +4,65 @@
 
 namespace bramleystall::keys {
 
-/** Record of a submitted job, jobs/ID; written once by the daemon that accepts
- * it. */
-inline constexpr const char* kJobPrefix = "bramleystall/jobs/";
-/** A cancelled job has a second key with this suffix. */
-inline constexpr const char* kCancelSuffix = "/cancel";
-/** Progress of a job, written by the scheduler's owner alone. */
-inline constexpr const char* kProgressPrefix = "bramleystall/progress/";
-/** Keys of the ownership: the holder, and the term of the last holder. */
+/** Machines of each shard; written once, by the first daemon. */
+inline constexpr const char* kLayoutKey = "bramleystall/layout";
+/** Owners of all shards and the terms of their last owners. */
 inline constexpr const char* kOwnershipPrefix = "bramleystall/scheduler/";
-inline constexpr const char* kOwnerKey = "bramleystall/scheduler/owner";
-inline constexpr const char* kTermKey = "bramleystall/scheduler/term";
-/** Workers that may hold a lease of the scheduler. */
-inline constexpr const char* kLeasedWorkersKey = "bramleystall/leased-workers";
-/** Jobs of each queue of which no task has started. */
-inline constexpr const char* kPendingKey = "bramleystall/pending";
-
-/** Machines that the owner has ordered within the last seconds. */
-inline constexpr const char* kMachineOrdersKey = "bramleystall/machine-orders";
-/** Machines of a wave whose upkeep has begun, waves/NUMBER. */
+/** Jobs of each queue of which no task has started, one key for each shard. */
+inline constexpr const char* kPendingPrefix = "bramleystall/pending/";
+/** Progress of all waves in all shards. */
 inline constexpr const char* kWavePrefix = "bramleystall/waves/";
+/** A cancelled job has a second key with this suffix. */
+inline constexpr const char* kCancelSuffix = "/cancel";
 
-inline std::string
-JobKey(const std::string& aId)
+/** Keys of one shard. */
+class ShardKeys
 {
-  return kJobPrefix + aId;
-}
+public:
+  explicit ShardKeys(int aShard)
+    : m_shard(std::to_string(aShard))
+  {
+  }
 
-inline std::string
-CancelKey(const std::string& aId)
-{
-  return kJobPrefix + aId + kCancelSuffix;
-}
+  /** Holder of the shard. */
+  std::string Owner() const { return kOwnershipPrefix + m_shard + "/owner"; }
+  /** Number of the shard's last holder. */
+  std::string Term() const { return kOwnershipPrefix + m_shard + "/term"; }
+  std::string JobPrefix() const { return "bramleystall/jobs/" + m_shard + "/"; }
+  /** Record of a submitted job, written once by the daemon that accepts it. */
+  std::string Job(const std::string& aId) const { return JobPrefix() + aId; }
+  std::string Cancel(const std::string& aId) const
+  {
+    return Job(aId) + kCancelSuffix;
+  }
+  std::string ProgressPrefix() const
+  {
+    return "bramleystall/progress/" + m_shard + "/";
+  }
+  /** Progress of a job, written by the shard's owner alone. */
+  std::string Progress(const std::string& aId) const
+  {
+    return ProgressPrefix() + aId;
+  }
+  /** Workers that may hold a lease of the shard's owner. */
+  std::string LeasedWorkers() const
+  {
+    return "bramleystall/leased-workers/" + m_shard;
+  }
+  std::string Pending() const { return kPendingPrefix + m_shard; }
+  /** Machines that the owner has ordered within the last seconds. */
+  std::string MachineOrders() const
+  {
+    return "bramleystall/machine-orders/" + m_shard;
+  }
+  /** Machines of a wave whose upkeep has begun. */
+  std::string Wave(long long aWave) const
+  {
+    return kWavePrefix + std::to_string(aWave) + "/" + m_shard;
+  }
 
-inline std::string
-ProgressKey(const std::string& aId)
-{
-  return kProgressPrefix + aId;
-}
+private:
+  std::string m_shard;
+};
 
 }
--- /dev/null
+++ b/scheduler/layout_reader.cpp
@@ -0,0 +1,151 @@
+#include "scheduler/layout_reader.h"
+
+#include "core/error.h"
+#include "core/log.h"
+#include "net/event_loop.h"
+#include "scheduler/job_keys.h"
+#include "store/key_value_store.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleystall {
+
+namespace {
+
+constexpr absl::Duration kRetryDelay = absl::Milliseconds(200);
+/** Daemons that start together take their turns within this time. */
+constexpr int kMaxTurnMs = 600;
+/** A new layout takes effect after this time, when most daemons have it. */
+constexpr absl::Duration kNewDeploymentTime = absl::Milliseconds(700);
+
+}
+
+LayoutReader::LayoutReader(EventLoop& aLoop,
+                           KeyValueStore& aStore,
+                           MachineGateway& aMachines,
+                           const std::string& aDaemon,
+                           LayoutHook aOnLayout)
+  : m_loop(aLoop)
+  , m_store(aStore)
+  , m_machines(aMachines)
+  , m_onLayout(std::move(aOnLayout))
+  , m_turn(absl::Milliseconds(
+      static_cast<int>(XXH3_64bits(aDaemon.data(), aDaemon.size()) %
+                       static_cast<XXH64_hash_t>(kMaxTurnMs))))
+{
+  Read();
+}
+
+LayoutReader::~LayoutReader()
+{
+  *m_alive = false;
+}
+
+void
+LayoutReader::After(absl::Duration aDelay, void (LayoutReader::*aStep)())
+{
+  m_loop.After(aDelay, [this, aStep, alive = m_alive] {
+    if (*alive) {
+      (this->*aStep)();
+    }
+  });
+}
+
+void
+LayoutReader::Read()
+{
+  m_store.Get(keys::kLayoutKey,
+              [this, alive = m_alive](const ReadResult& aResult) {
+                if (*alive) {
+                  OnRead(aResult);
+                }
+              });
+}
+
+void
+LayoutReader::OnRead(const ReadResult& aResult)
+{
+  if (aResult.m_status != ReadStatus::Ok) {
+    After(kRetryDelay, &LayoutReader::Read);
+    return;
+  }
+  if (aResult.m_items.empty()) {
+    if (m_hadTurn) {
+      Create();
+      return;
+    }
+    m_hadTurn = true;
+    After(m_turn, &LayoutReader::Read);
+    return;
+  }
+  try {
+    const ShardLayout layout =
+      ShardLayout::Decode(aResult.m_items.front().m_value);
+    LogInfo(LogPart::Owner,
+            absl::StrCat("shard layout read; shards=", layout.Count()));
+    Deliver(layout);
+  } catch (const Error& error) {
+    LogError(LogPart::Owner, error.what());
+    After(kRetryDelay, &LayoutReader::Read);
+  }
+}
+
+void
+LayoutReader::Deliver(const ShardLayout& aLayout)
+{
+  const absl::Duration age =
+    absl::Now() - absl::FromUnixMillis(aLayout.CreatedAtMs());
+  if (age < absl::ZeroDuration() || age >= kNewDeploymentTime) {
+    m_onLayout(aLayout);
+    return;
+  }
+  m_loop.After(kNewDeploymentTime - age, [this, aLayout, alive = m_alive] {
+    if (*alive) {
+      m_onLayout(aLayout);
+    }
+  });
+}
+
+void
+LayoutReader::Create()
+{
+  m_machines.List([this, alive = m_alive](const MachineListResult& aResult) {
+    if (*alive) {
+      OnListed(aResult);
+    }
+  });
+}
+
+void
+LayoutReader::OnListed(const MachineListResult& aResult)
+{
+  if (!aResult.m_isComplete || aResult.m_machines.empty()) {
+    LogWarning(LogPart::Owner,
+               absl::StrCat("machines not listed for the shard layout; error=",
+                            aResult.m_error));
+    After(kRetryDelay, &LayoutReader::Read);
+    return;
+  }
+  const ShardLayout layout =
+    ShardLayout::Divide(aResult.m_machines, absl::ToUnixMillis(absl::Now()));
+  StoreTransaction creation;
+  creation.m_conditions = { { keys::kLayoutKey, 0 } };
+  creation.m_puts = { { keys::kLayoutKey, layout.Encode(), 0 } };
+  m_store.Commit(
+    creation, [this, alive = m_alive](const CommitResult& aStored) {
+      if (!*alive) {
+        return;
+      }
+      // Whatever the outcome, the store tells which layout holds.
+      After(aStored.m_status == CommitStatus::Applied ? absl::ZeroDuration()
+                                                      : kRetryDelay,
+            &LayoutReader::Read);
+    });
+}
+
+}
--- /dev/null
+++ b/scheduler/layout_reader.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "scheduler/shard_layout.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bramleystall {
+
+class EventLoop;
+class KeyValueStore;
+struct ReadResult;
+struct MachineListResult;
+
+/**
+ * Gets the shard layout from the store. When there is none, it divides the
+ * machines that the platform lists and stores the result, unless another
+ * daemon was first. In a new deployment all daemons get the layout at about
+ * the same time, so that each may own a shard.
+ */
+class LayoutReader
+{
+public:
+  using LayoutHook = std::function<void(const ShardLayout&)>;
+
+  /** The hook runs once. Collaborators outlive the reader. */
+  LayoutReader(EventLoop& aLoop,
+               KeyValueStore& aStore,
+               MachineGateway& aMachines,
+               const std::string& aDaemon,
+               LayoutHook aOnLayout);
+  ~LayoutReader();
+  LayoutReader(const LayoutReader&) = delete;
+  LayoutReader& operator=(const LayoutReader&) = delete;
+
+private:
+  void Read();
+  void OnRead(const ReadResult& aResult);
+  void Create();
+  void OnListed(const MachineListResult& aResult);
+  void Deliver(const ShardLayout& aLayout);
+  void After(absl::Duration aDelay, void (LayoutReader::*aStep)());
+
+  EventLoop& m_loop;
+  KeyValueStore& m_store;
+  MachineGateway& m_machines;
+  LayoutHook m_onLayout;
+  /** Keeps the daemons of a starting deployment from all creating a layout. */
+  absl::Duration m_turn;
+  bool m_hadTurn = false;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -4,7 +4,6 @@
 #include "core/log.h"
 #include "core/uuid7.h"
 #include "net/event_loop.h"
-#include "scheduler/job_keys.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -29,8 +28,6 @@
 constexpr absl::Duration kAuthority = absl::Milliseconds(6500);
 constexpr absl::Duration kRenewInterval = absl::Milliseconds(600);
 constexpr absl::Duration kRetryInterval = absl::Milliseconds(200);
-/** Delay of the least fit candidate, so that a fitter one is first. */
-constexpr absl::Duration kSmallDaemonDelay = absl::Milliseconds(300);
 /** Candidates of one instant differ by up to this delay. */
 constexpr int kMaxCandidateDelayMs = 60;
 
@@ -38,26 +35,23 @@
 
 Ownership::Ownership(EventLoop& aLoop,
                      KeyValueStore& aStore,
+                     const keys::ShardKeys& aKeys,
                      StateChart aChart,
                      std::string aDaemon,
-                     double aFitness,
+                     HandicapHook aHandicap,
                      GrantHook aOnGrant,
                      LossHook aOnLoss)
   : m_loop(aLoop)
   , m_store(aStore)
+  , m_ownerKey(aKeys.Owner())
+  , m_termKey(aKeys.Term())
   , m_chart(std::move(aChart))
   , m_state(m_chart.Initial())
   , m_daemon(std::move(aDaemon))
-  , m_fitness(aFitness)
+  , m_handicap(std::move(aHandicap))
   , m_onGrant(std::move(aOnGrant))
   , m_onLoss(std::move(aOnLoss))
 {
-  m_mirror = std::make_unique<StoreMirror>(
-    m_loop,
-    m_store,
-    keys::kOwnershipPrefix,
-    [this](const StoreItem& aItem) { OnItem(aItem); },
-    [this](bool) { Consider(); });
 }
 
 Ownership::~Ownership()
@@ -114,18 +108,25 @@
   m_state = *next;
 }
 
+void
+Ownership::OnSynchronized(bool aIsSynchronized)
+{
+  m_isSynchronized = aIsSynchronized;
+  Consider();
+}
+
 void
 Ownership::OnItem(const StoreItem& aItem)
 {
+  if (aItem.m_key != m_termKey && aItem.m_key != m_ownerKey) {
+    return;
+  }
   const json value = json::parse(aItem.m_value, nullptr, false);
-  if (aItem.m_key == keys::kTermKey) {
+  if (aItem.m_key == m_termKey) {
     m_termRevision = aItem.m_isRemoved ? 0 : aItem.m_revision;
     m_term = value.is_object() ? value.value("term", std::int64_t{ 0 }) : 0;
     return;
   }
-  if (aItem.m_key != keys::kOwnerKey) {
-    return;
-  }
   m_ownerRevision = aItem.m_isRemoved ? 0 : aItem.m_revision;
   m_ownerDaemon = value.is_object() ? value.value("daemon", "") : "";
   m_ownerToken = value.is_object() ? value.value("token", "") : "";
@@ -157,8 +158,7 @@
 void
 Ownership::Consider()
 {
-  if (m_isResigned || m_mirror == nullptr || !m_mirror->IsSynchronized() ||
-      !Is("follower")) {
+  if (m_isResigned || !m_isSynchronized || !Is("follower")) {
     return;
   }
   // A key of an earlier process of this daemon has no holder any more.
@@ -169,14 +169,18 @@
   Move("owner_absent");
   m_isTakeover = m_ownerRevision != 0;
   m_expectedOwner = m_ownerRevision;
-  const auto seed =
-    static_cast<std::int64_t>(std::hash<std::string>{}(m_daemon) +
-                              static_cast<std::size_t>(m_termRevision));
-  const absl::Duration handicap =
-    kSmallDaemonDelay * (1.0 - std::clamp(m_fitness, 0.0, 1.0));
-  Schedule(handicap +
-             absl::Milliseconds((seed & 0xffff) % kMaxCandidateDelayMs),
-           &Ownership::Acquire);
+  m_candidateSince = m_loop.Now();
+  Schedule(CandidateDelay(), &Ownership::Acquire);
+}
+
+absl::Duration
+Ownership::CandidateDelay() const
+{
+  const auto seed = static_cast<std::int64_t>(
+    std::hash<std::string>{}(absl::StrCat(m_daemon, m_ownerKey)) +
+    static_cast<std::size_t>(m_termRevision));
+  return m_handicap() +
+         absl::Milliseconds((seed & 0xffff) % kMaxCandidateDelayMs);
 }
 
 void
@@ -189,11 +193,19 @@
     Consider();
     return;
   }
+  // The handicap grows when the daemon becomes the owner of another shard.
+  const absl::Time turn = m_candidateSince + CandidateDelay();
+  if (m_loop.Now() < turn) {
+    Schedule(turn - m_loop.Now(), &Ownership::Acquire);
+    return;
+  }
+  m_isAcquiring = true;
   m_store.GrantLease(
     kLeaseTtl, [this, sentAt, alive = m_alive](const LeaseResult& aLease) {
       if (!*alive) {
         return;
       }
+      m_isAcquiring = false;
       if (aLease.m_status != LeaseStatus::Held) {
         Move("grant_failed");
         Schedule(kRetryInterval, &Ownership::Consider);
@@ -213,15 +225,13 @@
   Move("key_written");
   const std::int64_t term = m_term + 1;
   StoreTransaction transaction;
-  transaction.m_conditions = { { keys::kOwnerKey, m_expectedOwner },
-                               { keys::kTermKey, m_termRevision } };
+  transaction.m_conditions = { { m_ownerKey, m_expectedOwner },
+                               { m_termKey, m_termRevision } };
   const json owner = { { "daemon", m_daemon },
                        { "token", m_token },
                        { "term", term } };
-  transaction.m_puts = {
-    { keys::kOwnerKey, owner.dump(), m_lease },
-    { keys::kTermKey, json{ { "term", term } }.dump(), 0 }
-  };
+  transaction.m_puts = { { m_ownerKey, owner.dump(), m_lease },
+                         { m_termKey, json{ { "term", term } }.dump(), 0 } };
   m_store.Commit(transaction,
                  [this, alive = m_alive](const CommitResult& aResult) {
                    // A write that was or may be applied shows in the mirror.
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/state_chart.h"
+#include "scheduler/job_keys.h"
 #include "store/key_value_store.h"
-#include "store/store_mirror.h"
 
 #include <absl/time/time.h>
 
@@ -30,20 +30,23 @@
 };
 
 /**
- * Leader election by a lease of the store: at most one daemon holds the
- * scheduler's owner key. The states are those of charts/owner_term.json.
+ * Leader election by a lease of the store: at most one daemon holds the owner
+ * key of a shard. The states are those of charts/owner_term.json.
  */
 class Ownership
 {
 public:
   using GrantHook = std::function<void(const OwnershipGrant&)>;
   using LossHook = std::function<void(const std::string& aReason)>;
+  /** Time that the daemon leaves to better candidates. */
+  using HandicapHook = std::function<absl::Duration()>;
 
   Ownership(EventLoop& aLoop,
             KeyValueStore& aStore,
+            const keys::ShardKeys& aKeys,
             StateChart aChart,
             std::string aDaemon,
-            double aFitness,
+            HandicapHook aHandicap,
             GrantHook aOnGrant,
             LossHook aOnLoss);
   ~Ownership();
@@ -58,6 +61,17 @@
    */
   bool MayOrder() const;
 
+  /** True while this daemon is the owner or is about to become it. */
+  bool IsEngaged() const
+  {
+    return m_isAcquiring || Is("confirming") || Is("owner");
+  }
+
+  /** A key under keys::kOwnershipPrefix has changed. */
+  void OnItem(const StoreItem& aItem);
+  /** Whether all keys under that prefix are known at present. */
+  void OnSynchronized(bool aIsSynchronized);
+
   /** True while the store's own lease is certainly valid. */
   bool HoldsLease() const;
 
@@ -70,8 +84,8 @@
 private:
   void Move(const char* aEvent);
   bool Is(const char* aState) const { return m_state == aState; }
-  void OnItem(const StoreItem& aItem);
   void Consider();
+  absl::Duration CandidateDelay() const;
   void Acquire();
   void Abdicate();
   void WriteOwner(const LeaseResult& aLease);
@@ -82,14 +96,19 @@
 
   EventLoop& m_loop;
   KeyValueStore& m_store;
+  std::string m_ownerKey;
+  std::string m_termKey;
   StateChart m_chart;
   std::string m_state;
   std::string m_daemon;
-  /** 0 to 1; daemons with more resources become candidates sooner. */
-  double m_fitness;
+  HandicapHook m_handicap;
   GrantHook m_onGrant;
   LossHook m_onLoss;
   bool m_isResigned = false;
+  bool m_isSynchronized = false;
+  /** A lease has been asked for. */
+  bool m_isAcquiring = false;
+  absl::Time m_candidateSince;
   /** Distinguishes the acquisitions of this process from all others. */
   std::string m_token;
   std::int64_t m_lease = 0;
@@ -105,7 +124,6 @@
   std::int64_t m_term = 0;
   std::int64_t m_termRevision = 0;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-  std::unique_ptr<StoreMirror> m_mirror;
 };
 
 }
--- a/scheduler/progress_writer.cpp
+++ b/scheduler/progress_writer.cpp
@@ -2,7 +2,6 @@
 
 #include "core/log.h"
 #include "net/event_loop.h"
-#include "scheduler/job_keys.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -28,9 +27,11 @@
 
 ProgressWriter::ProgressWriter(EventLoop& aLoop,
                                KeyValueStore& aStore,
+                               std::string aOwnerKey,
                                std::int64_t aFence)
   : m_loop(aLoop)
   , m_store(aStore)
+  , m_ownerKey(std::move(aOwnerKey))
   , m_fence(aFence)
 {
 }
@@ -106,7 +107,7 @@
   while (m_openCommits < kMaxOpenCommits) {
     StoreTransaction transaction;
     std::vector<std::string> batch;
-    transaction.m_conditions.push_back({ keys::kOwnerKey, m_fence });
+    transaction.m_conditions.push_back({ m_ownerKey, m_fence });
     for (auto it = m_pending.begin();
          it != m_pending.end() && batch.size() < kDocumentsPerCommit;) {
       if (m_writing.contains(it->first)) {
@@ -142,7 +143,7 @@
   const bool isApplied = aResult.m_status == CommitStatus::Applied;
   for (const StoreItem& item : aResult.m_current) {
     // An earlier write of ours without a response was applied after all.
-    if (item.m_key != keys::kOwnerKey) {
+    if (item.m_key != m_ownerKey) {
       m_revisions[item.m_key] = item.m_revision;
     }
   }
--- a/scheduler/progress_writer.h
+++ b/scheduler/progress_writer.h
@@ -25,8 +25,11 @@
 public:
   using StoredHook = std::function<void()>;
 
-  /** The revision that the owner key has while this daemon holds it. */
-  ProgressWriter(EventLoop& aLoop, KeyValueStore& aStore, std::int64_t aFence);
+  /** The owner key and the revision that it has while this daemon holds it. */
+  ProgressWriter(EventLoop& aLoop,
+                 KeyValueStore& aStore,
+                 std::string aOwnerKey,
+                 std::int64_t aFence);
   ~ProgressWriter();
   ProgressWriter(const ProgressWriter&) = delete;
   ProgressWriter& operator=(const ProgressWriter&) = delete;
@@ -72,6 +75,7 @@
 
   EventLoop& m_loop;
   KeyValueStore& m_store;
+  std::string m_ownerKey;
   std::int64_t m_fence;
   std::map<std::string, std::int64_t> m_revisions;
   std::map<std::string, Document> m_pending;
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -7,7 +7,6 @@
 #include "jobs/job_codec.h"
 #include "jobs/placement.h"
 #include "net/event_loop.h"
-#include "scheduler/job_keys.h"
 #include "scheduler/scheduling_limits.h"
 
 #include <absl/strings/str_cat.h>
@@ -27,11 +26,13 @@
 
 Scheduler::Scheduler(Environment aEnvironment,
                      const SchedulerSettings& aSettings,
+                     const keys::ShardKeys& aKeys,
                      const OwnershipGrant& aGrant)
   : m_env(std::move(aEnvironment))
   , m_settings(aSettings)
+  , m_keys(aKeys)
   , m_grant(aGrant)
-  , m_writer(m_env.m_loop, m_env.m_store, aGrant.m_fence)
+  , m_writer(m_env.m_loop, m_env.m_store, aKeys.Owner(), aGrant.m_fence)
   , m_beganAt(m_env.m_loop.Now())
 {
   ReadLeasedWorkers();
@@ -39,7 +40,7 @@
   m_jobMirror = std::make_unique<StoreMirror>(
     m_env.m_loop,
     m_env.m_store,
-    keys::kJobPrefix,
+    m_keys.JobPrefix(),
     [this](const StoreItem& aItem) { OnJobItem(aItem); },
     [this](bool aIsSynchronized) {
       m_hasJobs = m_hasJobs || aIsSynchronized;
@@ -76,7 +77,7 @@
 Scheduler::ReadProgress(const std::string& aAfter)
 {
   m_env.m_store.List(
-    keys::kProgressPrefix,
+    m_keys.ProgressPrefix(),
     aAfter,
     [this, aAfter, alive = m_alive](const ReadResult& aResult) {
       if (!*alive) {
@@ -103,8 +104,7 @@
 Scheduler::ReadLeasedWorkers()
 {
   m_env.m_store.Get(
-    keys::kLeasedWorkersKey,
-    [this, alive = m_alive](const ReadResult& aResult) {
+    m_keys.LeasedWorkers(), [this, alive = m_alive](const ReadResult& aResult) {
       if (!*alive) {
         return;
       }
@@ -149,7 +149,7 @@
 Scheduler::Begin()
 {
   for (const auto& [id, job] : m_jobs) {
-    const auto found = m_progress.find(keys::ProgressKey(id));
+    const auto found = m_progress.find(m_keys.Progress(id));
     if (found != m_progress.end()) {
       try {
         job->ApplyProgress(found->second.m_value);
@@ -216,7 +216,7 @@
 void
 Scheduler::OnJobItem(const StoreItem& aItem)
 {
-  std::string id = aItem.m_key.substr(std::string(keys::kJobPrefix).size());
+  std::string id = aItem.m_key.substr(m_keys.JobPrefix().size());
   if (id.ends_with(keys::kCancelSuffix)) {
     id.resize(id.size() - std::string(keys::kCancelSuffix).size());
     if (aItem.m_isRemoved) {
@@ -234,7 +234,7 @@
     ForgetJob(id);
     return;
   }
-  if (!m_jobs.contains(id)) {
+  if (!m_jobs.contains(id) && !DecodeJobReference(aItem.m_value)) {
     LoadJob(id, aItem);
   }
 }
@@ -303,7 +303,7 @@
 Scheduler::PutChangedJobs()
 {
   for (const Job* job : m_changedJobs) {
-    m_writer.Put(keys::ProgressKey(job->Id()), job->EncodeProgress());
+    m_writer.Put(m_keys.Progress(job->Id()), job->EncodeProgress());
   }
   m_changedJobs.clear();
 }
@@ -363,7 +363,7 @@
   std::string text = json(counts).dump();
   if (text != m_pendingText) {
     m_pendingText = text;
-    m_writer.Put(keys::kPendingKey, std::move(text));
+    m_writer.Put(m_keys.Pending(), std::move(text));
   }
   After(kPendingInterval, [this] { PublishPending(); });
 }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -5,6 +5,7 @@
 #include "jobs/job.h"
 #include "jobs/job_configuration.h"
 #include "jobs/worker.h"
+#include "scheduler/job_keys.h"
 #include "scheduler/ownership.h"
 #include "scheduler/progress_writer.h"
 #include "scheduler/scheduler_settings.h"
@@ -29,9 +30,9 @@
 class Placement;
 
 /**
- * Places the tasks of all jobs on workers while this daemon is the owner. All
- * that it knows comes from the store and from the workers' own lists, so a
- * successor rebuilds it after any loss.
+ * Places the tasks of a shard's jobs on its workers while this daemon is the
+ * shard's owner. All that it knows comes from the store and from the workers'
+ * own lists, so a successor rebuilds it after any loss.
  */
 class Scheduler
 {
@@ -55,6 +56,7 @@
 
   Scheduler(Environment aEnvironment,
             const SchedulerSettings& aSettings,
+            const keys::ShardKeys& aKeys,
             const OwnershipGrant& aGrant);
   ~Scheduler();
   Scheduler(const Scheduler&) = delete;
@@ -235,6 +237,7 @@
 
   Environment m_env;
   SchedulerSettings m_settings;
+  keys::ShardKeys m_keys;
   OwnershipGrant m_grant;
   ProgressWriter m_writer;
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -10,7 +10,6 @@
 #include "jobs/job_codec.h"
 #include "jobs/placement.h"
 #include "net/event_loop.h"
-#include "scheduler/job_keys.h"
 #include "scheduler/scheduling_limits.h"
 
 #include <absl/strings/str_cat.h>
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -7,7 +7,6 @@
 #include "core/metrics.h"
 #include "jobs/placement.h"
 #include "net/event_loop.h"
-#include "scheduler/job_keys.h"
 #include "scheduler/scheduling_limits.h"
 
 #include <absl/strings/str_cat.h>
@@ -567,7 +566,7 @@
     return;
   }
   m_leasedWorkersText = text;
-  m_writer.Put(keys::kLeasedWorkersKey, std::move(text));
+  m_writer.Put(m_keys.LeasedWorkers(), std::move(text));
   AfterStored([this, ids = std::move(ids), alive = m_alive] {
     if (!*alive) {
       return;
@@ -588,17 +587,22 @@
   const absl::Time now = m_env.m_loop.Now();
   StoreTransaction removal;
   for (const auto& [id, at] : m_removals) {
-    if (at <= now &&
-        removal.m_removals.size() + 3 < StoreTransaction::kMaxEntries) {
-      removal.m_removals.push_back(keys::JobKey(id));
-      removal.m_removals.push_back(keys::CancelKey(id));
-      removal.m_removals.push_back(keys::ProgressKey(id));
+    if (at > now ||
+        removal.m_removals.size() + 4 >= StoreTransaction::kMaxEntries) {
+      continue;
+    }
+    removal.m_removals.push_back(m_keys.Job(id));
+    removal.m_removals.push_back(m_keys.Cancel(id));
+    removal.m_removals.push_back(m_keys.Progress(id));
+    const int reference = m_jobs.at(id)->Record().m_referenceShard;
+    if (reference >= 0) {
+      removal.m_removals.push_back(keys::ShardKeys(reference).Job(id));
     }
   }
   if (removal.m_removals.empty()) {
     return;
   }
-  removal.m_conditions = { { keys::kOwnerKey, m_grant.m_fence } };
+  removal.m_conditions = { { m_keys.Owner(), m_grant.m_fence } };
   m_env.m_store.Commit(removal, [](const CommitResult& aResult) {
     // What is left is removed at a later tick.
     if (aResult.m_status != CommitStatus::Applied) {
--- a/server/job_front.cpp
+++ b/server/job_front.cpp
@@ -6,7 +6,7 @@
 #include "core/metrics.h"
 #include "jobs/job_codec.h"
 #include "net/event_loop.h"
-#include "scheduler/job_keys.h"
+#include "scheduler/shard_layout.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -32,8 +32,8 @@
 constexpr int kOutcomeUnknown = 504;
 
 constexpr std::size_t kIdLength = 16;
-/** A condition and a put for each job. */
-constexpr std::size_t kJobsPerCommit = StoreTransaction::kMaxEntries / 2;
+/** A condition, a record and, for some jobs, a reference. */
+constexpr std::size_t kEntriesPerJob = 3;
 /** Commits at once; jobs that come meanwhile share the next one. */
 constexpr int kMaxOpenCommits = 2;
 /** The counts may be 2 s old; the scheduler writes them each 0.8 s. */
@@ -56,12 +56,14 @@
                    KeyValueStore& aStore,
                    Metrics& aMetrics,
                    CallerCodec aCodec,
-                   ConfigurationSource aConfiguration)
+                   ConfigurationSource aConfiguration,
+                   LayoutSource aLayout)
   : m_loop(aLoop)
   , m_store(aStore)
   , m_metrics(aMetrics)
   , m_codec(std::move(aCodec))
   , m_configuration(std::move(aConfiguration))
+  , m_layout(std::move(aLayout))
 {
 }
 
@@ -79,6 +81,10 @@
     Refuse("", "no_configuration", kUnavailable, aRespond);
     return;
   }
+  if (m_layout() == nullptr) {
+    Refuse("", "no_layout", kUnavailable, aRespond);
+    return;
+  }
   const QueueSpec* queue =
     configuration->Match(aRequest.m_host, aRequest.m_path);
   if (queue == nullptr) {
@@ -110,6 +116,12 @@
   }
 }
 
+keys::ShardKeys
+JobFront::FirstKeys(const std::string& aId) const
+{
+  return keys::ShardKeys(m_layout()->OfJob(aId));
+}
+
 void
 JobFront::Refuse(const std::string& aId,
                  const char* aReason,
@@ -141,7 +153,15 @@
     record.m_priority = aQueue.m_priority;
     record.m_maxAttempts = aQueue.m_maxAttempts;
     record.m_acceptedAtMs = ToMillis(absl::Now());
-    m_submissions.push_back({ aId, EncodeJobRecord(record), aRespond });
+    const bool isLongRunning =
+      std::ranges::any_of(record.m_steps, [](const StepSpec& aStep) {
+        return aStep.m_isLongRunning;
+      });
+    const int first = m_layout()->OfJob(aId);
+    const int shard = isLongRunning ? m_layout()->OfPool(aQueue.m_pool) : first;
+    record.m_referenceShard = shard == first ? -1 : first;
+    m_submissions.push_back(
+      { aId, EncodeJobRecord(record), shard, first, aRespond });
   } catch (const Error& error) {
     LogInfo(LogPart::Server,
             absl::StrCat("bad submission; job=", aId, " error=", error.what()));
@@ -157,9 +177,12 @@
   while (m_openCommits < kMaxOpenCommits && !m_submissions.empty()) {
     StoreTransaction transaction;
     std::vector<Submission> batch;
-    while (batch.size() < kJobsPerCommit && !m_submissions.empty()) {
+    while (transaction.m_conditions.size() + transaction.m_puts.size() +
+               kEntriesPerJob <=
+             StoreTransaction::kMaxEntries &&
+           !m_submissions.empty()) {
       Submission& next = m_submissions.front();
-      const std::string key = keys::JobKey(next.m_id);
+      const std::string key = FirstKeys(next.m_id).Job(next.m_id);
       const bool isTwice =
         std::ranges::any_of(batch, [&](const Submission& aOther) {
           return aOther.m_id == next.m_id;
@@ -168,7 +191,14 @@
         break;
       }
       transaction.m_conditions.push_back({ key, 0 });
-      transaction.m_puts.push_back({ key, next.m_record, 0 });
+      if (next.m_shard == next.m_firstShard) {
+        transaction.m_puts.push_back({ key, next.m_record, 0 });
+      } else {
+        transaction.m_puts.push_back(
+          { key, EncodeJobReference(next.m_shard), 0 });
+        transaction.m_puts.push_back(
+          { keys::ShardKeys(next.m_shard).Job(next.m_id), next.m_record, 0 });
+      }
       batch.push_back(std::move(next));
       m_submissions.pop_front();
     }
@@ -189,7 +219,7 @@
 {
   --m_openCommits;
   for (Submission& submission : aBatch) {
-    const std::string key = keys::JobKey(submission.m_id);
+    const std::string key = FirstKeys(submission.m_id).Job(submission.m_id);
     switch (aResult.m_status) {
       case CommitStatus::Applied:
         Accept(submission, "stored");
@@ -226,7 +256,7 @@
 {
   m_metrics.Count("bramleystall_job_retries_total",
                   { { "reason", "acceptance_unknown" } });
-  m_store.Get(keys::JobKey(aSubmission.m_id),
+  m_store.Get(FirstKeys(aSubmission.m_id).Job(aSubmission.m_id),
               [this, aSubmission, alive = m_alive](const ReadResult& aResult) {
                 if (!*alive) {
                   return;
@@ -257,10 +287,37 @@
 void
 JobFront::AnswerState(const std::string& aId,
                       const HttpListener::Responder& aRespond)
+{
+  const int first = m_layout()->OfJob(aId);
+  const auto answerQueued = [this, aRespond] {
+    aRespond({ .m_status = kOk, .m_body = m_codec.m_encodeState("queued") });
+  };
+  AnswerProgress(
+    aId, first, aRespond, [this, aId, first, aRespond, answerQueued] {
+      FindJob(
+        aId,
+        aRespond,
+        [this, aId, first, aRespond, answerQueued](int aShard, std::int64_t) {
+          if (aShard == first) {
+            // A job without progress has not been started.
+            answerQueued();
+          } else {
+            AnswerProgress(aId, aShard, aRespond, answerQueued);
+          }
+        });
+    });
+}
+
+void
+JobFront::AnswerProgress(const std::string& aId,
+                         int aShard,
+                         const HttpListener::Responder& aRespond,
+                         std::function<void()> aOnNone)
 {
   m_store.Get(
-    keys::ProgressKey(aId),
-    [this, aId, aRespond, alive = m_alive](const ReadResult& aResult) {
+    keys::ShardKeys(aShard).Progress(aId),
+    [this, aId, aRespond, onNone = std::move(aOnNone), alive = m_alive](
+      const ReadResult& aResult) {
       if (!*alive) {
         return;
       }
@@ -269,11 +326,7 @@
         return;
       }
       if (aResult.m_items.empty()) {
-        // A job without progress has not been started.
-        FindRecord(aId, aRespond, [this, aRespond](const StoreItem&) {
-          aRespond(
-            { .m_status = kOk, .m_body = m_codec.m_encodeState("queued") });
-        });
+        onNone();
         return;
       }
       const json body =
@@ -290,44 +343,53 @@
 }
 
 void
-JobFront::FindRecord(const std::string& aId,
-                     const HttpListener::Responder& aRespond,
-                     std::function<void(const StoreItem&)> aOnFound)
+JobFront::FindJob(
+  const std::string& aId,
+  const HttpListener::Responder& aRespond,
+  std::function<void(int aShard, std::int64_t aRevision)> aOnFound)
 {
-  m_store.Get(
-    keys::JobKey(aId),
-    [this, aId, aRespond, onFound = std::move(aOnFound), alive = m_alive](
-      const ReadResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      if (aResult.m_status != ReadStatus::Ok) {
-        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
-      } else if (aResult.m_items.empty()) {
-        Refuse(aId, "unknown_job", kGone, aRespond);
-      } else {
-        onFound(aResult.m_items.front());
-      }
-    });
+  const int first = m_layout()->OfJob(aId);
+  m_store.Get(keys::ShardKeys(first).Job(aId),
+              [this,
+               aId,
+               first,
+               aRespond,
+               onFound = std::move(aOnFound),
+               alive = m_alive](const ReadResult& aResult) {
+                if (!*alive) {
+                  return;
+                }
+                if (aResult.m_status != ReadStatus::Ok) {
+                  Refuse(aId, "store_unavailable", kUnavailable, aRespond);
+                } else if (aResult.m_items.empty()) {
+                  Refuse(aId, "unknown_job", kGone, aRespond);
+                } else {
+                  const StoreItem& item = aResult.m_items.front();
+                  onFound(DecodeJobReference(item.m_value).value_or(first),
+                          item.m_revision);
+                }
+              });
 }
 
 void
 JobFront::Cancel(const std::string& aId,
                  const HttpListener::Responder& aRespond)
 {
-  FindRecord(aId, aRespond, [this, aId, aRespond](const StoreItem& aRecord) {
-    WriteCancel(aId, aRecord.m_revision, aRespond);
-  });
+  FindJob(
+    aId, aRespond, [this, aId, aRespond](int aShard, std::int64_t aRevision) {
+      WriteCancel(aId, aShard, aRevision, aRespond);
+    });
 }
 
 void
 JobFront::WriteCancel(const std::string& aId,
+                      int aShard,
                       std::int64_t aRevision,
                       const HttpListener::Responder& aRespond)
 {
   StoreTransaction transaction;
-  transaction.m_conditions = { { keys::JobKey(aId), aRevision } };
-  transaction.m_puts = { { keys::CancelKey(aId), "{}", 0 } };
+  transaction.m_conditions = { { FirstKeys(aId).Job(aId), aRevision } };
+  transaction.m_puts = { { keys::ShardKeys(aShard).Cancel(aId), "{}", 0 } };
   m_store.Commit(
     transaction,
     [this, aId, aRespond, alive = m_alive](const CommitResult& aResult) {
@@ -367,8 +429,10 @@
     answer();
     return;
   }
-  m_store.Get(
-    keys::kPendingKey,
+  // One key for each shard, so one page holds them all.
+  m_store.List(
+    keys::kPendingPrefix,
+    "",
     [this, answer, aRespond, alive = m_alive](const ReadResult& aResult) {
       if (!*alive) {
         return;
@@ -380,8 +444,12 @@
       m_pending.clear();
       for (const StoreItem& item : aResult.m_items) {
         const json counts = json::parse(item.m_value, nullptr, false);
-        if (counts.is_object()) {
-          m_pending = counts.get<std::map<std::string, std::int64_t>>();
+        if (!counts.is_object()) {
+          LogError(LogPart::Server, absl::StrCat("unreadable ", item.m_key));
+          continue;
+        }
+        for (const auto& [queue, count] : counts.items()) {
+          m_pending[queue] += count.get<std::int64_t>();
         }
       }
       m_pendingReadAt = m_loop.Now();
--- a/server/job_front.h
+++ b/server/job_front.h
@@ -3,6 +3,7 @@
 #include "jobs/job_configuration.h"
 #include "jobs/job_record.h"
 #include "net/http_listener.h"
+#include "scheduler/job_keys.h"
 #include "store/key_value_store.h"
 
 #include <absl/time/time.h>
@@ -19,6 +20,7 @@
 
 class EventLoop;
 class Metrics;
+class ShardLayout;
 
 /** How callers' bodies are read and written. */
 struct CallerCodec
@@ -39,12 +41,15 @@
 public:
   /** The configuration in force, or null before the first one. */
   using ConfigurationSource = std::function<const JobConfiguration*()>;
+  /** The division of the fleet, or null while it is unknown. */
+  using LayoutSource = std::function<const ShardLayout*()>;
 
   JobFront(EventLoop& aLoop,
            KeyValueStore& aStore,
            Metrics& aMetrics,
            CallerCodec aCodec,
-           ConfigurationSource aConfiguration);
+           ConfigurationSource aConfiguration,
+           LayoutSource aLayout);
   ~JobFront();
   JobFront(const JobFront&) = delete;
   JobFront& operator=(const JobFront&) = delete;
@@ -57,6 +62,9 @@
   {
     std::string m_id;
     std::string m_record;
+    /** Shard of the job, and the one in which it is looked for first. */
+    int m_shard = 0;
+    int m_firstShard = 0;
     HttpListener::Responder m_respond;
   };
 
@@ -70,16 +78,28 @@
   void Accept(const Submission& aSubmission, const char* aHow);
   void AnswerState(const std::string& aId,
                    const HttpListener::Responder& aRespond);
-  /** Reads a job's record; answers the caller itself when there is none. */
-  void FindRecord(const std::string& aId,
-                  const HttpListener::Responder& aRespond,
-                  std::function<void(const StoreItem&)> aOnFound);
+  /** Answers with the state in a shard; the hook runs when none is stored. */
+  void AnswerProgress(const std::string& aId,
+                      int aShard,
+                      const HttpListener::Responder& aRespond,
+                      std::function<void()> aOnNone);
+  /**
+   * Finds the shard of a job and the revision of its record or reference;
+   * answers the caller itself when there is none.
+   */
+  void FindJob(
+    const std::string& aId,
+    const HttpListener::Responder& aRespond,
+    std::function<void(int aShard, std::int64_t aRevision)> aOnFound);
   void Cancel(const std::string& aId, const HttpListener::Responder& aRespond);
   void WriteCancel(const std::string& aId,
+                   int aShard,
                    std::int64_t aRevision,
                    const HttpListener::Responder& aRespond);
   void AnswerPending(const std::string& aQueue,
                      const HttpListener::Responder& aRespond);
+  /** Keys of the shard in which a job is looked for first. */
+  keys::ShardKeys FirstKeys(const std::string& aId) const;
   void Refuse(const std::string& aId,
               const char* aReason,
               int aStatus,
@@ -90,6 +110,7 @@
   Metrics& m_metrics;
   CallerCodec m_codec;
   ConfigurationSource m_configuration;
+  LayoutSource m_layout;
   std::deque<Submission> m_submissions;
   int m_openCommits = 0;
   std::map<std::string, std::int64_t> m_pending;
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -1,7 +1,6 @@
 #include "tests/fakes/job_cluster.h"
 
 #include "jobs/job_codec.h"
-#include "scheduler/job_keys.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -17,9 +16,10 @@
   m_ownership = std::make_unique<Ownership>(
     aCluster.m_loop,
     m_store,
+    aCluster.m_keys,
     StateChart::Load(BRAMLEYSTALL_SOURCE_DIR "/charts/owner_term.json"),
     aName,
-    1.0,
+    [] { return absl::ZeroDuration(); },
     [this](const OwnershipGrant& aGrant) {
       m_scheduler = std::make_unique<Scheduler>(
         Scheduler::Environment{
@@ -34,6 +34,7 @@
           .m_holdsLease = [this] { return m_ownership->HoldsLease(); },
           .m_onSuperseded = [this] { m_ownership->StepDown(); } },
         SchedulerSettings{},
+        m_cluster.m_keys,
         aGrant);
       for (const auto& [id, report] : m_cluster.m_reports) {
         m_scheduler->OnWorkerReport(report);
@@ -41,6 +42,14 @@
       m_scheduler->OnWorkersListed();
     },
     [this](const std::string&) { m_scheduler.reset(); });
+  m_ownershipMirror = std::make_unique<StoreMirror>(
+    aCluster.m_loop,
+    m_store,
+    keys::kOwnershipPrefix,
+    [this](const StoreItem& aItem) { m_ownership->OnItem(aItem); },
+    [this](bool aIsSynchronized) {
+      m_ownership->OnSynchronized(aIsSynchronized);
+    });
 }
 
 JobCluster::JobCluster(int aWorkers)
@@ -141,20 +150,20 @@
 void
 JobCluster::Submit(const JobRecord& aRecord)
 {
-  m_store.Set(keys::JobKey(aRecord.m_id), EncodeJobRecord(aRecord));
+  m_store.Set(m_keys.Job(aRecord.m_id), EncodeJobRecord(aRecord));
 }
 
 void
 JobCluster::CancelJob(const std::string& aId)
 {
-  m_store.Set(keys::CancelKey(aId), "{}");
+  m_store.Set(m_keys.Cancel(aId), "{}");
 }
 
 std::string
 JobCluster::State(const std::string& aId) const
 {
-  const auto body = nlohmann::json::parse(
-    m_store.Value(keys::ProgressKey(aId)), nullptr, false);
+  const auto body =
+    nlohmann::json::parse(m_store.Value(m_keys.Progress(aId)), nullptr, false);
   return body.is_object() ? body.value("state", "") : "";
 }
 
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -29,6 +29,7 @@
     FakeWorkerClient m_workers;
     std::unique_ptr<Scheduler> m_scheduler;
     std::unique_ptr<Ownership> m_ownership;
+    std::unique_ptr<StoreMirror> m_ownershipMirror;
   };
 
   explicit JobCluster(int aWorkers);
@@ -53,6 +54,8 @@
   static WorkerReport MakeReport(int aIndex);
   static JobRecord MakeJob(const std::string& aId, int aTasks, int aSteps);
 
+  /** The only shard. */
+  keys::ShardKeys m_keys{ 0 };
   EventLoop m_loop{ EventLoop::ClockMode::Simulated };
   FakeStore m_store{ m_loop };
   FakeWorkers m_workers{ m_loop };
--- a/tests/scheduler/test_fleet_keeper.cpp
+++ b/tests/scheduler/test_fleet_keeper.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/fleet_keeper.h"
 #include "scheduler/job_keys.h"
+#include "scheduler/shard_layout.h"
 #include "tests/fakes/fake_machines.h"
 #include "tests/fakes/job_cluster.h"
 
@@ -52,6 +53,8 @@
         .m_machines = m_machines,
         .m_scheduler = *m_cluster.At("one").m_scheduler,
         .m_metrics = m_cluster.m_metrics,
+        .m_layout = m_layout,
+        .m_shard = 0,
         .m_configuration = [this]() -> const JobConfiguration& {
           return m_cluster.m_configuration;
         },
@@ -96,6 +99,8 @@
 
   JobCluster m_cluster;
   FakeMachines m_machines{ m_cluster.m_loop };
+  /** One shard, unless a test divides the machines. */
+  ShardLayout m_layout;
   std::unique_ptr<FleetKeeper> m_keeper;
 };
 
@@ -216,7 +221,8 @@
           "[fleet_keeper]")
 {
   FleetFixture fleet(4);
-  fleet.m_cluster.m_store.Set(keys::kMachineOrdersKey, R"(["machine-1"])");
+  fleet.m_cluster.m_store.Set(fleet.m_cluster.m_keys.MachineOrders(),
+                              R"(["machine-1"])");
   const absl::Time start = fleet.m_cluster.m_loop.Now();
   fleet.StartKeeper();
   fleet.m_keeper->OnWave(MakeWave(4, 4));
@@ -243,3 +249,37 @@
   fleet.m_cluster.Run(absl::Milliseconds(900));
   REQUIRE(fleet.m_machines.Orders().empty());
 }
+
+// Guards against a wave that is shown as completed while another shard still
+// works on it (MIXED), and against a limit that each shard takes for itself.
+TEST_CASE("A wave is reported as completed once all shards have done it",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(6);
+  std::vector<MachineEntry> machines(140);
+  for (std::size_t i = 0; i < machines.size(); ++i) {
+    machines[i].m_name = absl::StrCat("machine-", i);
+    machines[i].m_pool = "counter";
+    machines[i].m_state = MachineState::Up;
+  }
+  fleet.m_layout = ShardLayout::Divide(machines, 0);
+  REQUIRE(fleet.m_layout.Count() == 2);
+  fleet.StartKeeper();
+  fleet.m_keeper->OnWave(MakeWave(6, 2));
+  fleet.m_cluster.Run(absl::Seconds(18));
+  std::set<std::string> maintained;
+  for (const FakeMachines::Order& order : fleet.m_machines.Orders()) {
+    if (order.m_pool.empty()) {
+      maintained.insert(order.m_machine);
+      REQUIRE(fleet.m_layout.OfMachine(order.m_machine) == 0);
+    }
+  }
+  REQUIRE_FALSE(maintained.empty());
+  REQUIRE(maintained.size() < 6);
+  REQUIRE(fleet.m_machines.MostDown() == 1);
+  REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "open");
+  fleet.m_cluster.m_store.Set(keys::ShardKeys(1).Wave(1),
+                              R"({"done":[],"completed":true})");
+  fleet.m_cluster.Run(absl::Seconds(2));
+  REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
+}
--- a/tests/scheduler/test_ownership.cpp
+++ b/tests/scheduler/test_ownership.cpp
@@ -1,10 +1,12 @@
 #include "scheduler/job_keys.h"
 #include "scheduler/ownership.h"
+#include "store/store_mirror.h"
 #include "tests/fakes/fake_store.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,9 +24,11 @@
     std::vector<OwnershipGrant> m_grants;
     int m_losses = 0;
     std::unique_ptr<Ownership> m_ownership;
+    std::unique_ptr<StoreMirror> m_mirror;
   };
 
-  One& Add(const std::string& aName)
+  One& Add(const std::string& aName,
+           absl::Duration aHandicap = absl::ZeroDuration())
   {
     m_all.push_back(std::make_unique<One>());
     One& one = *m_all.back();
@@ -32,11 +36,20 @@
     one.m_ownership = std::make_unique<Ownership>(
       m_loop,
       *one.m_store,
+      keys::ShardKeys(0),
       StateChart::Load(BRAMLEYSTALL_SOURCE_DIR "/charts/owner_term.json"),
       aName,
-      1.0,
+      [aHandicap] { return aHandicap; },
       [&one](const OwnershipGrant& aGrant) { one.m_grants.push_back(aGrant); },
       [&one](const std::string&) { ++one.m_losses; });
+    one.m_mirror = std::make_unique<StoreMirror>(
+      m_loop,
+      *one.m_store,
+      keys::kOwnershipPrefix,
+      [&one](const StoreItem& aItem) { one.m_ownership->OnItem(aItem); },
+      [&one](bool aIsSynchronized) {
+        one.m_ownership->OnSynchronized(aIsSynchronized);
+      });
     return one;
   }
 
@@ -124,3 +137,57 @@
   REQUIRE(second.m_ownership->HoldsLease());
   REQUIRE_FALSE(first.m_ownership->MayOrder());
 }
+
+// Guards against a small daemon that owns a shard while a large one is free:
+// on the grown deployments it ran out of processor time.
+TEST_CASE("A daemon with a smaller handicap becomes owner", "[ownership]")
+{
+  Candidates candidates;
+  candidates.Add("small", absl::Milliseconds(300));
+  Candidates::One& large = candidates.Add("large");
+  candidates.m_loop.AdvanceBy(absl::Seconds(1));
+  REQUIRE(large.m_grants.size() == 1);
+}
+
+// Guards against one daemon that becomes owner of all shards of a new
+// deployment because it is the first to see them free.
+TEST_CASE("A candidate waits longer once its handicap has grown", "[ownership]")
+{
+  EventLoop loop{ EventLoop::ClockMode::Simulated };
+  FakeStore store{ loop };
+  FakeStoreClient client{ loop, store };
+  std::vector<std::unique_ptr<Ownership>> shards;
+  std::vector<absl::Time> grantedAt;
+  for (int shard = 0; shard < 2; ++shard) {
+    shards.push_back(std::make_unique<Ownership>(
+      loop,
+      client,
+      keys::ShardKeys(shard),
+      StateChart::Load(BRAMLEYSTALL_SOURCE_DIR "/charts/owner_term.json"),
+      "one",
+      [&shards] {
+        const auto engaged = std::ranges::count_if(
+          shards, [](const auto& aShard) { return aShard->IsEngaged(); });
+        return absl::Seconds(2) * engaged;
+      },
+      [&](const OwnershipGrant&) { grantedAt.push_back(loop.Now()); },
+      [](const std::string&) {}));
+  }
+  StoreMirror mirror(
+    loop,
+    client,
+    keys::kOwnershipPrefix,
+    [&shards](const StoreItem& aItem) {
+      for (const auto& shard : shards) {
+        shard->OnItem(aItem);
+      }
+    },
+    [&shards](bool aIsSynchronized) {
+      for (const auto& shard : shards) {
+        shard->OnSynchronized(aIsSynchronized);
+      }
+    });
+  loop.AdvanceBy(absl::Seconds(5));
+  REQUIRE(grantedAt.size() == 2);
+  REQUIRE(grantedAt[1] - grantedAt[0] >= absl::Milliseconds(1900));
+}
--- a/tests/scheduler/test_progress_writer.cpp
+++ b/tests/scheduler/test_progress_writer.cpp
@@ -9,13 +9,16 @@
 
 namespace {
 
+const std::string kOwnerKey = keys::ShardKeys(0).Owner();
+
 struct WriterFixture
 {
   WriterFixture()
   {
-    m_store.Set(keys::kOwnerKey, "owner");
-    m_fence = m_store.List(keys::kOwnerKey, "").m_items.front().m_revision;
-    m_writer = std::make_unique<ProgressWriter>(m_loop, m_client, m_fence);
+    m_store.Set(kOwnerKey, "owner");
+    m_fence = m_store.List(kOwnerKey, "").m_items.front().m_revision;
+    m_writer =
+      std::make_unique<ProgressWriter>(m_loop, m_client, kOwnerKey, m_fence);
   }
 
   EventLoop m_loop{ EventLoop::ClockMode::Simulated };
@@ -78,7 +81,7 @@
                  "Nothing is written once the owner key has changed",
                  "[progress]")
 {
-  m_store.Set(keys::kOwnerKey, "another owner");
+  m_store.Set(kOwnerKey, "another owner");
   m_writer->Put("doc", "text");
   m_loop.AdvanceBy(absl::Seconds(2));
   REQUIRE_FALSE(m_store.Has("doc"));
--- a/tests/server/test_job_front.cpp
+++ b/tests/server/test_job_front.cpp
@@ -1,6 +1,7 @@
 #include "core/metrics.h"
 #include "platform/wire_codec.h"
 #include "scheduler/job_keys.h"
+#include "scheduler/shard_layout.h"
 #include "server/job_front.h"
 #include "tests/fakes/fake_store.h"
 
@@ -14,6 +15,7 @@
 namespace {
 
 const std::string kId = "5c0e7a21d94b36f8";
+const keys::ShardKeys kKeys(0);
 const std::string kBody = R"({"spec":"text","phases":[{"count":1}]})";
 
 struct FrontFixture
@@ -53,6 +55,7 @@
   FakeStoreClient m_client{ m_loop, m_store };
   Metrics m_metrics;
   std::optional<JobConfiguration> m_configuration;
+  std::optional<ShardLayout> m_layout{ ShardLayout() };
   JobFront m_front{ m_loop,
                     m_client,
                     m_metrics,
@@ -61,7 +64,8 @@
                       .m_encodePending = wire::EncodePendingCount },
                     [this] {
                       return m_configuration ? &*m_configuration : nullptr;
-                    } };
+                    },
+                    [this] { return m_layout ? &*m_layout : nullptr; } };
 };
 
 }
@@ -69,11 +73,11 @@
 TEST_CASE_METHOD(FrontFixture, "An accepted job is stored", "[front]")
 {
   REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
-  REQUIRE(m_store.Has(keys::JobKey(kId)));
+  REQUIRE(m_store.Has(kKeys.Job(kId)));
   REQUIRE(Send("GET", "/q/" + kId).m_body == R"({"state":"queued"})");
-  const std::string record = m_store.Value(keys::JobKey(kId));
+  const std::string record = m_store.Value(kKeys.Job(kId));
   REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
-  REQUIRE(m_store.Value(keys::JobKey(kId)) == record);
+  REQUIRE(m_store.Value(kKeys.Job(kId)) == record);
 }
 
 // Guards against an acceptance or a refusal that is not certain.
@@ -90,7 +94,7 @@
   const ListenerResponse refused = Send("POST", "/q/0000000000000002", kBody);
   REQUIRE(refused.m_status == 503);
   REQUIRE(refused.m_retryAfterS > 0);
-  REQUIRE_FALSE(m_store.Has(keys::JobKey("0000000000000002")));
+  REQUIRE_FALSE(m_store.Has(kKeys.Job("0000000000000002")));
 }
 
 TEST_CASE_METHOD(FrontFixture,
@@ -100,7 +104,7 @@
   REQUIRE(Send("DELETE", "/q/" + kId).m_status == 410);
   REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
   REQUIRE(Send("DELETE", "/q/" + kId).m_status == 200);
-  REQUIRE(m_store.Has(keys::CancelKey(kId)));
+  REQUIRE(m_store.Has(kKeys.Cancel(kId)));
   REQUIRE(Send("DELETE", "/q/" + kId).m_status == 200);
 }
 
@@ -116,9 +120,60 @@
   REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 503);
 }
 
+// Guards against a long-running job that callers cannot find or cancel, since
+// it is kept in the shard of its pool.
+TEST_CASE_METHOD(FrontFixture,
+                 "A long-running job is found through its reference",
+                 "[front]")
+{
+  std::vector<MachineEntry> machines(200);
+  for (std::size_t i = 0; i < machines.size(); ++i) {
+    machines[i].m_name = std::to_string(i);
+    machines[i].m_pool = i % 2 == 0 ? "a" : "counter";
+    machines[i].m_state = MachineState::Up;
+  }
+  m_layout = ShardLayout::Divide(machines, 0);
+  REQUIRE(m_layout->Count() == 2);
+  const int shard = m_layout->OfPool("counter");
+  std::string id = kId;
+  while (m_layout->OfJob(id) == shard) {
+    id.back() = static_cast<char>(id.back() == '9' ? '0' : id.back() + 1);
+  }
+  const std::string body =
+    R"({"spec":"text","phases":[{"count":1,"long_running":true}]})";
+  const keys::ShardKeys keys(shard);
+  const keys::ShardKeys first(m_layout->OfJob(id));
+  REQUIRE(Send("POST", "/q/" + id, body).m_status == 200);
+  REQUIRE(m_store.Has(keys.Job(id)));
+  REQUIRE(m_store.Has(first.Job(id)));
+  REQUIRE(Send("GET", "/q/" + id).m_body == R"({"state":"queued"})");
+  m_store.Set(keys.Progress(id), R"({"state":"running"})");
+  REQUIRE(Send("GET", "/q/" + id).m_body == R"({"state":"running"})");
+  // The same job again is the same job, even if its queue has another pool now.
+  m_configuration->m_queues.front().m_pool = "a";
+  REQUIRE(Send("POST", "/q/" + id, body).m_status == 200);
+  REQUIRE_FALSE(
+    m_store.Has(keys::ShardKeys(m_layout->OfPool("a")).Job(id) + "/cancel"));
+  REQUIRE(Send("DELETE", "/q/" + id).m_status == 200);
+  REQUIRE(m_store.Has(keys.Cancel(id)));
+  REQUIRE_FALSE(m_store.Has(first.Cancel(id)));
+}
+
 TEST_CASE_METHOD(FrontFixture, "A queue's waiting jobs are counted", "[front]")
 {
   REQUIRE(Send("GET", "/q/").m_body == R"({"pending":0})");
-  m_store.Set(keys::kPendingKey, R"({"quotes":12})");
-  REQUIRE(Send("GET", "/q/").m_body == R"({"pending":12})");
+  m_store.Set(kKeys.Pending(), R"({"quotes":12})");
+  m_store.Set(keys::ShardKeys(1).Pending(), R"({"quotes":3,"other":1})");
+  m_loop.AdvanceBy(absl::Seconds(1));
+  REQUIRE(Send("GET", "/q/").m_body == R"({"pending":15})");
+}
+
+// Guards against a job that is stored in a shard of a guessed layout.
+TEST_CASE_METHOD(FrontFixture,
+                 "No job is accepted before the layout is known",
+                 "[front]")
+{
+  m_layout.reset();
+  REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 503);
+  REQUIRE_FALSE(m_store.Has(kKeys.Job(kId)));
 }
