Batch the changes of the workers' entries

Each moved machine changes two entries of workers, and the watch of each owner returned for each change. Change: the watch on the workers pauses 80 ms after changes.

--- a/daemon/shard_runner.cpp
+++ b/daemon/shard_runner.cpp
@@ -14,6 +14,16 @@
 
 namespace bramleystall {
 
+namespace {
+
+/**
+ * Entries of workers that change within this time share a call to the store.
+ * Each moved machine changes two, and each owner watches all of them.
+ */
+constexpr absl::Duration kWorkerWatchPause = absl::Milliseconds(80);
+
+}
+
 ShardRunner::ShardRunner(Environment aEnvironment,
                          int aShard,
                          StateChart aChart)
@@ -122,7 +132,8 @@
       if (aIsSynchronized) {
         m_scheduler->OnWorkersListed();
       }
-    });
+    },
+    kWorkerWatchPause);
 }
 
 void
--- a/store/store_mirror.cpp
+++ b/store/store_mirror.cpp
@@ -23,12 +23,14 @@
                          KeyValueStore& aStore,
                          std::string aPrefix,
                          ItemHook aOnItem,
-                         SyncHook aOnSync)
+                         SyncHook aOnSync,
+                         absl::Duration aWatchPause)
   : m_loop(aLoop)
   , m_store(aStore)
   , m_prefix(std::move(aPrefix))
   , m_onItem(std::move(aOnItem))
   , m_onSync(std::move(aOnSync))
+  , m_watchPause(aWatchPause)
 {
   Read("");
 }
@@ -138,9 +140,18 @@
   }
   m_revision = std::max(m_revision, aResult.m_asOf);
   SetSynchronized(true);
-  if (*alive) {
+  if (!*alive) {
+    return;
+  }
+  if (aResult.m_items.empty() || m_watchPause == absl::ZeroDuration()) {
     Watch();
+    return;
   }
+  m_loop.After(m_watchPause, [this, alive] {
+    if (*alive) {
+      Watch();
+    }
+  });
 }
 
 void
--- a/store/store_mirror.h
+++ b/store/store_mirror.h
@@ -17,6 +17,7 @@
 /**
  * Follows all keys with a prefix: reads them, then watches for changes. After
  * a gap in the history it reads again and reports what was removed meanwhile.
+ * Changes that come within the watch pause share one call.
  */
 class StoreMirror
 {
@@ -30,7 +31,8 @@
               KeyValueStore& aStore,
               std::string aPrefix,
               ItemHook aOnItem,
-              SyncHook aOnSync);
+              SyncHook aOnSync,
+              absl::Duration aWatchPause = absl::ZeroDuration());
   ~StoreMirror();
   StoreMirror(const StoreMirror&) = delete;
   StoreMirror& operator=(const StoreMirror&) = delete;
@@ -56,6 +58,7 @@
   std::string m_prefix;
   ItemHook m_onItem;
   SyncHook m_onSync;
+  absl::Duration m_watchPause;
   /** Revision of each known key. */
   std::map<std::string, std::int64_t> m_known;
   /** Keys of the full read in progress. */
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -229,6 +229,7 @@
                        absl::Duration aWait,
                        ReadCallback aCallback)
 {
+  ++m_watches;
   Answer(kLatency,
          [this,
           aPrefix,
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -84,6 +84,7 @@
   /** Number of coming commits that are carried out without an answer. */
   int m_lostCommitAnswers = 0;
   int m_commits = 0;
+  int m_watches = 0;
 
   void Get(const std::string& aKey, ReadCallback aCallback) override;
   void List(const std::string& aPrefix,
--- a/tests/store/test_store_mirror.cpp
+++ b/tests/store/test_store_mirror.cpp
@@ -13,7 +13,7 @@
 
 struct MirrorFixture
 {
-  void Follow()
+  void Follow(absl::Duration aWatchPause = absl::ZeroDuration())
   {
     m_mirror = std::make_unique<StoreMirror>(
       m_loop,
@@ -26,7 +26,8 @@
           m_seen[aItem.m_key] = aItem.m_value;
         }
       },
-      [](bool) {});
+      [](bool) {},
+      aWatchPause);
   }
 
   EventLoop m_loop{ EventLoop::ClockMode::Simulated };
@@ -91,3 +92,21 @@
   m_loop.AdvanceBy(absl::Seconds(3));
   REQUIRE(m_mirror->IsSynchronized());
 }
+
+// Guards against a call to the store for each of many changes: the workers'
+// entries of the grown deployments cost 16,000 calls a day.
+TEST_CASE_METHOD(MirrorFixture,
+                 "Changes within the watch pause share a call",
+                 "[mirror]")
+{
+  Follow(absl::Milliseconds(100));
+  m_loop.AdvanceBy(absl::Milliseconds(50));
+  const int before = m_client.m_watches;
+  for (int i = 0; i < 50; ++i) {
+    m_store.Set(absl::StrCat("jobs/", i), "text");
+    m_loop.AdvanceBy(absl::Milliseconds(10));
+  }
+  m_loop.AdvanceBy(absl::Milliseconds(150));
+  REQUIRE(m_seen.size() == 50);
+  REQUIRE(m_client.m_watches - before <= 8);
+}
