--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -52,6 +52,11 @@
 constexpr double kStandbyReserve = 10;
 /** Machines of a pool beyond its measured load. */
 constexpr double kHeadroom = 1.1;
+/**
+ * Weight of load that waits: a rise goes on while machines are on their way,
+ * so more will wait when they come.
+ */
+constexpr double kWaitingWeight = 1.6;
 
 /** Interval of the log lines on pools that differ from their desired size. */
 constexpr absl::Duration kPoolLogInterval = absl::Seconds(1);
@@ -640,9 +645,10 @@
   }
   for (auto& [name, pool] : pools) {
     // Arrivals tell of a rise before their tasks wait for a worker.
-    const double load = std::max(m_env.m_scheduler.UsedLoad(name) +
-                                   m_env.m_scheduler.WaitingLoad(name),
-                                 m_env.m_scheduler.ArrivingLoad(name));
+    const double load =
+      std::max(m_env.m_scheduler.UsedLoad(name) +
+                 kWaitingWeight * m_env.m_scheduler.WaitingLoad(name),
+               m_env.m_scheduler.ArrivingLoad(name));
     pool.m_desired = std::max(m_env.m_scheduler.MinimumWorkers(name),
                               static_cast<int>(std::ceil(load * kHeadroom)));
     if (m_env.m_scheduler.HasWaitingLongRunning(name)) {
