--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -205,8 +205,9 @@
     return 0;
   }
   // What can no longer be in time yields to what still can.
-  const std::int64_t left =
-    aActive.m_stepMs * aActive.m_job->OpenChainLength() / 2;
+  const auto left = static_cast<std::int64_t>(
+    kExpectedTimeShare *
+    static_cast<double>(aActive.m_stepMs * aActive.m_job->OpenChainLength()));
   return m_wallNowMs + left > aActive.m_objectiveMs ? 2 : 1;
 }
 
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -11,6 +11,11 @@
 inline constexpr absl::Duration kPlacementInterval = absl::Milliseconds(8);
 /** A placement is followed by a pause of this many times its own time. */
 inline constexpr double kPlacementPause = 8.0;
+/**
+ * A job counts as late when this share of its expected time no longer fits
+ * before its objective; the rest allows for estimates that are too long.
+ */
+inline constexpr double kExpectedTimeShare = 0.9;
 inline constexpr absl::Duration kTickInterval = absl::Milliseconds(200);
 inline constexpr absl::Duration kPendingInterval = absl::Milliseconds(800);
 /** A renewal waits this long at the worker for the end of a task. */
