Let late jobs give way to other pools' jobs that can be in time

Change: pools are filled for jobs that can be in time first, and for late ones from what is left; while a pool is short, late jobs of other pools start nothing. Jobs whose expected time is too long, but not by much, come after those in time and count with them for the pools.

--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -285,6 +285,8 @@
     WorkOnWaves();
     Rebalance();
     SendOrders();
+  } else {
+    m_env.m_scheduler.SetShortPools({});
   }
   m_env.m_loop.After(kStepInterval, [this, alive = m_alive] {
     if (*alive) {
@@ -649,11 +651,16 @@
       std::max(m_env.m_scheduler.UsedLoad(name) +
                  kWaitingWeight * m_env.m_scheduler.WaitingLoad(name),
                m_env.m_scheduler.ArrivingLoad(name));
-    pool.m_desired = std::max(m_env.m_scheduler.MinimumWorkers(name),
-                              static_cast<int>(std::ceil(load * kHeadroom)));
+    const int minimum = m_env.m_scheduler.MinimumWorkers(name);
+    const double late = m_env.m_scheduler.LateWaitingLoad(name);
+    pool.m_desired =
+      std::max(minimum, static_cast<int>(std::ceil(load * kHeadroom)));
+    pool.m_wanted =
+      std::max(minimum, static_cast<int>(std::ceil((load + late) * kHeadroom)));
     if (m_env.m_scheduler.HasWaitingLongRunning(name)) {
       // What keeps it waiting may be its limit of tasks on one worker.
       pool.m_desired = std::max(pool.m_desired, pool.m_machines + 1);
+      pool.m_wanted = std::max(pool.m_wanted, pool.m_desired);
     }
   }
   return pools;
@@ -682,7 +689,9 @@
                          " used=",
                          m_env.m_scheduler.UsedLoad(name),
                          " waiting=",
-                         m_env.m_scheduler.WaitingLoad(name)));
+                         m_env.m_scheduler.WaitingLoad(name),
+                         " late=",
+                         m_env.m_scheduler.LateWaitingLoad(name)));
   }
 }
 
@@ -712,6 +721,26 @@
   return best;
 }
 
+bool
+FleetKeeper::Fill(const std::string& aPool,
+                  int aNeed,
+                  std::map<std::string, PoolLoad>& aPools)
+{
+  PoolLoad& pool = aPools[aPool];
+  while (aNeed > pool.m_machines + pool.m_incoming) {
+    const MachineEntry* source = m_env.m_loop.Now() < m_pauseAllUntil
+                                   ? nullptr
+                                   : FindSource(aPool, aPools);
+    if (source == nullptr || !TakeToken(0)) {
+      return false;
+    }
+    --aPools[source->m_pool].m_machines;
+    ++pool.m_incoming;
+    Move(*source, aPool);
+  }
+  return true;
+}
+
 void
 FleetKeeper::Rebalance()
 {
@@ -723,18 +752,21 @@
       standby = name;
     }
   }
-  bool isAnyShort = false;
+  std::set<std::string> shortPools;
   for (auto& [name, pool] : pools) {
-    while (!pool.m_isStandby && m_env.m_loop.Now() >= m_pauseAllUntil &&
-           pool.m_desired > pool.m_machines + pool.m_incoming) {
-      const MachineEntry* source = FindSource(name, pools);
-      if (source == nullptr || !TakeToken(0)) {
-        isAnyShort = true;
-        break;
-      }
-      --pools[source->m_pool].m_machines;
-      ++pool.m_incoming;
-      Move(*source, name);
+    if (!pool.m_isStandby && !Fill(name, pool.m_desired, pools)) {
+      shortPools.insert(name);
+    }
+  }
+  bool isAnyShort = !shortPools.empty();
+  // Others need not make way for what can never be placed.
+  std::erase_if(shortPools, [this](const std::string& aPool) {
+    return !m_env.m_scheduler.HasWaitingInTime(aPool);
+  });
+  m_env.m_scheduler.SetShortPools(std::move(shortPools));
+  for (auto& [name, pool] : pools) {
+    if (!isAnyShort && !pool.m_isStandby) {
+      isAnyShort = !Fill(name, pool.m_wanted, pools);
     }
   }
   if (standby.empty() || isAnyShort || m_env.m_loop.Now() < m_pauseAllUntil) {
@@ -742,7 +774,7 @@
   }
   for (const auto& [name, machine] : m_machines) {
     PoolLoad& pool = pools[machine.m_pool];
-    if (!pool.m_isStandby && pool.m_machines > pool.m_desired &&
+    if (!pool.m_isStandby && pool.m_machines > pool.m_wanted &&
         IsIdle(machine, kIdleBeforeStandby) && !IsInOpenWave(name) &&
         TakeToken(kStandbyReserve)) {
       --pool.m_machines;
--- a/scheduler/fleet_keeper.h
+++ b/scheduler/fleet_keeper.h
@@ -107,7 +107,10 @@
   {
     int m_machines = 0;
     int m_incoming = 0;
+    /** Machines for long-running jobs and those that can be in time ... */
     int m_desired = 0;
+    /** ... and for all jobs. */
+    int m_wanted = 0;
     bool m_isStandby = false;
   };
 
@@ -135,6 +138,10 @@
   void Rebalance();
   std::map<std::string, PoolLoad> MeasurePools();
   void LogPools(const std::map<std::string, PoolLoad>& aPools);
+  /** Moves machines to a pool; false when it stays short of its need. */
+  bool Fill(const std::string& aPool,
+            int aNeed,
+            std::map<std::string, PoolLoad>& aPools);
   const MachineEntry* FindSource(const std::string& aPool,
                                  std::map<std::string, PoolLoad>& aPools);
   void Move(const MachineEntry& aMachine, const std::string& aPool);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -93,8 +93,26 @@
   double ArrivingLoad(const std::string& aPool) const;
   /** Load of a pool's tasks that run, in workers' capacities. */
   double UsedLoad(const std::string& aPool) const;
-  /** Load of a pool's tasks that could start, in workers' capacities. */
+  /**
+   * Load of a pool's tasks that could start, in workers' capacities, of jobs
+   * that can still be in time and of those that cannot.
+   */
   double WaitingLoad(const std::string& aPool) const;
+  double LateWaitingLoad(const std::string& aPool) const;
+  /** A task waits whose job can be in time. */
+  bool HasWaitingInTime(const std::string& aPool) const
+  {
+    return m_poolsWithWaitingInTime.contains(aPool);
+  }
+
+  /**
+   * Pools that lack machines for jobs that can be in time. Meanwhile the late
+   * jobs of all other pools start nothing, so that machines become free.
+   */
+  void SetShortPools(std::set<std::string> aPools)
+  {
+    m_shortPools = std::move(aPools);
+  }
   /** A long-running task of the pool finds no worker. */
   bool HasWaitingLongRunning(const std::string& aPool) const
   {
@@ -166,11 +184,24 @@
   void PlacePool(const std::string& aPool,
                  const std::vector<const ActiveJob*>& aJobs,
                  Placement& aPlacement);
-  int TierOf(const ActiveJob& aActive) const;
+  /** Order in which jobs of one priority are placed. */
+  enum class Tier
+  {
+    LongRunning,
+    InTime,
+    /** Its expected time is too long, but not by much. */
+    Doubtful,
+    Late,
+    /** Too late to earn anything. */
+    Overdue,
+  };
+  Tier TierOf(const ActiveJob& aActive) const;
+  bool IsWithheld(const std::string& aPool, Tier aTier) const;
   void MeasureWaiting(const std::string& aPool,
                       Job& aJob,
                       int aOccurrence,
-                      int aStep);
+                      int aStep,
+                      Tier aTier);
   void NoteArrival(const Job& aJob);
   double LoadOf(const Resources& aNeed) const;
   bool MayDisrupt(const Task& aTask) const;
@@ -291,6 +322,9 @@
   absl::Time m_beganAt;
   std::string m_pendingText;
   std::map<std::string, double> m_waitingLoad;
+  std::map<std::string, double> m_lateWaitingLoad;
+  std::set<std::string> m_poolsWithWaitingInTime;
+  std::set<std::string> m_shortPools;
   std::map<std::string, int> m_minimumWorkers;
   std::set<std::string> m_poolsWithWaitingLongRunning;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -103,6 +103,8 @@
     workers[worker.m_report.m_pool].push_back(&worker);
   }
   m_waitingLoad.clear();
+  m_lateWaitingLoad.clear();
+  m_poolsWithWaitingInTime.clear();
   m_minimumWorkers.clear();
   m_poolsWithWaitingLongRunning.clear();
   for (auto& [pool, jobs] : byPool) {
@@ -164,7 +166,7 @@
   struct Rank
   {
     int m_priority;
-    int m_tier;
+    Tier m_tier;
     std::int64_t m_objectiveMs;
     const ActiveJob* m_active;
 
@@ -184,38 +186,64 @@
   for (const Rank& rank : ranks) {
     Job& job = *rank.m_active->m_job;
     const int steps = static_cast<int>(job.Record().m_steps.size());
+    const bool isWithheld = IsWithheld(aPool, rank.m_tier);
     for (int k = 0; k < job.OccurrenceCount(); ++k) {
       if (!IsDue(job, k)) {
         continue;
       }
       for (int s = 0; s < steps; ++s) {
         if (!job.IsStepDone(k, s) && job.IsStepReady(k, s)) {
-          PlaceStep(*rank.m_active, k, s, aPlacement);
-          MeasureWaiting(aPool, job, k, s);
+          if (!isWithheld) {
+            PlaceStep(*rank.m_active, k, s, aPlacement);
+          }
+          MeasureWaiting(aPool, job, k, s, rank.m_tier);
         }
       }
     }
   }
 }
 
-int
+bool
+Scheduler::IsWithheld(const std::string& aPool, Tier aTier) const
+{
+  return aTier >= Tier::Late &&
+         std::ranges::any_of(m_shortPools, [&aPool](const std::string& aShort) {
+           return aShort != aPool;
+         });
+}
+
+Scheduler::Tier
 Scheduler::TierOf(const ActiveJob& aActive) const
 {
   if (aActive.m_isLongRunning) {
-    return 0;
+    return Tier::LongRunning;
   }
   // What can no longer be in time yields to what still can.
-  const auto left = static_cast<std::int64_t>(
-    kExpectedTimeShare *
-    static_cast<double>(aActive.m_stepMs * aActive.m_job->OpenChainLength()));
-  return m_wallNowMs + left > aActive.m_objectiveMs ? 2 : 1;
+  const ActiveJob& active = aActive;
+  const double expectedMs =
+    static_cast<double>(active.m_stepMs * active.m_job->OpenChainLength());
+  const auto fits = [&](double aShare, std::int64_t aUntilMs) {
+    return m_wallNowMs + static_cast<std::int64_t>(aShare * expectedMs) <=
+           aUntilMs;
+  };
+  if (fits(kExpectedTimeShare, active.m_objectiveMs)) {
+    return Tier::InTime;
+  }
+  if (fits(kLeastTimeShare, active.m_objectiveMs)) {
+    return Tier::Doubtful;
+  }
+  const std::int64_t acceptedAtMs = active.m_job->Record().m_acceptedAtMs;
+  const std::int64_t lateUntilMs =
+    acceptedAtMs + kLateFactor * (active.m_objectiveMs - acceptedAtMs);
+  return fits(kLeastTimeShare, lateUntilMs) ? Tier::Late : Tier::Overdue;
 }
 
 void
 Scheduler::MeasureWaiting(const std::string& aPool,
                           Job& aJob,
                           int aOccurrence,
-                          int aStep)
+                          int aStep,
+                          Tier aTier)
 {
   const StepSpec& spec = aJob.Record().m_steps[static_cast<std::size_t>(aStep)];
   const auto count = std::ranges::count(
@@ -230,7 +258,12 @@
       m_poolsWithWaitingLongRunning.insert(aPool);
     }
   }
-  m_waitingLoad[aPool] += static_cast<double>(count) * LoadOf(OccupiedBy(spec));
+  if (aTier == Tier::InTime && count > 0) {
+    m_poolsWithWaitingInTime.insert(aPool);
+  }
+  std::map<std::string, double>& loads =
+    aTier >= Tier::Late ? m_lateWaitingLoad : m_waitingLoad;
+  loads[aPool] += static_cast<double>(count) * LoadOf(OccupiedBy(spec));
 }
 
 void
@@ -421,6 +454,13 @@
   return found == m_waitingLoad.end() ? 0.0 : found->second;
 }
 
+double
+Scheduler::LateWaitingLoad(const std::string& aPool) const
+{
+  const auto found = m_lateWaitingLoad.find(aPool);
+  return found == m_lateWaitingLoad.end() ? 0.0 : found->second;
+}
+
 int
 Scheduler::MinimumWorkers(const std::string& aPool) const
 {
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -16,6 +16,10 @@
  * before its objective; the rest allows for estimates that are too long.
  */
 inline constexpr double kExpectedTimeShare = 0.9;
+/** A job cannot be in time when not even this share of it fits. */
+inline constexpr double kLeastTimeShare = 0.4;
+/** A late job is paid for up to this many times its objective. */
+inline constexpr std::int64_t kLateFactor = 3;
 inline constexpr absl::Duration kTickInterval = absl::Milliseconds(200);
 inline constexpr absl::Duration kPendingInterval = absl::Milliseconds(800);
 /** A renewal waits this long at the worker for the end of a task. */
