Empty several machines with long-running tasks at once for a wave

A successor takes over a completed wave as such, and does not report it as running again. Tests: the report of a completed wave; late jobs that make way.

--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -40,6 +40,8 @@
 constexpr absl::Duration kIdleBeforeMove = absl::Milliseconds(100);
 /** Share of a wave's time after which machines with tasks are emptied. */
 constexpr double kEvacuateFrom = 0.1;
+/** Share of a pool's machines with long-running tasks emptied at once. */
+constexpr double kEvacuatedShare = 0.15;
 /** Share of a wave's time after which its machines are emptied in any case. */
 constexpr double kForceFrom = 0.6;
 /** Added to the time in which two holders do not order the same machine. */
@@ -61,6 +63,14 @@
 /** Interval of the log lines on pools that differ from their desired size. */
 constexpr absl::Duration kPoolLogInterval = absl::Seconds(1);
 
+bool
+HasLongRunning(const Worker& aWorker)
+{
+  return std::ranges::any_of(aWorker.m_tasks, [](const Task* aTask) {
+    return aTask->m_job->Spec(*aTask).m_isLongRunning;
+  });
+}
+
 }
 
 FleetKeeper::FleetKeeper(Environment aEnvironment,
@@ -391,8 +401,11 @@
       const auto stored = m_waveProgress.find(m_keys.Wave(number));
       if (stored != m_waveProgress.end()) {
         state.m_done = stored->second.m_done;
+        state.m_isCompleted = stored->second.m_isCompleted;
+      }
+      if (!IsCompletedEverywhere(state)) {
+        PublishWave(state, false);
       }
-      PublishWave(state, false);
     }
     if (!state.m_isCompleted) {
       WorkOnWave(state);
@@ -480,12 +493,22 @@
       m_env.m_scheduler.WaitingLoad(aMachine.m_pool) > 0) {
     return false;
   }
-  // One machine of a pool at a time is emptied while there is time.
-  return std::ranges::none_of(m_machines, [&](const auto& aEntry) {
-    const Worker* other = WorkerOn(aEntry.second);
-    return aEntry.second.m_pool == aMachine.m_pool && other != nullptr &&
-           other->m_isEvacuating;
-  });
+  // One machine of a pool at a time is emptied while there is time. Moving
+  // long-running tasks takes longest, so more begin with these where many
+  // machines have some.
+  int withLongRunning = 0;
+  int evacuating = 0;
+  for (const auto& [name, machine] : m_machines) {
+    const Worker* other = WorkerOn(machine);
+    if (machine.m_pool == aMachine.m_pool && other != nullptr) {
+      withLongRunning += HasLongRunning(*other) ? 1 : 0;
+      evacuating += other->m_isEvacuating ? 1 : 0;
+    }
+  }
+  const int limit = HasLongRunning(aWorker)
+                      ? static_cast<int>(kEvacuatedShare * withLongRunning)
+                      : 1;
+  return evacuating < std::max(1, limit);
 }
 
 void
--- a/tests/scheduler/test_fleet_keeper.cpp
+++ b/tests/scheduler/test_fleet_keeper.cpp
@@ -283,3 +283,57 @@
   fleet.m_cluster.Run(absl::Seconds(2));
   REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
 }
+
+// Guards against a successor that reports a completed wave as running again.
+TEST_CASE("A successor leaves the report of a completed wave as it is",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(3);
+  fleet.m_cluster.m_store.Set(
+    fleet.m_cluster.m_keys.Wave(1),
+    R"({"done":["machine-0","machine-1","machine-2"],"completed":true})");
+  fleet.m_cluster.m_store.Set("wave-status/1", "done");
+  std::set<std::string> reports;
+  fleet.StartKeeper();
+  fleet.m_keeper->OnWave(MakeWave(3, 3));
+  for (int i = 0; i < 100; ++i) {
+    fleet.m_cluster.Run(absl::Milliseconds(20));
+    reports.insert(fleet.m_cluster.m_store.Value("wave-status/1"));
+  }
+  REQUIRE(reports == std::set<std::string>{ "done" });
+  REQUIRE(std::ranges::none_of(fleet.m_machines.Orders(),
+                               [](const FakeMachines::Order& aOrder) {
+                                 return aOrder.m_pool.empty();
+                               }));
+}
+
+// Guards against late jobs that keep machines from another pool whose jobs can
+// still be in time (scale-1 of cavefraiche-sched-grown).
+TEST_CASE("Late jobs start nothing while another pool is short",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(2);
+  QueueSpec queue = fleet.m_cluster.m_configuration.m_queues.front();
+  queue.m_name = "alarms";
+  queue.m_pool = "alarms";
+  fleet.m_cluster.m_configuration.m_queues.push_back(queue);
+  fleet.m_cluster.m_configuration.m_pools["alarms"] = { .m_name = "alarms" };
+  fleet.m_cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
+    return FakeRunPlan{ .m_time = absl::Milliseconds(600) };
+  });
+  JobRecord late = JobCluster::MakeJob("late", 80, 1);
+  late.m_acceptedAtMs -= 60000;
+  fleet.m_cluster.Submit(late);
+  fleet.m_cluster.Run(absl::Milliseconds(200));
+  fleet.StartKeeper();
+  JobRecord urgent = JobCluster::MakeJob("urgent", 8, 1);
+  urgent.m_queue = "alarms";
+  urgent.m_pool = "alarms";
+  urgent.m_steps.front().m_estimateMs = 3000;
+  fleet.m_cluster.Submit(urgent);
+  fleet.m_cluster.Run(absl::Seconds(6));
+  REQUIRE(fleet.m_cluster.State("urgent") == "completed");
+  REQUIRE(fleet.m_cluster.State("late") == "running");
+  fleet.m_cluster.Run(absl::Seconds(20));
+  REQUIRE(fleet.m_cluster.State("late") == "completed");
+}
