--- a/scheduler/fleet_keeper.h
+++ b/scheduler/fleet_keeper.h
@@ -73,6 +73,9 @@
   void OnWave(const MaintenanceWave& aWave);
 
 private:
+  /** A refused order is tried again after this time. */
+  static constexpr absl::Duration kRefusedPause = absl::Milliseconds(1000);
+
   /** An order that has been sent and whose effect is not seen yet. */
   struct OpenOrder
   {
--- a/tests/scheduler/test_fleet_keeper.cpp
+++ b/tests/scheduler/test_fleet_keeper.cpp
@@ -301,10 +301,9 @@
     reports.insert(fleet.m_cluster.m_store.Value("wave-status/1"));
   }
   REQUIRE(reports == std::set<std::string>{ "done" });
-  REQUIRE(std::ranges::none_of(fleet.m_machines.Orders(),
-                               [](const FakeMachines::Order& aOrder) {
-                                 return aOrder.m_pool.empty();
-                               }));
+  REQUIRE(std::ranges::none_of(
+    fleet.m_machines.Orders(),
+    [](const FakeMachines::Order& aOrder) { return aOrder.m_pool.empty(); }));
 }
 
 // Guards against late jobs that keep machines from another pool whose jobs can
