--- a/tests/scheduler/test_ownership.cpp
+++ b/tests/scheduler/test_ownership.cpp
@@ -157,6 +157,7 @@
   FakeStore store{ loop };
   FakeStoreClient client{ loop, store };
   std::vector<std::unique_ptr<Ownership>> shards;
+  shards.reserve(2);
   std::vector<absl::Time> grantedAt;
   for (int shard = 0; shard < 2; ++shard) {
     shards.push_back(std::make_unique<Ownership>(
