Let one daemon make the layout, and list machines at the platform's rate

Change: a daemon claims the making of the layout by a lease before it lists; owners list at intervals that keep them together at half of the platform's rate, and begin spread over one interval. Intervals stay at 1 s on today's and on the grown sites. Tests: one of 300 daemons lists, another follows when it dies, 35 owners keep to the rate.

--- a/core/job_settings.cpp
+++ b/core/job_settings.cpp
@@ -88,6 +88,7 @@
   settings.m_upkeepTime = Time(body, "upkeep_s", s);
   settings.m_machineTurn = Time(body, "machine_turn_ms", ms);
   settings.m_machineOrdersPerSecond = Number(body, "machine_orders_per_s");
+  settings.m_machineReadsPerSecond = Number(body, "machine_reads_per_s");
   settings.m_cores = Number(body, "cores");
   settings.m_linkMbps = Number(body, "link_mbps");
   return settings;
--- a/core/job_settings.h
+++ b/core/job_settings.h
@@ -33,6 +33,8 @@
   absl::Duration m_upkeepTime;
   /** Machine orders that the platform accepts in a second. */
   double m_machineOrdersPerSecond = 0;
+  /** Pages of the machine list that the platform serves in a second. */
+  double m_machineReadsPerSecond = 0;
   /** Share of a core that the daemon has, and its link in Mbit/s. */
   double m_cores = 0;
   double m_linkMbps = 0;
--- a/daemon/shard_runner.cpp
+++ b/daemon/shard_runner.cpp
@@ -117,6 +117,7 @@
                    .m_upkeepTime = settings.m_upkeepTime,
                    .m_ordersPerSecond =
                      settings.m_machineOrdersPerSecond / m_env.m_layout.Count(),
+                   .m_readsPerSecond = settings.m_machineReadsPerSecond,
                    .m_machineTurn = settings.m_machineTurn },
     MachineAuthority{ .m_holder = settings.m_daemon,
                       .m_fence = aGrant.m_fence });
--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -22,8 +22,12 @@
 using nlohmann::json;
 
 constexpr absl::Duration kStepInterval = absl::Milliseconds(60);
-/** Machines are listed this often; each reading counts as a call. */
+/** Machines are listed at most this often; each reading counts as a call. */
 constexpr absl::Duration kListInterval = absl::Milliseconds(1000);
+/** Machines on one page of the list. */
+constexpr std::size_t kMachinesPerPage = 200;
+/** Share of the platform's rate of readings that the lists use. */
+constexpr double kReadRateShare = 0.5;
 /** An accepted order whose worker has not come is looked up in the list. */
 constexpr absl::Duration kArrivalMargin = absl::Milliseconds(1500);
 /** An upkeep counts as over only this long after its stated time. */
@@ -63,6 +67,11 @@
   , m_settings(aSettings)
   , m_keys(m_env.m_shard)
   , m_authority(std::move(aAuthority))
+  , m_listInterval(ListInterval())
+  // The owners' first lists are spread over one interval.
+  , m_listedAt(m_env.m_loop.Now() - m_listInterval +
+               (m_listInterval - kListInterval) * m_env.m_shard /
+                 m_env.m_layout.Count())
 {
   m_waveMirror = std::make_unique<StoreMirror>(
     m_env.m_loop,
@@ -206,7 +215,7 @@
 void
 FleetKeeper::Step()
 {
-  if (m_env.m_loop.Now() >= m_listedAt + kListInterval && !m_isListing) {
+  if (m_env.m_loop.Now() >= m_listedAt + m_listInterval && !m_isListing) {
     ListMachines();
   }
   CloseOrders();
@@ -233,6 +242,18 @@
   });
 }
 
+absl::Duration
+FleetKeeper::ListInterval() const
+{
+  const std::size_t pages =
+    1 + m_env.m_layout.MachineCount() / kMachinesPerPage;
+  const double rate =
+    std::max(1.0, m_settings.m_readsPerSecond * kReadRateShare);
+  return std::max(
+    kListInterval,
+    absl::Seconds(static_cast<double>(pages) * m_env.m_layout.Count() / rate));
+}
+
 void
 FleetKeeper::ListMachines()
 {
--- a/scheduler/fleet_keeper.h
+++ b/scheduler/fleet_keeper.h
@@ -32,6 +32,8 @@
   absl::Duration m_upkeepTime = absl::Seconds(2);
   /** Orders that the platform accepts in a second, for this shard. */
   double m_ordersPerSecond = 64;
+  /** Pages of the machine list that the platform serves in a second. */
+  double m_readsPerSecond = 64;
   /** Two holders do not order the same machine within this time. */
   absl::Duration m_machineTurn = absl::Seconds(3);
 };
@@ -124,6 +126,8 @@
   void StoreWaveProgress(const WaveState& aState);
   int LimitOf(const WaveState& aState) const;
   void Step();
+  /** Interval that keeps all owners together within the platform's rate. */
+  absl::Duration ListInterval() const;
   void ListMachines();
   void OnListed(absl::Time aSentAt, MachineListResult aResult);
   void CloseOrders();
@@ -165,7 +169,8 @@
   keys::ShardKeys m_keys;
   MachineAuthority m_authority;
   std::map<std::string, MachineEntry> m_machines;
-  absl::Time m_listedAt = absl::InfinitePast();
+  absl::Duration m_listInterval;
+  absl::Time m_listedAt;
   bool m_isListing = false;
   absl::Time m_poolsLoggedAt = absl::InfinitePast();
   bool m_hasWaveProgress = false;
--- a/scheduler/job_keys.h
+++ b/scheduler/job_keys.h
@@ -6,6 +6,8 @@
 
 /** Machines of each shard; written once, by the first daemon. */
 inline constexpr const char* kLayoutKey = "bramleystall/layout";
+/** Exists while a daemon makes the layout. */
+inline constexpr const char* kLayoutMakerKey = "bramleystall/layout-maker";
 /** Owners of all shards and the terms of their last owners. */
 inline constexpr const char* kOwnershipPrefix = "bramleystall/scheduler/";
 /** Jobs of each queue of which no task has started, one key for each shard. */
--- a/scheduler/layout_reader.cpp
+++ b/scheduler/layout_reader.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(200);
+/** A daemon that dies while it makes the layout is followed after this time. */
+constexpr absl::Duration kClaimTtl = absl::Seconds(3);
 /** Daemons that start together take their turns within this time. */
 constexpr int kMaxTurnMs = 600;
 /** A new layout takes effect after this time, when most daemons have it. */
@@ -76,7 +78,7 @@
   }
   if (aResult.m_items.empty()) {
     if (m_hadTurn) {
-      Create();
+      Claim();
       return;
     }
     m_hadTurn = true;
@@ -111,6 +113,49 @@
   });
 }
 
+void
+LayoutReader::Claim()
+{
+  m_store.GrantLease(kClaimTtl,
+                     [this, alive = m_alive](const LeaseResult& aLease) {
+                       if (!*alive) {
+                         return;
+                       }
+                       if (aLease.m_status != LeaseStatus::Held) {
+                         After(kRetryDelay, &LayoutReader::Read);
+                         return;
+                       }
+                       m_lease = aLease.m_lease;
+                       WriteClaim();
+                     });
+}
+
+void
+LayoutReader::WriteClaim()
+{
+  StoreTransaction claim;
+  claim.m_conditions = { { keys::kLayoutMakerKey, 0 },
+                         { keys::kLayoutKey, 0 } };
+  claim.m_puts = { { keys::kLayoutMakerKey, "{}", m_lease } };
+  m_store.Commit(claim, [this, alive = m_alive](const CommitResult& aResult) {
+    if (!*alive) {
+      return;
+    }
+    if (aResult.m_status == CommitStatus::Applied) {
+      Create();
+    } else {
+      GiveUp();
+    }
+  });
+}
+
+void
+LayoutReader::GiveUp()
+{
+  m_store.EndLease(std::exchange(m_lease, 0));
+  After(kRetryDelay, &LayoutReader::Read);
+}
+
 void
 LayoutReader::Create()
 {
@@ -128,24 +173,25 @@
     LogWarning(LogPart::Owner,
                absl::StrCat("machines not listed for the shard layout; error=",
                             aResult.m_error));
-    After(kRetryDelay, &LayoutReader::Read);
+    GiveUp();
     return;
   }
-  const ShardLayout layout =
-    ShardLayout::Divide(aResult.m_machines, absl::ToUnixMillis(absl::Now()));
+  Store(
+    ShardLayout::Divide(aResult.m_machines, absl::ToUnixMillis(absl::Now())));
+}
+
+void
+LayoutReader::Store(const ShardLayout& aLayout)
+{
   StoreTransaction creation;
   creation.m_conditions = { { keys::kLayoutKey, 0 } };
-  creation.m_puts = { { keys::kLayoutKey, layout.Encode(), 0 } };
-  m_store.Commit(
-    creation, [this, alive = m_alive](const CommitResult& aStored) {
-      if (!*alive) {
-        return;
-      }
-      // Whatever the outcome, the store tells which layout holds.
-      After(aStored.m_status == CommitStatus::Applied ? absl::ZeroDuration()
-                                                      : kRetryDelay,
-            &LayoutReader::Read);
-    });
+  creation.m_puts = { { keys::kLayoutKey, aLayout.Encode(), 0 } };
+  m_store.Commit(creation, [this, alive = m_alive](const CommitResult&) {
+    // Whatever the outcome, the store tells which layout holds.
+    if (*alive) {
+      GiveUp();
+    }
+  });
 }
 
 }
--- a/scheduler/layout_reader.h
+++ b/scheduler/layout_reader.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,7 +40,13 @@
 private:
   void Read();
   void OnRead(const ReadResult& aResult);
+  /** Becomes the one daemon that lists the machines. */
+  void Claim();
+  void WriteClaim();
   void Create();
+  void Store(const ShardLayout& aLayout);
+  /** Lets another daemon make the layout, and reads again. */
+  void GiveUp();
   void OnListed(const MachineListResult& aResult);
   void Deliver(const ShardLayout& aLayout);
   void After(absl::Duration aDelay, void (LayoutReader::*aStep)());
@@ -51,6 +58,8 @@
   /** Keeps the daemons of a starting deployment from all creating a layout. */
   absl::Duration m_turn;
   bool m_hadTurn = false;
+  /** Lease of the claim; 0 without one. */
+  std::int64_t m_lease = 0;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/scheduler/shard_layout.h
+++ b/scheduler/shard_layout.h
@@ -2,6 +2,7 @@
 
 #include "core/machine_gateway.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -33,6 +34,8 @@
   std::string Encode() const;
 
   int Count() const { return m_count; }
+  /** Machines that the layout names. */
+  std::size_t MachineCount() const { return m_machines.size(); }
   /** Wall-clock time of the division in ms since the Unix epoch. */
   std::int64_t CreatedAtMs() const { return m_createdAtMs; }
   /** Shard in which a job is looked for first. */
--- a/tests/core/test_job_settings.cpp
+++ b/tests/core/test_job_settings.cpp
@@ -27,6 +27,7 @@
            { "upkeep_s", 2 },
            { "machine_turn_ms", 3000 },
            { "machine_orders_per_s", 64.0 },
+           { "machine_reads_per_s", 64.0 },
            { "cores", 0.25 },
            { "link_mbps", 1000.0 } };
 }
--- a/tests/fakes/fake_machines.cpp
+++ b/tests/fakes/fake_machines.cpp
@@ -14,6 +14,7 @@
 void
 FakeMachines::List(ListCallback aCallback)
 {
+  ++m_lists;
   m_loop.After(kLatency, [this, callback = std::move(aCallback)] {
     MachineListResult result;
     result.m_isComplete = true;
--- a/tests/fakes/fake_machines.h
+++ b/tests/fakes/fake_machines.h
@@ -38,6 +38,7 @@
   void SetOnTaken(TakenHook aHook) { m_onTaken = std::move(aHook); }
   const std::vector<Order>& Orders() const { return m_orders; }
   int MostDown() const { return m_mostDown; }
+  int Lists() const { return m_lists; }
   MachineEntry& At(const std::string& aName) { return m_entries.at(aName); }
 
   void List(ListCallback aCallback) override;
@@ -62,6 +63,7 @@
   std::map<std::string, MachineEntry> m_entries;
   std::vector<Order> m_orders;
   int m_mostDown = 0;
+  int m_lists = 0;
 };
 
 }
--- a/tests/scheduler/test_fleet_keeper.cpp
+++ b/tests/scheduler/test_fleet_keeper.cpp
@@ -336,3 +336,25 @@
   fleet.m_cluster.Run(absl::Seconds(20));
   REQUIRE(fleet.m_cluster.State("late") == "completed");
 }
+
+// Guards against owners that together list machines faster than the platform
+// serves (sweep-300 of lican-gt-grown: 35 owners, 15 pages).
+TEST_CASE("The owners of a large fleet share the rate of readings",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(2);
+  std::vector<MachineEntry> machines(3000);
+  for (std::size_t i = 0; i < machines.size(); ++i) {
+    machines[i].m_name = absl::StrCat("machine-", i);
+    machines[i].m_pool = "counter";
+  }
+  fleet.m_layout = ShardLayout::Divide(machines, 0);
+  const int pages = 1 + 3000 / 200;
+  const int seconds = 60;
+  const int before = fleet.m_machines.Lists();
+  fleet.StartKeeper();
+  fleet.m_cluster.Run(absl::Seconds(seconds));
+  const int lists = fleet.m_machines.Lists() - before;
+  REQUIRE(lists > 0);
+  REQUIRE(lists * pages * fleet.m_layout.Count() <= 64 * seconds);
+}
--- a/tests/scheduler/test_shard_layout.cpp
+++ b/tests/scheduler/test_shard_layout.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <memory>
 #include <set>
 
 using namespace bramleystall;
@@ -144,3 +145,61 @@
   REQUIRE(layouts == 1);
   boost::log::core::get()->set_logging_enabled(true);
 }
+
+// Guards against a deployment that never starts because all daemons list the
+// machines at once and none gets all pages (sweep-300 of lican-gt-grown).
+TEST_CASE("One of many daemons lists the machines for the layout", "[shards]")
+{
+  boost::log::core::get()->set_logging_enabled(false);
+  EventLoop loop{ EventLoop::ClockMode::Simulated };
+  FakeStore store{ loop };
+  FakeStoreClient client{ loop, store };
+  FakeMachines machines{ loop };
+  for (const MachineEntry& machine : MakeMachines(70)) {
+    machines.Add(machine);
+  }
+  int layouts = 0;
+  std::vector<std::unique_ptr<LayoutReader>> readers;
+  readers.reserve(300);
+  for (int i = 0; i < 300; ++i) {
+    readers.push_back(std::make_unique<LayoutReader>(
+      loop,
+      client,
+      machines,
+      absl::StrCat("daemon-", i),
+      [&layouts](const ShardLayout&) { ++layouts; }));
+  }
+  loop.AdvanceBy(absl::Seconds(3));
+  REQUIRE(layouts == 300);
+  REQUIRE(machines.Lists() == 1);
+  boost::log::core::get()->set_logging_enabled(true);
+}
+
+// Guards against a claim that outlives the daemon that made it.
+TEST_CASE("Another daemon makes the layout when the first one dies", "[shards]")
+{
+  boost::log::core::get()->set_logging_enabled(false);
+  EventLoop loop{ EventLoop::ClockMode::Simulated };
+  FakeStore store{ loop };
+  FakeStoreClient client{ loop, store };
+  FakeMachines machines{ loop };
+  machines.Add({ .m_name = "m", .m_pool = "p", .m_state = MachineState::Up });
+  FakeStoreClient dying{ loop, store };
+  dying.GrantLease(absl::Seconds(3), [&](const LeaseResult& aLease) {
+    StoreTransaction claim;
+    claim.m_puts = { { keys::kLayoutMakerKey, "{}", aLease.m_lease } };
+    dying.Commit(claim, [](const CommitResult&) {});
+  });
+  loop.AdvanceBy(absl::Milliseconds(50));
+  REQUIRE(store.Has(keys::kLayoutMakerKey));
+  int layouts = 0;
+  LayoutReader reader(
+    loop, client, machines, "one", [&layouts](const ShardLayout&) {
+      ++layouts;
+    });
+  loop.AdvanceBy(absl::Seconds(2));
+  REQUIRE(layouts == 0);
+  loop.AdvanceBy(absl::Seconds(4));
+  REQUIRE(layouts == 1);
+  boost::log::core::get()->set_logging_enabled(true);
+}
