--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -7,7 +7,6 @@
 #include "scheduler/scheduler.h"
 #include "scheduler/shard_layout.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -219,22 +219,21 @@
     return Tier::LongRunning;
   }
   // What can no longer be in time yields to what still can.
-  const ActiveJob& active = aActive;
   const double expectedMs =
-    static_cast<double>(active.m_stepMs * active.m_job->OpenChainLength());
+    static_cast<double>(aActive.m_stepMs * aActive.m_job->OpenChainLength());
   const auto fits = [&](double aShare, std::int64_t aUntilMs) {
     return m_wallNowMs + static_cast<std::int64_t>(aShare * expectedMs) <=
            aUntilMs;
   };
-  if (fits(kExpectedTimeShare, active.m_objectiveMs)) {
+  if (fits(kExpectedTimeShare, aActive.m_objectiveMs)) {
     return Tier::InTime;
   }
-  if (fits(kLeastTimeShare, active.m_objectiveMs)) {
+  if (fits(kLeastTimeShare, aActive.m_objectiveMs)) {
     return Tier::Doubtful;
   }
-  const std::int64_t acceptedAtMs = active.m_job->Record().m_acceptedAtMs;
+  const std::int64_t acceptedAtMs = aActive.m_job->Record().m_acceptedAtMs;
   const std::int64_t lateUntilMs =
-    acceptedAtMs + kLateFactor * (active.m_objectiveMs - acceptedAtMs);
+    acceptedAtMs + kLateFactor * (aActive.m_objectiveMs - acceptedAtMs);
   return fits(kLeastTimeShare, lateUntilMs) ? Tier::Late : Tier::Overdue;
 }
 
