Keep the demand of a pool in one record

Cause: the placement kept five containers by pool (waiting, late, minimum workers, two sets of flags), cleared and read one by one; two functions asked whether a shard has completed a wave and both excluded the own shard; tests wrote a planner function for each constant plan. Change: PoolDemand holds what a pool's jobs ask for; one question tells whether a shard has completed a wave; the fake workers take one plan for all runs.

--- a/scheduler/fleet_keeper.cpp
+++ b/scheduler/fleet_keeper.cpp
@@ -362,18 +362,18 @@
     }
   }
   for (auto& [name, pool] : pools) {
+    const PoolDemand demand = m_env.m_scheduler.Demand(name);
     // Arrivals tell of a rise before their tasks wait for a worker.
-    const double load =
-      std::max(m_env.m_scheduler.UsedLoad(name) +
-                 kWaitingWeight * m_env.m_scheduler.WaitingLoad(name),
-               m_env.m_scheduler.ArrivingLoad(name));
-    const int minimum = m_env.m_scheduler.MinimumWorkers(name);
-    const double late = m_env.m_scheduler.LateWaitingLoad(name);
-    pool.m_desired =
-      std::max(minimum, static_cast<int>(std::ceil(load * kHeadroom)));
-    pool.m_wanted =
-      std::max(minimum, static_cast<int>(std::ceil((load + late) * kHeadroom)));
-    if (m_env.m_scheduler.HasWaitingLongRunning(name)) {
+    const double load = std::max(m_env.m_scheduler.UsedLoad(name) +
+                                   kWaitingWeight * demand.m_waiting,
+                                 m_env.m_scheduler.ArrivingLoad(name));
+    const auto machinesFor = [&demand](double aLoad) {
+      return std::max(demand.m_minimumWorkers,
+                      static_cast<int>(std::ceil(aLoad * kHeadroom)));
+    };
+    pool.m_desired = machinesFor(load);
+    pool.m_wanted = machinesFor(load + demand.m_lateWaiting);
+    if (demand.m_hasWaitingLongRunning) {
       // What keeps it waiting may be its limit of tasks on one worker.
       pool.m_desired = std::max(pool.m_desired, pool.m_machines + 1);
       pool.m_wanted = std::max(pool.m_wanted, pool.m_desired);
@@ -393,6 +393,7 @@
     if (pool.m_isStandby || pool.m_desired == pool.m_machines) {
       continue;
     }
+    const PoolDemand demand = m_env.m_scheduler.Demand(name);
     LogInfo(LogPart::Fleet,
             absl::StrCat("pool off its size; pool=",
                          name,
@@ -405,9 +406,9 @@
                          " used=",
                          m_env.m_scheduler.UsedLoad(name),
                          " waiting=",
-                         m_env.m_scheduler.WaitingLoad(name),
+                         demand.m_waiting,
                          " late=",
-                         m_env.m_scheduler.LateWaitingLoad(name)));
+                         demand.m_lateWaiting));
   }
 }
 
@@ -477,7 +478,7 @@
   bool isAnyShort = !shortPools.empty();
   // Others need not make way for what can never be placed.
   std::erase_if(shortPools, [this](const std::string& aPool) {
-    return !m_env.m_scheduler.HasWaitingInTime(aPool);
+    return !m_env.m_scheduler.Demand(aPool).m_hasWaitingInTime;
   });
   m_env.m_scheduler.SetShortPools(std::move(shortPools));
   for (auto& [name, pool] : pools) {
--- a/scheduler/fleet_keeper.h
+++ b/scheduler/fleet_keeper.h
@@ -139,7 +139,7 @@
   void Maintain(const MachineEntry& aMachine, std::int64_t aWave);
   void OnMaintained(const std::string& aMachine, MachineOutcome aOutcome);
   void NoteDone(const std::string& aMachine, std::int64_t aWave);
-  bool IsCompletedElsewhere(const WaveState& aState, int aShard) const;
+  bool IsCompletedIn(const WaveState& aState, int aShard) const;
   bool IsCompletedEverywhere(const WaveState& aState) const;
   void PublishWave(const WaveState& aState, bool aIsCompleted);
   void Rebalance();
--- a/scheduler/fleet_keeper_waves.cpp
+++ b/scheduler/fleet_keeper_waves.cpp
@@ -88,7 +88,7 @@
 {
   std::vector<int> open = aState.m_machines;
   for (int shard = 0; shard < m_env.m_layout.Count(); ++shard) {
-    if (IsCompletedElsewhere(aState, shard)) {
+    if (IsCompletedIn(aState, shard)) {
       open[static_cast<std::size_t>(shard)] = 0;
     }
   }
@@ -204,7 +204,7 @@
     return true;
   }
   if (aUrgency < kEvacuateFrom ||
-      m_env.m_scheduler.WaitingLoad(aMachine.m_pool) > 0) {
+      m_env.m_scheduler.Demand(aMachine.m_pool).m_waiting > 0) {
     return false;
   }
   // One machine of a pool at a time is emptied while there is time. Moving
@@ -310,22 +310,21 @@
 }
 
 bool
-FleetKeeper::IsCompletedElsewhere(const WaveState& aState, int aShard) const
+FleetKeeper::IsCompletedIn(const WaveState& aState, int aShard) const
 {
+  if (aShard == m_env.m_shard) {
+    return aState.m_isCompleted;
+  }
   const auto stored =
     m_waveProgress.find(keys::ShardKeys(aShard).Wave(aState.m_wave.m_number));
-  return aShard != m_env.m_shard && stored != m_waveProgress.end() &&
-         stored->second.m_isCompleted;
+  return stored != m_waveProgress.end() && stored->second.m_isCompleted;
 }
 
 bool
 FleetKeeper::IsCompletedEverywhere(const WaveState& aState) const
 {
-  if (!aState.m_isCompleted) {
-    return false;
-  }
   for (int shard = 0; shard < m_env.m_layout.Count(); ++shard) {
-    if (shard != m_env.m_shard && !IsCompletedElsewhere(aState, shard)) {
+    if (!IsCompletedIn(aState, shard)) {
       return false;
     }
   }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -4,6 +4,7 @@
 #include "jobs/demand_estimator.h"
 #include "jobs/job.h"
 #include "jobs/job_configuration.h"
+#include "jobs/pool_demand.h"
 #include "jobs/worker.h"
 #include "scheduler/job_keys.h"
 #include "scheduler/ownership.h"
@@ -93,17 +94,8 @@
   double ArrivingLoad(const std::string& aPool) const;
   /** Load of a pool's tasks that run, in workers' capacities. */
   double UsedLoad(const std::string& aPool) const;
-  /**
-   * Load of a pool's tasks that could start, in workers' capacities, of jobs
-   * that can still be in time and of those that cannot.
-   */
-  double WaitingLoad(const std::string& aPool) const;
-  double LateWaitingLoad(const std::string& aPool) const;
-  /** A task waits whose job can be in time. */
-  bool HasWaitingInTime(const std::string& aPool) const
-  {
-    return m_poolsWithWaitingInTime.contains(aPool);
-  }
+  /** Demand of a pool at the last placement. */
+  PoolDemand Demand(const std::string& aPool) const;
 
   /**
    * Pools that lack machines for jobs that can be in time. Meanwhile the late
@@ -113,13 +105,6 @@
   {
     m_shortPools = std::move(aPools);
   }
-  /** A long-running task of the pool finds no worker. */
-  bool HasWaitingLongRunning(const std::string& aPool) const
-  {
-    return m_poolsWithWaitingLongRunning.contains(aPool);
-  }
-  /** Workers that a pool's long-running tasks need at the least. */
-  int MinimumWorkers(const std::string& aPool) const;
 
   /** Documents of the owner that others keep beside the jobs'. */
   void Know(const std::string& aKey, std::int64_t aRevision)
@@ -321,12 +306,8 @@
   bool m_isStoreBehind = false;
   absl::Time m_beganAt;
   std::string m_pendingText;
-  std::map<std::string, double> m_waitingLoad;
-  std::map<std::string, double> m_lateWaitingLoad;
-  std::set<std::string> m_poolsWithWaitingInTime;
+  std::map<std::string, PoolDemand> m_demands;
   std::set<std::string> m_shortPools;
-  std::map<std::string, int> m_minimumWorkers;
-  std::set<std::string> m_poolsWithWaitingLongRunning;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   std::unique_ptr<StoreMirror> m_jobMirror;
 };
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -102,11 +102,7 @@
   for (auto& [id, worker] : m_workers) {
     workers[worker.m_report.m_pool].push_back(&worker);
   }
-  m_waitingLoad.clear();
-  m_lateWaitingLoad.clear();
-  m_poolsWithWaitingInTime.clear();
-  m_minimumWorkers.clear();
-  m_poolsWithWaitingLongRunning.clear();
+  m_demands.clear();
   for (auto& [pool, jobs] : byPool) {
     Placement placement(workers[pool], m_env.m_loop.Now());
     PlacePool(pool, jobs, placement);
@@ -247,22 +243,19 @@
   const StepSpec& spec = aJob.Record().m_steps[static_cast<std::size_t>(aStep)];
   const auto count = std::ranges::count(
     aJob.Tasks(aOccurrence, aStep), TaskPhase::Waiting, &Task::m_phase);
+  PoolDemand& demand = m_demands[aPool];
   if (spec.m_isLongRunning) {
-    const int perWorker = std::max(1, spec.m_maxPerWorker);
-    int& minimum = m_minimumWorkers[aPool];
     if (spec.m_maxPerWorker > 0) {
-      minimum = std::max(minimum, (spec.m_count + perWorker - 1) / perWorker);
+      demand.m_minimumWorkers = std::max(
+        demand.m_minimumWorkers,
+        (spec.m_count + spec.m_maxPerWorker - 1) / spec.m_maxPerWorker);
     }
-    if (count > 0) {
-      m_poolsWithWaitingLongRunning.insert(aPool);
-    }
-  }
-  if (aTier == Tier::InTime && count > 0) {
-    m_poolsWithWaitingInTime.insert(aPool);
+    demand.m_hasWaitingLongRunning |= count > 0;
   }
-  std::map<std::string, double>& loads =
-    aTier >= Tier::Late ? m_lateWaitingLoad : m_waitingLoad;
-  loads[aPool] += static_cast<double>(count) * LoadOf(OccupiedBy(spec));
+  demand.m_hasWaitingInTime |= aTier == Tier::InTime && count > 0;
+  double& waiting =
+    aTier >= Tier::Late ? demand.m_lateWaiting : demand.m_waiting;
+  waiting += static_cast<double>(count) * LoadOf(OccupiedBy(spec));
 }
 
 void
@@ -446,26 +439,11 @@
   return load;
 }
 
-double
-Scheduler::WaitingLoad(const std::string& aPool) const
-{
-  const auto found = m_waitingLoad.find(aPool);
-  return found == m_waitingLoad.end() ? 0.0 : found->second;
-}
-
-double
-Scheduler::LateWaitingLoad(const std::string& aPool) const
-{
-  const auto found = m_lateWaitingLoad.find(aPool);
-  return found == m_lateWaitingLoad.end() ? 0.0 : found->second;
-}
-
-int
-Scheduler::MinimumWorkers(const std::string& aPool) const
+PoolDemand
+Scheduler::Demand(const std::string& aPool) const
 {
-  const auto found = m_minimumWorkers.find(aPool);
-  // A pool without a worker could start nothing while a machine moves.
-  return std::max(1, found == m_minimumWorkers.end() ? 0 : found->second);
+  const auto found = m_demands.find(aPool);
+  return found == m_demands.end() ? PoolDemand{} : found->second;
 }
 
 }
--- a/tests/fakes/fake_workers.h
+++ b/tests/fakes/fake_workers.h
@@ -46,6 +46,11 @@
   /** The worker ends with all that it runs. */
   void Crash(const std::string& aWorkerId);
   void SetPlanner(Planner aPlanner) { m_planner = std::move(aPlanner); }
+  /** All runs follow one plan. */
+  void SetPlan(const FakeRunPlan& aPlan)
+  {
+    m_planner = [aPlan](const std::string&, std::int64_t) { return aPlan; };
+  }
 
   OrderResult Start(const std::string& aWorkerId, const StartOrder& aOrder);
   OrderResult Stop(const std::string& aWorkerId, const StopOrder& aOrder);
--- a/tests/scheduler/test_fleet_keeper.cpp
+++ b/tests/scheduler/test_fleet_keeper.cpp
@@ -160,9 +160,7 @@
     return count;
   };
   REQUIRE(inStandby() == 5);
-  fleet.m_cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_time = absl::Seconds(3) };
-  });
+  fleet.m_cluster.m_workers.SetPlan({ .m_time = absl::Seconds(3) });
   fleet.m_cluster.Submit(JobCluster::MakeJob("job1", 16, 1));
   fleet.m_cluster.Run(absl::Seconds(3));
   REQUIRE(inStandby() <= 2);
@@ -176,9 +174,7 @@
           "[fleet_keeper]")
 {
   FleetFixture fleet(1);
-  fleet.m_cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_isLongRunning = true };
-  });
+  fleet.m_cluster.m_workers.SetPlan({ .m_isLongRunning = true });
   JobRecord record = JobCluster::MakeJob("job1", 2, 1);
   record.m_steps.front().m_isLongRunning = true;
   fleet.m_cluster.Submit(record);
@@ -196,9 +192,7 @@
           "[fleet_keeper]")
 {
   FleetFixture fleet(3);
-  fleet.m_cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_isLongRunning = true };
-  });
+  fleet.m_cluster.m_workers.SetPlan({ .m_isLongRunning = true });
   JobRecord record = JobCluster::MakeJob("job1", 2, 1);
   record.m_steps.front().m_isLongRunning = true;
   fleet.m_cluster.Submit(record);
@@ -317,9 +311,7 @@
   queue.m_pool = "alarms";
   fleet.m_cluster.m_configuration.m_queues.push_back(queue);
   fleet.m_cluster.m_configuration.m_pools["alarms"] = { .m_name = "alarms" };
-  fleet.m_cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_time = absl::Milliseconds(600) };
-  });
+  fleet.m_cluster.m_workers.SetPlan({ .m_time = absl::Milliseconds(600) });
   JobRecord late = JobCluster::MakeJob("late", 80, 1);
   late.m_acceptedAtMs -= 60000;
   fleet.m_cluster.Submit(late);
--- a/tests/scheduler/test_scheduler.cpp
+++ b/tests/scheduler/test_scheduler.cpp
@@ -42,11 +42,7 @@
   return record;
 }
 
-FakeRunPlan
-RunsForever(const std::string&, std::int64_t)
-{
-  return { .m_isLongRunning = true };
-}
+const FakeRunPlan kRunsForever{ .m_isLongRunning = true };
 
 }
 
@@ -73,9 +69,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(3);
-  cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_time = absl::Milliseconds(1500) };
-  });
+  cluster.m_workers.SetPlan({ .m_time = absl::Milliseconds(1500) });
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.AddDaemon("two");
@@ -97,9 +91,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(2);
-  cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_time = absl::Milliseconds(1500) };
-  });
+  cluster.m_workers.SetPlan({ .m_time = absl::Milliseconds(1500) });
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.AddDaemon("two");
@@ -122,9 +114,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(2);
-  cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_time = absl::Seconds(20) };
-  });
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(20) });
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
@@ -143,9 +133,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(2);
-  cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_time = absl::Seconds(1) };
-  });
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(1) });
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
@@ -161,9 +149,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(1);
-  cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_time = absl::Seconds(1) };
-  });
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(1) });
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
@@ -210,10 +196,8 @@
 {
   const QuietLog quiet;
   JobCluster cluster(2);
-  cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_time = absl::Milliseconds(50),
-                        .m_end = TaskEndKind::Failed };
-  });
+  cluster.m_workers.SetPlan(
+    { .m_time = absl::Milliseconds(50), .m_end = TaskEndKind::Failed });
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
@@ -227,7 +211,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(1);
-  cluster.m_workers.SetPlanner(RunsForever);
+  cluster.m_workers.SetPlan(kRunsForever);
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.Submit(JobCluster::MakeJob("job1", 6, 1));
@@ -262,7 +246,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(3);
-  cluster.m_workers.SetPlanner(RunsForever);
+  cluster.m_workers.SetPlan(kRunsForever);
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.Submit(MakeLongRunning("job1", 3));
@@ -290,7 +274,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(6);
-  cluster.m_workers.SetPlanner(RunsForever);
+  cluster.m_workers.SetPlan(kRunsForever);
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.Submit(MakeLongRunning("job1", 3));
@@ -317,7 +301,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(4);
-  cluster.m_workers.SetPlanner(RunsForever);
+  cluster.m_workers.SetPlan(kRunsForever);
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
   cluster.Submit(MakeLongRunning("job1", 3));
@@ -341,9 +325,7 @@
 {
   const QuietLog quiet;
   JobCluster cluster(1);
-  cluster.m_workers.SetPlanner([](const std::string&, std::int64_t) {
-    return FakeRunPlan{ .m_time = absl::Milliseconds(3000) };
-  });
+  cluster.m_workers.SetPlan({ .m_time = absl::Milliseconds(3000) });
   WorkerReport newer = JobCluster::MakeReport(1);
   newer.m_machine = "machine-0";
   newer.m_bornMs = 5000;
