Read only jobs that are alive at a takeover

Cause: an owner kept the records and the progress of ended jobs under the prefixes that each new owner reads, and a page of that list had to arrive within 1 s. Ruled out: the election itself (0.3 s) and the reading of the workers.

Change: each job has an entry in a directory, which makes its id unique and names its shard. Owner log lines name the shard. A forgotten job gives the room of its tasks back.

--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -108,6 +108,16 @@
   return step.m_done == static_cast<int>(step.m_tasks.size());
 }
 
+bool
+Job::HasPlacedTask() const
+{
+  return std::ranges::any_of(m_occurrences, [](const Occurrence& aOccurrence) {
+    return std::ranges::any_of(aOccurrence.m_steps, [](const Step& aStep) {
+      return std::ranges::any_of(aStep.m_tasks, &Task::IsPlaced);
+    });
+  });
+}
+
 void
 Job::MarkStarted()
 {
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -75,6 +75,9 @@
   bool IsStepReady(int aOccurrence, int aStep) const;
   bool IsStepDone(int aOccurrence, int aStep) const;
 
+  /** True while a task runs or may run on a worker. */
+  bool HasPlacedTask() const;
+
   void MarkStarted();
   /** Marks a task done; the job completes with its last task. */
   void MarkDone(Task& aTask);
@@ -85,7 +88,6 @@
    */
   void MarkFailed(Task& aTask, std::int64_t aAttempt);
   void MarkCancelled();
-  void MarkFinal(JobState aState) { m_state = aState; }
 
   /**
    * Workers on which a task of the job may have been started. A worker is
--- a/jobs/job_codec.cpp
+++ b/jobs/job_codec.cpp
@@ -13,9 +13,6 @@
 
 using nlohmann::json;
 
-/** Field of a job reference that holds the shard number. */
-constexpr const char* kShardField = "shard";
-
 template<typename T>
 void
 SetUnlessDefault(json& aObject, const char* aName, const T& aValue)
@@ -76,23 +73,6 @@
 
 }
 
-std::string
-EncodeJobReference(int aShard)
-{
-  return json{ { kShardField, aShard } }.dump();
-}
-
-std::optional<int>
-DecodeJobReference(const std::string& aJson)
-{
-  const json body = json::parse(aJson, nullptr, false);
-  if (!body.is_object() || !body.contains(kShardField) ||
-      !body[kShardField].is_number_integer()) {
-    return std::nullopt;
-  }
-  return body[kShardField].get<int>();
-}
-
 std::string
 EncodeJobRecord(const JobRecord& aRecord)
 {
@@ -109,9 +89,7 @@
   SetUnlessDefault(record, "repeats", aRecord.m_repeats);
   SetUnlessDefault(record, "first_due_ms", aRecord.m_firstDueMs);
   SetUnlessDefault(record, "interval_ms", aRecord.m_intervalMs);
-  if (aRecord.m_referenceShard >= 0) {
-    record["reference_shard"] = aRecord.m_referenceShard;
-  }
+  SetUnlessDefault(record, "entry_shard", aRecord.m_entryShard);
   return record.dump();
 }
 
@@ -133,7 +111,7 @@
     record.m_repeats = body.value("repeats", 0);
     record.m_firstDueMs = body.value("first_due_ms", std::int64_t{ 0 });
     record.m_intervalMs = body.value("interval_ms", std::int64_t{ 0 });
-    record.m_referenceShard = body.value("reference_shard", -1);
+    record.m_entryShard = body.value("entry_shard", 0);
     return record;
   } catch (const json::exception& error) {
     throw Error(ErrorCode::InvalidInput,
--- /dev/null
+++ b/jobs/job_entry.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "jobs/job.h"
+
+#include <optional>
+#include <string>
+
+namespace bramleystall {
+
+/**
+ * Entry of a job in the directory of all jobs. It is stored with the job's
+ * record, outlasts it by the retention time and makes the job's id unique.
+ */
+struct JobEntry
+{
+  /** Shard that stores the job's record and schedules the job. */
+  int m_shard = 0;
+  /** Final state; unset while the job has a record. */
+  std::optional<JobState> m_finalState;
+};
+
+std::string
+EncodeJobEntry(const JobEntry& aEntry);
+
+/** Decodes the result of EncodeJobEntry; unset for any other text. */
+std::optional<JobEntry>
+DecodeJobEntry(const std::string& aJson);
+
+}
--- a/jobs/job_record.h
+++ b/jobs/job_record.h
@@ -28,11 +28,8 @@
   /** Failed attempts after which a task fails; the queue's at submission. */
   int m_maxAttempts = 1;
   int m_priority = 0;
-  /**
-   * Shard in which lookups of the job begin, if the job is in another shard; a
-   * job reference is stored there. -1 for none.
-   */
-  int m_referenceShard = -1;
+  /** Shard whose part of the directory of jobs has the job's entry. */
+  int m_entryShard = 0;
 };
 
 }
--- a/net/http_fetcher.cpp
+++ b/net/http_fetcher.cpp
@@ -2,10 +2,12 @@
 
 #include "net/event_loop.h"
 
+#include <absl/strings/str_cat.h>
 #include <curl/curl.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <unordered_map>
 #include <utility>
@@ -74,6 +76,7 @@
 
 struct HttpFetcher::Transfer
 {
+  std::uint64_t m_id = 0;
   FetchRequest m_request;
   Callback m_callback;
   FetchResult m_result;
@@ -152,6 +155,7 @@
 
 HttpFetcher::~HttpFetcher()
 {
+  *m_alive = false;
   m_multi->m_isClosing = true;
   for (auto& [easy, transfer] : m_multi->m_transfers) {
     curl_multi_remove_handle(m_multi->m_handle, easy);
@@ -171,6 +175,7 @@
   auto transfer = std::make_unique<Transfer>();
   transfer->m_request = std::move(aRequest);
   transfer->m_callback = std::move(aCallback);
+  transfer->m_id = ++m_lastId;
   transfer->m_result.m_sentAt = m_loop.Now();
   CURL* easy = nullptr;
   if (m_multi->m_idleHandles.empty()) {
@@ -212,10 +217,68 @@
   // before it sends larger bodies.
   transfer->m_headers = curl_slist_append(transfer->m_headers, "Expect:");
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->m_headers);
+  ScheduleStallCheck(*transfer);
   m_multi->m_transfers.emplace(easy, std::move(transfer));
   curl_multi_add_handle(m_multi->m_handle, easy);
 }
 
+void
+HttpFetcher::ScheduleStallCheck(const Transfer& aTransfer)
+{
+  if (aTransfer.m_request.m_stallTimeout == absl::InfiniteDuration()) {
+    return;
+  }
+  m_loop.After(aTransfer.m_request.m_stallTimeout,
+               [this,
+                id = aTransfer.m_id,
+                received = aTransfer.m_result.m_body.size(),
+                alive = m_alive] {
+                 if (*alive) {
+                   CheckStall(id, received);
+                 }
+               });
+}
+
+void
+HttpFetcher::CheckStall(std::uint64_t aId, std::size_t aReceivedBefore)
+{
+  const auto found =
+    std::ranges::find(m_multi->m_transfers, aId, [](const auto& aEntry) {
+      return aEntry.second->m_id;
+    });
+  if (found == m_multi->m_transfers.end()) {
+    return;
+  }
+  Transfer& transfer = *found->second;
+  if (transfer.m_result.m_body.size() > aReceivedBefore) {
+    ScheduleStallCheck(transfer);
+    return;
+  }
+  auto node = m_multi->m_transfers.extract(found);
+  transfer.m_result.m_error =
+    absl::StrCat("no data for ",
+                 absl::FormatDuration(transfer.m_request.m_stallTimeout),
+                 " after ",
+                 aReceivedBefore,
+                 " bytes");
+  Finish(std::move(node.mapped()));
+}
+
+void
+HttpFetcher::Finish(std::unique_ptr<Transfer> aTransfer)
+{
+  CURL* easy = aTransfer->m_easy;
+  curl_multi_remove_handle(m_multi->m_handle, easy);
+  curl_slist_free_all(aTransfer->m_headers);
+  if (m_multi->m_idleHandles.size() < kMaxIdleHandles) {
+    curl_easy_reset(easy);
+    m_multi->m_idleHandles.push_back(easy);
+  } else {
+    curl_easy_cleanup(easy);
+  }
+  aTransfer->m_callback(std::move(aTransfer->m_result));
+}
+
 void
 HttpFetcher::CompleteTransfers()
 {
@@ -238,15 +301,7 @@
       transfer.m_result.m_mayHaveBeenSent = connectTime != 0;
       transfer.m_result.m_error = curl_easy_strerror(code);
     }
-    curl_multi_remove_handle(m_multi->m_handle, easy);
-    curl_slist_free_all(transfer.m_headers);
-    if (m_multi->m_idleHandles.size() < kMaxIdleHandles) {
-      curl_easy_reset(easy);
-      m_multi->m_idleHandles.push_back(easy);
-    } else {
-      curl_easy_cleanup(easy);
-    }
-    transfer.m_callback(std::move(transfer.m_result));
+    Finish(std::move(node.mapped()));
   }
 }
 
--- a/net/http_fetcher.h
+++ b/net/http_fetcher.h
@@ -21,6 +21,9 @@
   std::vector<std::string> m_headers;
   /** Time-out from the call of Send to the last byte of the response. */
   absl::Duration m_timeout = absl::Seconds(1);
+  /** Longest time without a further byte of the response body, counted from
+   * Send on; for large responses on slow links, in addition to m_timeout. */
+  absl::Duration m_stallTimeout = absl::InfiniteDuration();
   /** Opens a new connection for this request instead of reusing an idle one. */
   bool m_usesFreshConnection = false;
 };
@@ -66,9 +69,16 @@
   struct Multi;
 
   void CompleteTransfers();
+  /** Ends a transfer that received nothing since the last check. */
+  void CheckStall(std::uint64_t aId, std::size_t aReceivedBefore);
+  void ScheduleStallCheck(const Transfer& aTransfer);
+  /** Releases the handle of a transfer and calls back with its result. */
+  void Finish(std::unique_ptr<Transfer> aTransfer);
 
   EventLoop& m_loop;
+  std::uint64_t m_lastId = 0;
   std::unique_ptr<Multi> m_multi;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }
--- /dev/null
+++ b/scheduler/entry_sweeper.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "store/key_value_store.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bramleystall {
+
+class EventLoop;
+
+/**
+ * Removes the directory entries of a shard whose jobs ended longer ago than the
+ * retention time. The time runs from the sweep that first sees a final entry,
+ * so that it depends on no wall clock and restarts with each owner.
+ */
+class EntrySweeper
+{
+public:
+  /** Sweeps the keys with aPrefix on behalf of the owner whose key has the
+   * revision aFencingToken. The references outlive the sweeper. */
+  EntrySweeper(EventLoop& aLoop,
+               KeyValueStore& aStore,
+               std::string aPrefix,
+               std::string aOwnerKey,
+               std::int64_t aFencingToken,
+               absl::Duration aRetention);
+  ~EntrySweeper();
+  EntrySweeper(const EntrySweeper&) = delete;
+  EntrySweeper& operator=(const EntrySweeper&) = delete;
+
+private:
+  void ScheduleSweep();
+  void ReadPage(const std::string& aAfter);
+  void OnPage(const ReadResult& aResult);
+  void RemoveExpired();
+
+  EventLoop& m_loop;
+  KeyValueStore& m_store;
+  std::string m_prefix;
+  std::string m_ownerKey;
+  std::int64_t m_fencingToken;
+  absl::Duration m_retention;
+  /** Time at which a sweep first saw the final entry of a key. */
+  std::map<std::string, absl::Time> m_finalSince;
+  /** The same, of the keys that the sweep in progress has found. */
+  std::map<std::string, absl::Time> m_found;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}
--- a/scheduler/job_keys.h
+++ b/scheduler/job_keys.h
@@ -22,16 +22,34 @@
 {
 public:
   explicit ShardKeys(int aShard)
-    : m_shard(std::to_string(aShard))
+    : m_number(aShard)
+    , m_shard(std::to_string(aShard))
   {
   }
 
+  int Shard() const { return m_number; }
+
   /** Current owner of the shard. */
   std::string Owner() const { return kOwnershipPrefix + m_shard + "/owner"; }
   /** Term of the shard's last owner. */
   std::string Term() const { return kOwnershipPrefix + m_shard + "/term"; }
   std::string JobPrefix() const { return "bramleystall/jobs/" + m_shard + "/"; }
-  /** Record of a submitted job, written once by the daemon that accepts it. */
+  std::string EntryPrefix() const
+  {
+    return "bramleystall/entries/" + m_shard + "/";
+  }
+  /**
+   * Entry of a job in the directory of jobs, in the shard that the job's id
+   * maps to. Exists from the acceptance to the end of the retention time.
+   */
+  std::string Entry(const std::string& aId) const
+  {
+    return EntryPrefix() + aId;
+  }
+  /**
+   * Record of a submitted job, written once by the daemon that accepts it and
+   * removed when the job has ended.
+   */
   std::string Job(const std::string& aId) const { return JobPrefix() + aId; }
   std::string Cancel(const std::string& aId) const
   {
@@ -64,6 +82,7 @@
   }
 
 private:
+  int m_number;
   std::string m_shard;
 };
 
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -44,6 +44,7 @@
                      LossHook aOnLoss)
   : m_loop(aLoop)
   , m_store(aStore)
+  , m_shard(aKeys.Shard())
   , m_ownerKey(aKeys.Owner())
   , m_termKey(aKeys.Term())
   , m_chart(std::move(aChart))
@@ -139,8 +140,12 @@
   if (IsInState("confirming") && isOurs) {
     ApplyEvent("key_confirmed");
     LogInfo(LogPart::Owner,
-            absl::StrCat(
-              "became owner; term=", m_ownerTerm, " fence=", m_ownerRevision));
+            absl::StrCat("became owner; shard=",
+                         m_shard,
+                         " term=",
+                         m_ownerTerm,
+                         " fence=",
+                         m_ownerRevision));
     Schedule(kRenewInterval, &Ownership::Renew);
     const absl::Time leaseRequestedAt = m_renewedAt;
     // A key that expired was last renewed at least one lease TTL before.
@@ -300,7 +305,9 @@
 Ownership::Lose(const char* aEvent, const std::string& aReason)
 {
   ApplyEvent(aEvent);
-  LogWarning(LogPart::Owner, absl::StrCat("lost ownership; reason=", aReason));
+  LogWarning(
+    LogPart::Owner,
+    absl::StrCat("lost ownership; shard=", m_shard, " reason=", aReason));
   m_token.clear();
   m_onLoss(aReason);
   Schedule(kRetryDelay, &Ownership::ConsiderCandidacy);
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -98,6 +98,7 @@
 
   EventLoop& m_loop;
   KeyValueStore& m_store;
+  int m_shard;
   std::string m_ownerKey;
   std::string m_termKey;
   StateChart m_chart;
--- a/scheduler/progress_writer.cpp
+++ b/scheduler/progress_writer.cpp
@@ -18,9 +18,6 @@
 /** A document is usually stored within this time. */
 constexpr absl::Duration kUsualDelay = absl::Milliseconds(300);
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(150);
-/** The owner's condition, then a condition and a put for each document. */
-constexpr std::size_t kDocumentsPerCommit =
-  (StoreTransaction::kMaxEntries - 1) / 2;
 constexpr int kMaxOpenCommits = 3;
 
 }
@@ -49,14 +46,26 @@
 
 void
 ProgressWriter::Put(const std::string& aKey, std::string aValue)
+{
+  Queue(aKey).m_value = std::move(aValue);
+}
+
+void
+ProgressWriter::Replace(const std::string& aKey, Replacement aReplacement)
+{
+  Queue(aKey).m_replacement = std::move(aReplacement);
+}
+
+ProgressWriter::Document&
+ProgressWriter::Queue(const std::string& aKey)
 {
   Document& document = m_pending[aKey];
-  document.m_value = std::move(aValue);
   if (document.m_generation == 0) {
     document.m_generation = m_generation;
     document.m_queuedAt = m_loop.Now();
   }
   Schedule(kBatchDelay);
+  return document;
 }
 
 void
@@ -101,6 +110,39 @@
   return false;
 }
 
+bool
+ProgressWriter::AddTo(StoreTransaction& aTransaction,
+                      const std::string& aKey,
+                      const Document& aDocument)
+{
+  const std::size_t used = aTransaction.m_conditions.size() +
+                           aTransaction.m_puts.size() +
+                           aTransaction.m_removals.size();
+  if (!aDocument.m_replacement) {
+    if (used + 2 > StoreTransaction::kMaxEntries) {
+      return false;
+    }
+    aTransaction.m_conditions.push_back({ aKey, m_revisions[aKey] });
+    aTransaction.m_puts.push_back({ aKey, aDocument.m_value, 0 });
+    return true;
+  }
+  // A write of the document that got no response may still be applied, so its
+  // revision is unknown; the owner's condition alone guards the removal.
+  const Replacement& replacement = *aDocument.m_replacement;
+  if (used + 2 + replacement.m_removals.size() >
+      StoreTransaction::kMaxEntries) {
+    return false;
+  }
+  if (replacement.m_put) {
+    aTransaction.m_puts.push_back(*replacement.m_put);
+  }
+  aTransaction.m_removals.push_back(aKey);
+  aTransaction.m_removals.insert(aTransaction.m_removals.end(),
+                                 replacement.m_removals.begin(),
+                                 replacement.m_removals.end());
+  return true;
+}
+
 void
 ProgressWriter::Flush()
 {
@@ -108,16 +150,15 @@
     StoreTransaction transaction;
     std::vector<std::string> batch;
     transaction.m_conditions.push_back({ m_ownerKey, m_fencingToken });
-    for (auto it = m_pending.begin();
-         it != m_pending.end() && batch.size() < kDocumentsPerCommit;) {
+    for (auto it = m_pending.begin(); it != m_pending.end();) {
       if (m_writing.contains(it->first)) {
         ++it;
         continue;
       }
-      const std::string& key = it->first;
-      transaction.m_conditions.push_back({ key, m_revisions[key] });
-      transaction.m_puts.push_back({ key, it->second.m_value, 0 });
-      batch.push_back(key);
+      if (!AddTo(transaction, it->first, it->second)) {
+        break;
+      }
+      batch.push_back(it->first);
       m_writing.insert(*it);
       it = m_pending.erase(it);
     }
@@ -150,13 +191,20 @@
   for (const std::string& key : aKeys) {
     auto node = m_writing.extract(key);
     if (isApplied) {
-      m_revisions[key] = aResult.m_revision;
+      if (node.mapped().m_replacement) {
+        m_revisions.erase(key);
+      } else {
+        m_revisions[key] = aResult.m_revision;
+      }
       continue;
     }
     Document& newer = m_pending[key];
     if (newer.m_generation == 0) {
       newer = std::move(node.mapped());
     } else {
+      if (node.mapped().m_replacement) {
+        newer.m_replacement = std::move(node.mapped().m_replacement);
+      }
       newer.m_generation =
         std::min(newer.m_generation, node.mapped().m_generation);
       newer.m_queuedAt = std::min(newer.m_queuedAt, node.mapped().m_queuedAt);
--- a/scheduler/progress_writer.h
+++ b/scheduler/progress_writer.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,14 @@
 public:
   using StoredHook = std::function<void()>;
 
+  /** Change that ends a document; see Replace. */
+  struct Replacement
+  {
+    std::optional<StorePut> m_put;
+    /** Keys that are removed, in addition to the document's own. */
+    std::vector<std::string> m_removals;
+  };
+
   /** aFencingToken: revision of the owner key while this daemon holds it. */
   ProgressWriter(EventLoop& aLoop,
                  KeyValueStore& aStore,
@@ -40,6 +49,12 @@
   /** Queues the newest value of a document. */
   void Put(const std::string& aKey, std::string aValue);
 
+  /**
+   * Queues the removal of a document and of other keys, and the put that takes
+   * their place. It is the last change of the document.
+   */
+  void Replace(const std::string& aKey, Replacement aReplacement);
+
   /** Writes the queued documents without waiting for more. */
   void FlushSoon() { Schedule(absl::ZeroDuration()); }
 
@@ -59,20 +74,27 @@
     StoredHook m_hook;
   };
 
-  void Schedule(absl::Duration aDelay);
-  void Flush();
-  void OnCommitted(const std::vector<std::string>& aKeys,
-                   const CommitResult& aResult);
-  void RunBarriers();
-  std::uint64_t OldestOpenGeneration() const;
-
   struct Document
   {
     std::string m_value;
+    /** Replaces the document instead of storing m_value. */
+    std::optional<Replacement> m_replacement;
     std::uint64_t m_generation = 0;
     absl::Time m_queuedAt = absl::InfiniteFuture();
   };
 
+  void Schedule(absl::Duration aDelay);
+  void Flush();
+  void OnCommitted(const std::vector<std::string>& aKeys,
+                   const CommitResult& aResult);
+  Document& Queue(const std::string& aKey);
+  /** Adds a document to a transaction; false when it does not fit. */
+  bool AddTo(StoreTransaction& aTransaction,
+             const std::string& aKey,
+             const Document& aDocument);
+  void RunBarriers();
+  std::uint64_t OldestOpenGeneration() const;
+
   EventLoop& m_loop;
   KeyValueStore& m_store;
   std::string m_ownerKey;
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "core/metrics.h"
 #include "jobs/job_codec.h"
+#include "jobs/job_entry.h"
 #include "jobs/placement.h"
 #include "net/event_loop.h"
 #include "scheduler/scheduling_limits.h"
@@ -33,6 +34,12 @@
   , m_keys(aKeys)
   , m_grant(aGrant)
   , m_writer(m_env.m_loop, m_env.m_store, aKeys.Owner(), aGrant.m_fencingToken)
+  , m_sweeper(m_env.m_loop,
+              m_env.m_store,
+              aKeys.EntryPrefix(),
+              aKeys.Owner(),
+              aGrant.m_fencingToken,
+              aSettings.m_jobRetention)
   , m_beganAt(m_env.m_loop.Now())
 {
   ReadLeasedWorkers();
@@ -157,14 +164,20 @@
       } catch (const Error& error) {
         LogError(LogPart::Jobs, error.what());
       }
+      m_progress.erase(found);
     }
     if (job->IsFinal()) {
-      m_removals[id] = m_env.m_loop.Now() + m_settings.m_jobRetention;
+      // The previous owner ended before it could archive the job.
+      Store(*job);
     } else {
       m_active[id] = MakeActive(*job);
       m_earlierJobs.insert(job.get());
     }
   }
+  // Left behind by writes that were applied after their jobs were archived.
+  for (const auto& [key, item] : m_progress) {
+    m_writer.Replace(key, {});
+  }
   m_progress.clear();
   for (const auto& [id, worker] : m_workers) {
     if (worker.m_isListed && !worker.m_report.m_machine.empty()) {
@@ -173,7 +186,9 @@
   }
   LogInfo(
     LogPart::Owner,
-    absl::StrCat("took over; term=",
+    absl::StrCat("took over; shard=",
+                 m_keys.Shard(),
+                 " term=",
                  m_grant.m_term,
                  " jobs=",
                  m_active.size(),
@@ -235,7 +250,7 @@
     ForgetJob(id);
     return;
   }
-  if (!m_jobs.contains(id) && !DecodeJobReference(aItem.m_value)) {
+  if (!m_jobs.contains(id)) {
     LoadJob(id, aItem);
   }
 }
@@ -269,15 +284,17 @@
   if (found == m_jobs.end()) {
     return;
   }
+  for (auto& [id, worker] : m_workers) {
+    const std::set<Task*> tasks = worker.m_tasks;
+    for (Task* task : tasks) {
+      if (task->m_job == found->second.get()) {
+        Release(*task);
+      }
+    }
+  }
   m_active.erase(aId);
   m_changedJobs.erase(found->second.get());
   m_earlierJobs.erase(found->second.get());
-  m_removals.erase(aId);
-  for (auto& [id, worker] : m_workers) {
-    std::erase_if(worker.m_tasks, [&](Task* aTask) {
-      return aTask->m_job == found->second.get();
-    });
-  }
   m_jobs.erase(found);
 }
 
@@ -304,18 +321,34 @@
 Scheduler::PutChangedJobs()
 {
   for (const Job* job : m_changedJobs) {
-    m_writer.Put(m_keys.Progress(job->Id()), job->EncodeProgress());
+    if (job->IsFinal() && !job->HasPlacedTask()) {
+      Archive(*job);
+    } else {
+      m_writer.Put(m_keys.Progress(job->Id()), job->EncodeProgress());
+    }
   }
   m_changedJobs.clear();
 }
 
+void
+Scheduler::Archive(const Job& aJob)
+{
+  const std::string& id = aJob.Id();
+  const keys::ShardKeys entryKeys(aJob.Record().m_entryShard);
+  const JobEntry entry{ .m_shard = m_keys.Shard(),
+                        .m_finalState = aJob.State() };
+  m_writer.Replace(
+    m_keys.Progress(id),
+    { .m_put = StorePut{ entryKeys.Entry(id), EncodeJobEntry(entry) },
+      .m_removals = { m_keys.Job(id), m_keys.Cancel(id) } });
+}
+
 void
 Scheduler::FinishJob(Job& aJob)
 {
   Store(aJob);
   m_active.erase(aJob.Id());
   m_earlierJobs.erase(&aJob);
-  m_removals[aJob.Id()] = m_env.m_loop.Now() + m_settings.m_jobRetention;
   const std::string state(NameOf(kJobStateNames, aJob.State()));
   m_env.m_metrics.Count("bramleystall_jobs_finished_total",
                         { { "state", state } });
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -6,6 +6,7 @@
 #include "jobs/job_configuration.h"
 #include "jobs/pool_demand.h"
 #include "jobs/worker.h"
+#include "scheduler/entry_sweeper.h"
 #include "scheduler/job_keys.h"
 #include "scheduler/ownership.h"
 #include "scheduler/progress_writer.h"
@@ -169,6 +170,11 @@
   /** Writes the job's progress soon, with other changed jobs. */
   void Store(Job& aJob);
   void PutChangedJobs();
+  /**
+   * Replaces the record and the progress of a final job without placed tasks by
+   * its final entry, so that only jobs that are alive are read at a takeover.
+   */
+  void Archive(const Job& aJob);
   ActiveJob MakeActive(Job& aJob) const;
   void FinishJob(Job& aJob);
   Task* FindTask(const std::string& aName);
@@ -253,7 +259,6 @@
   void ScheduleRenewal(Worker& aWorker, absl::Duration aDelay);
   void ReleaseExpired(Worker& aWorker);
   void EvacuateDraining(Worker& aWorker);
-  void RemoveExpiredJobs();
   std::int64_t NextLeaseExpiryMs(Worker& aWorker);
   WorkerAddress AddressOf(const Worker& aWorker) const;
   void StoreLeasedWorkers();
@@ -267,6 +272,7 @@
   keys::ShardKeys m_keys;
   OwnershipGrant m_grant;
   ProgressWriter m_writer;
+  EntrySweeper m_sweeper;
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   /** Jobs that are not final, in the order of their ids. */
   std::map<std::string, ActiveJob> m_active;
@@ -278,8 +284,6 @@
   absl::Duration m_placementTime;
   /** Jobs of previous terms; their tasks may run on unreachable workers. */
   std::set<const Job*> m_earlierJobs;
-  /** Monotonic time at which a final job's keys are removed. */
-  std::map<std::string, absl::Time> m_removals;
   std::set<std::string> m_cancelled;
   std::map<std::string, Worker> m_workers;
   /** Worker that was listed last on each machine. */
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -47,6 +47,10 @@
   if (aTask.m_phase != TaskPhase::Done) {
     aTask.m_phase = TaskPhase::Waiting;
   }
+  if (aTask.m_job->IsFinal()) {
+    // The job is archived once none of its tasks is placed.
+    Store(*aTask.m_job);
+  }
   RequestPlacement();
 }
 
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -588,38 +588,6 @@
   });
 }
 
-void
-Scheduler::RemoveExpiredJobs()
-{
-  const absl::Time now = m_env.m_loop.Now();
-  StoreTransaction removal;
-  for (const auto& [id, at] : m_removals) {
-    if (at > now ||
-        removal.m_removals.size() + 4 >= StoreTransaction::kMaxEntries) {
-      continue;
-    }
-    removal.m_removals.push_back(m_keys.Job(id));
-    removal.m_removals.push_back(m_keys.Cancel(id));
-    removal.m_removals.push_back(m_keys.Progress(id));
-    const int reference = m_jobs.at(id)->Record().m_referenceShard;
-    if (reference >= 0) {
-      removal.m_removals.push_back(keys::ShardKeys(reference).Job(id));
-    }
-  }
-  if (removal.m_removals.empty()) {
-    return;
-  }
-  removal.m_conditions = { { m_keys.Owner(), m_grant.m_fencingToken } };
-  m_env.m_store.Commit(removal, [](const CommitResult& aResult) {
-    // The remaining keys are removed at a later tick.
-    if (aResult.m_status != CommitStatus::Applied) {
-      LogInfo(LogPart::Jobs,
-              absl::StrCat("keys of final jobs not removed, will retry; error=",
-                           aResult.m_error));
-    }
-  });
-}
-
 void
 Scheduler::Tick()
 {
@@ -643,13 +611,14 @@
                                                PadForClockDrift(kWorkerLease) +
                                                kLeaseMargin) {
     LogInfo(LogPart::Owner,
-            absl::StrCat("leases of previous owners have expired; workers=",
+            absl::StrCat("leases of previous owners have expired; shard=",
+                         m_keys.Shard(),
+                         " workers=",
                          m_unresolvedWorkers.size()));
     m_unresolvedWorkers.clear();
   }
   ReleaseUnsentStarts();
   StoreLeasedWorkers();
-  RemoveExpiredJobs();
   RequestPlacement();
   After(kTickInterval, [this] { Tick(); });
 }
--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -32,8 +32,8 @@
 constexpr int kOutcomeUnknown = 504;
 
 constexpr std::size_t kIdLength = 16;
-/** Transaction entries of a job: a condition, its record and, for a job in
- * another shard than its lookup shard, a reference. */
+/** Transaction entries of a job: the condition that it has no entry yet, the
+ * entry and the record. */
 constexpr std::size_t kMaxEntriesPerJob = 3;
 /** Concurrent commits; jobs that arrive meanwhile share the next commit. */
 constexpr int kMaxOpenCommits = 2;
@@ -118,10 +118,10 @@
   }
 }
 
-keys::ShardKeys
-JobRequestHandler::LookupKeys(const std::string& aId) const
+std::string
+JobRequestHandler::EntryKey(const std::string& aId) const
 {
-  return keys::ShardKeys(m_layout()->OfJob(aId));
+  return keys::ShardKeys(m_layout()->OfJob(aId)).Entry(aId);
 }
 
 void
@@ -159,12 +159,11 @@
       std::ranges::any_of(record.m_steps, [](const StepSpec& aStep) {
         return aStep.m_isLongRunning;
       });
-    const int lookupShard = m_layout()->OfJob(aId);
+    record.m_entryShard = m_layout()->OfJob(aId);
     const int shard =
-      isLongRunning ? m_layout()->OfPool(aQueue.m_pool) : lookupShard;
-    record.m_referenceShard = shard == lookupShard ? -1 : lookupShard;
+      isLongRunning ? m_layout()->OfPool(aQueue.m_pool) : record.m_entryShard;
     m_submissions.push_back(
-      { aId, EncodeJobRecord(record), shard, lookupShard, aRespond });
+      { aId, EncodeJobRecord(record), shard, EntryKey(aId), aRespond });
   } catch (const Error& error) {
     LogInfo(
       LogPart::Server,
@@ -187,7 +186,6 @@
              StoreTransaction::kMaxEntries &&
            !m_submissions.empty()) {
       Submission& next = m_submissions.front();
-      const std::string key = LookupKeys(next.m_id).Job(next.m_id);
       const bool isAlreadyInBatch =
         std::ranges::any_of(batch, [&](const Submission& aOther) {
           return aOther.m_id == next.m_id;
@@ -195,15 +193,11 @@
       if (isAlreadyInBatch) {
         break;
       }
-      transaction.m_conditions.push_back({ key, 0 });
-      if (next.m_shard == next.m_lookupShard) {
-        transaction.m_puts.push_back({ key, next.m_record, 0 });
-      } else {
-        transaction.m_puts.push_back(
-          { key, EncodeJobReference(next.m_shard), 0 });
-        transaction.m_puts.push_back(
-          { keys::ShardKeys(next.m_shard).Job(next.m_id), next.m_record, 0 });
-      }
+      transaction.m_conditions.push_back({ next.m_entryKey, 0 });
+      transaction.m_puts.push_back(
+        { next.m_entryKey, EncodeJobEntry({ .m_shard = next.m_shard }), 0 });
+      transaction.m_puts.push_back(
+        { keys::ShardKeys(next.m_shard).Job(next.m_id), next.m_record, 0 });
       batch.push_back(std::move(next));
       m_submissions.pop_front();
     }
@@ -224,15 +218,14 @@
 {
   --m_openCommits;
   for (Submission& submission : aBatch) {
-    const std::string key = LookupKeys(submission.m_id).Job(submission.m_id);
     switch (aResult.m_status) {
       case CommitStatus::Applied:
         Accept(submission, "stored");
         break;
       case CommitStatus::Conflict: {
         const bool isStored = std::ranges::any_of(
-          aResult.m_current, [&key](const StoreItem& aItem) {
-            return aItem.m_key == key && aItem.m_revision > 0;
+          aResult.m_current, [&submission](const StoreItem& aItem) {
+            return aItem.m_key == submission.m_entryKey && aItem.m_revision > 0;
           });
         if (isStored) {
           Accept(submission, "known");
@@ -261,7 +254,7 @@
 {
   m_metrics.Count("bramleystall_job_retries_total",
                   { { "reason", "acceptance_unknown" } });
-  m_store.Get(LookupKeys(aSubmission.m_id).Job(aSubmission.m_id),
+  m_store.Get(aSubmission.m_entryKey,
               [this, aSubmission, alive = m_alive](const ReadResult& aResult) {
                 if (!*alive) {
                   return;
@@ -293,26 +286,27 @@
 JobRequestHandler::RespondWithState(const std::string& aId,
                                     const HttpListener::Responder& aRespond)
 {
-  const int lookupShard = m_layout()->OfJob(aId);
-  const auto respondQueued = [this, aRespond] {
-    aRespond({ .m_status = kOk, .m_body = m_codec.m_encodeState("queued") });
+  const auto respond = [this, aRespond](JobState aState) {
+    aRespond({ .m_status = kOk,
+               .m_body = m_codec.m_encodeState(
+                 std::string(NameOf(kJobStateNames, aState))) });
   };
-  RespondWithProgress(
+  FindEntry(
     aId,
-    lookupShard,
     aRespond,
-    [this, aId, lookupShard, aRespond, respondQueued] {
-      FindJob(aId,
-              aRespond,
-              [this, aId, lookupShard, aRespond, respondQueued](int aShard,
-                                                                std::int64_t) {
-                if (aShard == lookupShard) {
-                  // A job without stored progress has not been started.
-                  respondQueued();
-                } else {
-                  RespondWithProgress(aId, aShard, aRespond, respondQueued);
-                }
-              });
+    [this, aId, aRespond, respond](const JobEntry& aEntry, std::int64_t) {
+      if (aEntry.m_finalState) {
+        respond(*aEntry.m_finalState);
+        return;
+      }
+      RespondWithProgress(
+        aId, aEntry.m_shard, aRespond, [this, aId, aRespond, respond] {
+          // The job may have ended after its entry was read.
+          FindEntry(
+            aId, aRespond, [respond](const JobEntry& aLatest, std::int64_t) {
+              respond(aLatest.m_finalState.value_or(JobState::Queued));
+            });
+        });
     });
 }
 
@@ -352,53 +346,64 @@
 }
 
 void
-JobRequestHandler::FindJob(
+JobRequestHandler::FindEntry(
   const std::string& aId,
   const HttpListener::Responder& aRespond,
-  std::function<void(int aShard, std::int64_t aRevision)> aOnFound)
+  std::function<void(const JobEntry& aEntry, std::int64_t aRevision)> aOnFound)
 {
-  const int lookupShard = m_layout()->OfJob(aId);
-  m_store.Get(keys::ShardKeys(lookupShard).Job(aId),
-              [this,
-               aId,
-               lookupShard,
-               aRespond,
-               onFound = std::move(aOnFound),
-               alive = m_alive](const ReadResult& aResult) {
-                if (!*alive) {
-                  return;
-                }
-                if (aResult.m_status != ReadStatus::Ok) {
-                  Refuse(aId, "store_unavailable", kUnavailable, aRespond);
-                } else if (aResult.m_items.empty()) {
-                  Refuse(aId, "unknown_job", kGone, aRespond);
-                } else {
-                  const StoreItem& item = aResult.m_items.front();
-                  onFound(
-                    DecodeJobReference(item.m_value).value_or(lookupShard),
-                    item.m_revision);
-                }
-              });
+  m_store.Get(
+    EntryKey(aId),
+    [this, aId, aRespond, onFound = std::move(aOnFound), alive = m_alive](
+      const ReadResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      if (aResult.m_status != ReadStatus::Ok) {
+        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
+        return;
+      }
+      if (aResult.m_items.empty()) {
+        Refuse(aId, "unknown_job", kGone, aRespond);
+        return;
+      }
+      const StoreItem& item = aResult.m_items.front();
+      const auto entry = DecodeJobEntry(item.m_value);
+      if (!entry) {
+        LogError(
+          LogPart::Server,
+          absl::StrCat("cannot parse the stored entry of a job; job=", aId));
+        Refuse(aId, "unreadable_entry", kUnavailable, aRespond);
+        return;
+      }
+      onFound(*entry, item.m_revision);
+    });
 }
 
 void
 JobRequestHandler::Cancel(const std::string& aId,
                           const HttpListener::Responder& aRespond)
 {
-  FindJob(
-    aId, aRespond, [this, aId, aRespond](int aShard, std::int64_t aRevision) {
-      WriteCancel(aId, aShard, aRevision, aRespond);
+  FindEntry(
+    aId,
+    aRespond,
+    [this, aId, aRespond](const JobEntry& aEntry, std::int64_t aRevision) {
+      if (aEntry.m_finalState) {
+        // Nothing is left to cancel; the job keeps its state.
+        aRespond({ .m_status = kOk, .m_body = "{}" });
+        return;
+      }
+      WriteCancel(aId, aEntry.m_shard, aRevision, aRespond);
     });
 }
 
 void
 JobRequestHandler::WriteCancel(const std::string& aId,
                                int aShard,
-                               std::int64_t aRevision,
+                               std::int64_t aEntryRevision,
                                const HttpListener::Responder& aRespond)
 {
   StoreTransaction transaction;
-  transaction.m_conditions = { { LookupKeys(aId).Job(aId), aRevision } };
+  transaction.m_conditions = { { EntryKey(aId), aEntryRevision } };
   transaction.m_puts = { { keys::ShardKeys(aShard).Cancel(aId), "{}", 0 } };
   m_store.Commit(
     transaction,
@@ -413,7 +418,8 @@
           aRespond({ .m_status = kOk, .m_body = "{}" });
           break;
         case CommitStatus::Conflict:
-          Refuse(aId, "unknown_job", kGone, aRespond);
+          // The entry of a live job changes only when the job ends.
+          Cancel(aId, aRespond);
           break;
         case CommitStatus::LeaseGone:
         case CommitStatus::NotApplied:
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/job_configuration.h"
+#include "jobs/job_entry.h"
 #include "jobs/job_record.h"
 #include "net/http_listener.h"
 #include "scheduler/job_keys.h"
@@ -64,11 +65,10 @@
   {
     std::string m_id;
     std::string m_record;
-    /** Shard that stores the job's record. */
+    /** Shard that stores the job's record and schedules the job. */
     int m_shard = 0;
-    /** Shard that the job's id maps to. A lookup starts there; it stores a
-     * reference when the record is in another shard. */
-    int m_lookupShard = 0;
+    /** Key of the job's entry in the directory. */
+    std::string m_entryKey;
     HttpListener::Responder m_respond;
   };
 
@@ -82,29 +82,28 @@
   void Accept(const Submission& aSubmission, const char* aHow);
   void RespondWithState(const std::string& aId,
                         const HttpListener::Responder& aRespond);
-  /** Responds with the job's state in a shard; calls aOnNone instead when the
-   * shard stores no progress of the job. */
+  /** Responds with the stored progress of a job that has a record; calls
+   * aOnNone instead when there is no progress. */
   void RespondWithProgress(const std::string& aId,
                            int aShard,
                            const HttpListener::Responder& aRespond,
                            std::function<void()> aOnNone);
   /**
-   * Finds the shard of a job and the revision of its record or reference in
-   * the lookup shard. Refuses the request itself when there is none.
+   * Reads the entry of a job. Refuses the request itself when there is none or
+   * the store is unavailable.
    */
-  void FindJob(
-    const std::string& aId,
-    const HttpListener::Responder& aRespond,
-    std::function<void(int aShard, std::int64_t aRevision)> aOnFound);
+  void FindEntry(const std::string& aId,
+                 const HttpListener::Responder& aRespond,
+                 std::function<void(const JobEntry& aEntry,
+                                    std::int64_t aRevision)> aOnFound);
   void Cancel(const std::string& aId, const HttpListener::Responder& aRespond);
   void WriteCancel(const std::string& aId,
                    int aShard,
-                   std::int64_t aRevision,
+                   std::int64_t aEntryRevision,
                    const HttpListener::Responder& aRespond);
   void RespondWithPendingCount(const std::string& aQueue,
                                const HttpListener::Responder& aRespond);
-  /** Keys of the shard that a job's id maps to. */
-  keys::ShardKeys LookupKeys(const std::string& aId) const;
+  std::string EntryKey(const std::string& aId) const;
   void Refuse(const std::string& aId,
               const char* aReason,
               int aStatus,
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -222,6 +222,7 @@
     }
     m_store.RemoveExpiredLeases();
     const ReadResult page = m_store.List(aPrefix, aAfter);
+    m_listedItems += page.m_items.size();
     CallAfter(kLatency, [callback, page] { callback(page); });
   });
 }
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -1,6 +1,7 @@
 #include "tests/fakes/job_cluster.h"
 
 #include "jobs/job_codec.h"
+#include "jobs/job_entry.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -150,6 +151,7 @@
 void
 JobCluster::Submit(const JobRecord& aRecord)
 {
+  m_store.Set(m_keys.Entry(aRecord.m_id), EncodeJobEntry({}));
   m_store.Set(m_keys.Job(aRecord.m_id), EncodeJobRecord(aRecord));
 }
 
@@ -162,6 +164,10 @@
 std::string
 JobCluster::State(const std::string& aId) const
 {
+  const auto entry = DecodeJobEntry(m_store.Value(m_keys.Entry(aId)));
+  if (entry && entry->m_finalState) {
+    return std::string(NameOf(kJobStateNames, *entry->m_finalState));
+  }
   const auto body =
     nlohmann::json::parse(m_store.Value(m_keys.Progress(aId)), nullptr, false);
   return body.is_object() ? body.value("state", "") : "";
--- /dev/null
+++ b/tests/platform/test_kv_store_client.cpp
@@ -0,0 +1,66 @@
+#include "net/event_loop.h"
+#include "net/http_fetcher.h"
+#include "platform/kv_store_client.h"
+#include "tests/fakes/slow_server.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace bramleystall;
+
+namespace {
+
+struct SlowStoreFixture
+{
+  /** Lists a prefix from a server that sends the page in pieces. */
+  ReadResult List(const SlowServer::Plan& aPlan)
+  {
+    SlowServer server(aPlan);
+    EventLoop loop;
+    HttpFetcher fetcher(loop, 2);
+    KvStoreClient store(fetcher, server.Address());
+    std::optional<ReadResult> result;
+    store.List("jobs/", "", [&](const ReadResult& aResult) {
+      result = aResult;
+      loop.Stop();
+    });
+    const absl::Time begin = loop.ReadClock();
+    loop.After(absl::Seconds(8), [&loop] { loop.Stop(); });
+    loop.Run();
+    m_duration = loop.ReadClock() - begin;
+    REQUIRE(result);
+    return *result;
+  }
+
+  const std::string m_page =
+    R"({"items":[{"key":"jobs/1","value":"e30=","rev":3}],"as_of":4})";
+  absl::Duration m_duration;
+};
+
+}
+
+// Guards against an owner that never takes over because a page of its jobs
+// takes longer than a call on its link (trouble-2 --small of lican-gt-large).
+TEST_CASE_METHOD(SlowStoreFixture,
+                 "A page is read as long as data keeps arriving",
+                 "[store]")
+{
+  const ReadResult page = List(
+    { .m_body = m_page, .m_pieces = 5, .m_pause = absl::Milliseconds(400) });
+  REQUIRE(page.m_status == ReadStatus::Ok);
+  REQUIRE(page.m_items.size() == 1);
+  REQUIRE(page.m_storeRevision == 4);
+}
+
+// Guards against waiting long for a page on a connection that is silent.
+TEST_CASE_METHOD(SlowStoreFixture,
+                 "A page that stops arriving fails soon",
+                 "[store]")
+{
+  const ReadResult page =
+    List({ .m_body = m_page, .m_pieces = 2, .m_pause = absl::Seconds(5) });
+  REQUIRE(page.m_status == ReadStatus::Unavailable);
+  REQUIRE(m_duration < absl::Seconds(3));
+}
--- a/tests/scheduler/test_scheduler.cpp
+++ b/tests/scheduler/test_scheduler.cpp
@@ -1,8 +1,8 @@
 #include "scheduler/job_keys.h"
 #include "tests/fakes/job_cluster.h"
+#include "tests/fakes/quiet_log.h"
 
 #include <absl/strings/str_cat.h>
-#include <boost/log/core.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -16,13 +16,6 @@
 
 constexpr absl::Duration kStartup = absl::Milliseconds(300);
 
-/** Disables the log for the duration of a test. */
-struct QuietLog
-{
-  QuietLog() { boost::log::core::get()->set_logging_enabled(false); }
-  ~QuietLog() { boost::log::core::get()->set_logging_enabled(true); }
-};
-
 /** Fails the test for each invariant that the fake workers saw violated. */
 void
 CheckInvariants(JobCluster& aCluster)
--- /dev/null
+++ b/tests/scheduler/test_takeover.cpp
@@ -0,0 +1,134 @@
+#include "jobs/job_entry.h"
+#include "scheduler/entry_sweeper.h"
+#include "tests/fakes/job_cluster.h"
+#include "tests/fakes/quiet_log.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+using namespace bramleystall;
+
+namespace {
+
+constexpr absl::Duration kStartup = absl::Milliseconds(300);
+
+}
+
+// Guards against records of ended jobs that each new owner reads again, so that
+// a takeover lasts longer with each job that was ever accepted (trouble-2
+// --small of lican-gt-large).
+TEST_CASE("A takeover reads only the jobs that are alive", "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(4);
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  constexpr int kEndedJobs = 60;
+  for (int i = 0; i < kEndedJobs; ++i) {
+    cluster.Submit(JobCluster::MakeJob(absl::StrCat("ended", i), 1, 1));
+  }
+  cluster.Run(absl::Seconds(8));
+  REQUIRE(cluster.State("ended59") == "completed");
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  cluster.Submit(JobCluster::MakeJob("alive", 2, 1));
+  cluster.Run(absl::Milliseconds(300));
+  cluster.KillDaemon("one");
+  cluster.AddDaemon("two");
+  cluster.Run(absl::Seconds(4));
+  REQUIRE(cluster.Owner() == "two");
+  // The owner and term keys, the job's record and its progress.
+  REQUIRE(cluster.At("two").m_store.m_listedItems <= 4);
+  REQUIRE(cluster.State("ended0") == "completed");
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
+
+// Guards against a job that runs again, or loses its state, when the store's
+// response to the write that ends it is lost.
+TEST_CASE("A job ends once although the response is lost", "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  cluster.Run(absl::Milliseconds(250));
+  cluster.At("one").m_store.m_lostCommitResponses = 3;
+  cluster.Run(absl::Seconds(8));
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE_FALSE(cluster.m_store.Has(cluster.m_keys.Job("job1")));
+  REQUIRE_FALSE(cluster.m_store.Has(cluster.m_keys.Progress("job1")));
+  REQUIRE(cluster.m_workers.StartCount() == 2);
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
+
+// Guards against a job that the previous owner finished, but did not archive.
+TEST_CASE("A new owner archives a job that ended before", "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(1);
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
+  cluster.m_store.Set(cluster.m_keys.Progress("job1"),
+                      R"({"state":"completed"})");
+  // Progress without a record was written after its job had been archived.
+  cluster.m_store.Set(cluster.m_keys.Progress("job0"),
+                      R"({"state":"running"})");
+  cluster.AddDaemon("one");
+  cluster.Run(absl::Seconds(1));
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE_FALSE(cluster.m_store.Has(cluster.m_keys.Job("job1")));
+  REQUIRE_FALSE(cluster.m_store.Has(cluster.m_keys.Progress("job0")));
+  REQUIRE(cluster.m_workers.StartCount() == 0);
+}
+
+// Guards against a cancelled job whose running tasks are forgotten with its
+// record, so that their worker counts as free while they still run.
+TEST_CASE("A cancelled job is archived once its tasks have stopped",
+          "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(1);
+  cluster.m_workers.SetPlan({ .m_isLongRunning = true });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 4, 1));
+  cluster.Run(absl::Milliseconds(300));
+  cluster.At("one").m_workers.m_unreachableWorkers = { "worker-0" };
+  cluster.CancelJob("job1");
+  cluster.Run(absl::Milliseconds(500));
+  REQUIRE(cluster.State("job1") == "cancelled");
+  REQUIRE(cluster.m_store.Has(cluster.m_keys.Job("job1")));
+  cluster.At("one").m_workers.m_unreachableWorkers.clear();
+  cluster.Run(absl::Seconds(3));
+  REQUIRE_FALSE(cluster.m_store.Has(cluster.m_keys.Job("job1")));
+  REQUIRE(cluster.State("job1") == "cancelled");
+}
+
+// Guards against entries that are removed before callers may no longer ask for
+// them, and against entries that stay for ever.
+TEST_CASE("Entries of ended jobs are removed after the retention time",
+          "[takeover]")
+{
+  EventLoop loop{ EventLoop::ClockMode::Simulated };
+  FakeStore store(loop);
+  FakeStoreClient client(loop, store);
+  const keys::ShardKeys keys(0);
+  store.Set(keys.Owner(), "owner");
+  const std::int64_t fence =
+    store.List(keys.Owner(), "").m_items.front().m_revision;
+  constexpr int kEntries = 50;
+  for (int i = 0; i < kEntries; ++i) {
+    store.Set(keys.Entry(absl::StrCat("ended", i)),
+              EncodeJobEntry({ .m_finalState = JobState::Failed }));
+  }
+  store.Set(keys.Entry("alive"), EncodeJobEntry({}));
+  store.Set(keys.Entry("unreadable"), "?");
+  const EntrySweeper sweeper(
+    loop, client, keys.EntryPrefix(), keys.Owner(), fence, absl::Seconds(120));
+  loop.AdvanceBy(absl::Seconds(119));
+  REQUIRE(store.Has(keys.Entry("ended0")));
+  loop.AdvanceBy(absl::Seconds(180));
+  REQUIRE_FALSE(store.Has(keys.Entry("ended0")));
+  REQUIRE_FALSE(store.Has(keys.Entry("ended49")));
+  REQUIRE(store.Has(keys.Entry("alive")));
+  REQUIRE(store.Has(keys.Entry("unreadable")));
+}
--- a/tests/server/test_job_request_handler.cpp
+++ b/tests/server/test_job_request_handler.cpp
@@ -1,4 +1,5 @@
 #include "core/metrics.h"
+#include "jobs/job_entry.h"
 #include "platform/wire_codec.h"
 #include "scheduler/job_keys.h"
 #include "scheduler/shard_layout.h"
@@ -113,6 +114,24 @@
   REQUIRE(Send("DELETE", "/q/" + kId).m_status == 200);
 }
 
+// Guards against a job that is unknown or runs again once its record was
+// removed at its end.
+TEST_CASE_METHOD(JobRequestFixture,
+                 "An ended job keeps its state and its id",
+                 "[front]")
+{
+  REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
+  m_store.Remove(kKeys.Job(kId));
+  m_store.Set(kKeys.Entry(kId),
+              EncodeJobEntry({ .m_finalState = JobState::Completed }));
+  REQUIRE(Send("GET", "/q/" + kId).m_body == R"({"state":"completed"})");
+  REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
+  REQUIRE_FALSE(m_store.Has(kKeys.Job(kId)));
+  REQUIRE(Send("DELETE", "/q/" + kId).m_status == 200);
+  REQUIRE_FALSE(m_store.Has(kKeys.Cancel(kId)));
+  REQUIRE(Send("GET", "/q/" + kId).m_body == R"({"state":"completed"})");
+}
+
 // Guards against an invalid request that is accepted or gets the status of
 // another error.
 TEST_CASE_METHOD(JobRequestFixture,
@@ -132,7 +151,7 @@
 // Guards against a long-running job that callers cannot query or cancel: its
 // record is in the shard of its pool, not in the shard that its id maps to.
 TEST_CASE_METHOD(JobRequestFixture,
-                 "A long-running job is found through its reference",
+                 "A long-running job is found through its entry",
                  "[front]")
 {
   std::vector<MachineEntry> machines(200);
@@ -154,7 +173,8 @@
   const keys::ShardKeys first(m_layout->OfJob(id));
   REQUIRE(Send("POST", "/q/" + id, body).m_status == 200);
   REQUIRE(m_store.Has(keys.Job(id)));
-  REQUIRE(m_store.Has(first.Job(id)));
+  REQUIRE(m_store.Has(first.Entry(id)));
+  REQUIRE_FALSE(m_store.Has(first.Job(id)));
   REQUIRE(Send("GET", "/q/" + id).m_body == R"({"state":"queued"})");
   m_store.Set(keys.Progress(id), R"({"state":"running"})");
   REQUIRE(Send("GET", "/q/" + id).m_body == R"({"state":"running"})");
