Give each job to a shard that has the capacity for it

Cause: jobs went to shards by the hash of their ids, in even shares, while the long-running jobs of a pool occupy 35 to 50 of the 85 machines of its shard.

Change: the owner of each shard publishes its capacity and load every 0.8 s, next to the pending counts.

--- a/scheduler/fleet_controller.cpp
+++ b/scheduler/fleet_controller.cpp
@@ -148,8 +148,10 @@
         // The stored orders have no times: a previous owner may have sent one
         // until its lease expired.
         for (const json& machine : machines) {
-          m_blockedUntil[machine.get<std::string>()] =
-            m_env.m_loop.Now() + m_settings.m_machineTurn + kTurnMargin;
+          if (machine.is_string()) {
+            m_blockedUntil[machine.get<std::string>()] =
+              m_env.m_loop.Now() + m_settings.m_machineTurn + kTurnMargin;
+          }
         }
       }
       m_hasMachineOrders = true;
@@ -290,6 +292,7 @@
     const std::string name = entry.m_name;
     m_machines[name] = std::move(entry);
   }
+  m_env.m_scheduler.SetMachineCount(UsableMachineCount());
   std::erase_if(m_orders, [&](const auto& aEntry) {
     const auto& [name, order] = aEntry;
     const auto found = m_machines.find(name);
@@ -303,6 +306,19 @@
   });
 }
 
+int
+FleetController::UsableMachineCount() const
+{
+  const auto& pools = m_env.m_configuration().m_pools;
+  return static_cast<int>(
+    std::ranges::count_if(m_machines, [&pools](const auto& aEntry) {
+      const MachineEntry& machine = aEntry.second;
+      const auto pool = pools.find(machine.m_pool);
+      const bool isStandby = pool != pools.end() && pool->second.m_isStandby;
+      return isStandby || machine.m_state != MachineState::Down;
+    }));
+}
+
 Worker*
 FleetController::WorkerOn(const MachineEntry& aMachine)
 {
--- a/scheduler/fleet_controller.h
+++ b/scheduler/fleet_controller.h
@@ -138,6 +138,8 @@
   absl::Duration ListInterval() const;
   void ListMachines();
   void OnListed(absl::Time aSentAt, MachineListResult aResult);
+  /** Number of machines that are up or can be brought up by a move. */
+  int UsableMachineCount() const;
   /** Removes the orders whose effect has been seen. */
   void CloseOrders();
   void WorkOnWaves();
@@ -148,6 +150,9 @@
   void QueueMaintenance(const MachineEntry& aMachine, std::int64_t aWave);
   void OnMaintenanceOutcome(const std::string& aMachine,
                             MachineOutcome aOutcome);
+  /** Repeats a maintenance order without a response, once orders are allowed.
+   */
+  void RetryMaintenance(const std::string& aMachine);
   void MarkHandled(const std::string& aMachine, std::int64_t aWave);
   bool IsCompletedIn(const WaveState& aState, int aShard) const;
   bool IsCompletedEverywhere(const WaveState& aState) const;
--- a/scheduler/job_keys.h
+++ b/scheduler/job_keys.h
@@ -10,8 +10,8 @@
 inline constexpr const char* kLayoutMakerKey = "bramleystall/layout-maker";
 /** Owners of all shards and the terms of their last owners. */
 inline constexpr const char* kOwnershipPrefix = "bramleystall/scheduler/";
-/** Number of jobs in each queue without a started task; a key per shard. */
-inline constexpr const char* kPendingPrefix = "bramleystall/pending/";
+/** Status that each shard's owner publishes; see ShardStatus. */
+inline constexpr const char* kShardStatusPrefix = "bramleystall/shards/";
 /** Progress of all waves in all shards. */
 inline constexpr const char* kWavePrefix = "bramleystall/waves/";
 /** A cancelled job has a second key with this suffix. */
@@ -69,7 +69,7 @@
   {
     return "bramleystall/leased-workers/" + m_shard;
   }
-  std::string Pending() const { return kPendingPrefix + m_shard; }
+  std::string Status() const { return kShardStatusPrefix + m_shard; }
   /** Machines for which the owner sent orders in the last seconds. */
   std::string MachineOrders() const
   {
--- a/scheduler/progress_writer.cpp
+++ b/scheduler/progress_writer.cpp
@@ -182,10 +182,14 @@
 {
   --m_openCommits;
   const bool isApplied = aResult.m_status == CommitStatus::Applied;
+  // A document has another revision when an earlier write without a response
+  // was applied after all, or when it was not read at the takeover.
+  bool hasNewRevision = false;
   for (const StoreItem& item : aResult.m_current) {
-    // An earlier write without a response was applied after all.
     if (item.m_key != m_ownerKey) {
-      m_revisions[item.m_key] = item.m_revision;
+      std::int64_t& revision = m_revisions[item.m_key];
+      hasNewRevision |= revision != item.m_revision;
+      revision = item.m_revision;
     }
   }
   for (const std::string& key : aKeys) {
@@ -223,7 +227,7 @@
                    aResult.m_error));
   }
   if (!m_pending.empty()) {
-    Schedule(isApplied ? absl::ZeroDuration() : kRetryDelay);
+    Schedule(isApplied || hasNewRevision ? absl::ZeroDuration() : kRetryDelay);
   }
 }
 
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -23,6 +23,12 @@
 
 using nlohmann::json;
 
+/** Factor on the load of long-running tasks: what they leave of a machine is
+ * too small for many tasks. */
+constexpr double kPermanentLoadFactor = 1.2;
+/** Least share of a shard's machines that counts as its capacity. */
+constexpr double kLeastCapacityShare = 0.05;
+
 }
 
 Scheduler::Scheduler(Environment aEnvironment,
@@ -128,14 +134,7 @@
           continue;
         }
         for (const auto& [id, row] : body.items()) {
-          m_unresolvedWorkers.insert(id);
-          Worker& worker = m_workers[id];
-          if (worker.m_report.m_address.empty()) {
-            worker.m_report.m_id = id;
-            worker.m_report.m_address = row.at(0).get<std::string>();
-            worker.m_report.m_machine = row.at(1).get<std::string>();
-            worker.m_report.m_startTimeMs = row.at(2).get<std::int64_t>();
-          }
+          AddLeasedWorker(id, row);
         }
       }
       m_hasLeasedWorkers = true;
@@ -143,6 +142,29 @@
     });
 }
 
+void
+Scheduler::AddLeasedWorker(const std::string& aId, const json& aRow)
+{
+  // Even if its row is malformed, the worker may hold leases until they expire.
+  m_unresolvedWorkers.insert(aId);
+  Worker& worker = m_workers[aId];
+  if (!worker.m_report.m_address.empty()) {
+    return;
+  }
+  worker.m_report.m_id = aId;
+  try {
+    worker.m_report.m_address = aRow.at(0).get<std::string>();
+    worker.m_report.m_machine = aRow.at(1).get<std::string>();
+    worker.m_report.m_startTimeMs = aRow.at(2).get<std::int64_t>();
+  } catch (const json::exception& error) {
+    LogError(LogPart::Owner,
+             absl::StrCat("cannot decode a leased worker; worker=",
+                          aId,
+                          " error=",
+                          error.what()));
+  }
+}
+
 void
 Scheduler::BeginWhenLoaded()
 {
@@ -206,7 +228,7 @@
     Renew(worker);
   }
   Tick();
-  PublishPending();
+  PublishStatus();
   RequestPlacement();
 }
 
@@ -386,20 +408,39 @@
 }
 
 void
-Scheduler::PublishPending()
+Scheduler::MeasureLoad(ShardStatus& aStatus) const
 {
-  std::map<std::string, std::int64_t> counts;
+  double permanent = 0;
+  int listed = 0;
+  for (const auto& [id, worker] : m_workers) {
+    listed += worker.m_isListed ? 1 : 0;
+    for (const Task* task : worker.m_tasks) {
+      const StepSpec& spec = task->m_job->Spec(*task);
+      (spec.m_isLongRunning ? permanent : aStatus.m_load) +=
+        LoadOf(OccupiedBy(spec));
+    }
+  }
+  for (const auto& [pool, demand] : m_poolDemands) {
+    aStatus.m_load += demand.m_waitingLoad + demand.m_lateWaitingLoad;
+  }
+  const double machines = m_machineCount.value_or(listed);
+  aStatus.m_capacity = std::max(kLeastCapacityShare * machines,
+                                machines - kPermanentLoadFactor * permanent);
+}
+
+void
+Scheduler::PublishStatus()
+{
+  ShardStatus status;
   for (const auto& [id, active] : m_active) {
     if (!active.m_job->HasStarted()) {
-      ++counts[active.m_job->Record().m_queue];
+      ++status.m_pending[active.m_job->Record().m_queue];
     }
   }
-  std::string text = json(counts).dump();
-  if (text != m_pendingText) {
-    m_pendingText = text;
-    m_writer.Put(m_keys.Pending(), std::move(text));
-  }
-  After(kPendingInterval, [this] { PublishPending(); });
+  MeasureLoad(status);
+  status.m_sequence = ++m_statusSequence;
+  m_writer.Put(m_keys.Status(), EncodeShardStatus(status));
+  After(kStatusInterval, [this] { PublishStatus(); });
 }
 
 }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -11,14 +11,17 @@
 #include "scheduler/ownership.h"
 #include "scheduler/progress_writer.h"
 #include "scheduler/scheduler_settings.h"
+#include "scheduler/shard_status.h"
 #include "store/store_mirror.h"
 
 #include <absl/time/time.h>
+#include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -118,6 +121,10 @@
     m_shortPools = std::move(aPools);
   }
 
+  /** Sets the number of the shard's machines that can run tasks, including
+   * those that are off or on their way to another pool. */
+  void SetMachineCount(int aCount) { m_machineCount = aCount; }
+
   /** ProgressWriter for the owner's documents other than the jobs'. */
   void SetRevision(const std::string& aKey, std::int64_t aRevision)
   {
@@ -154,6 +161,8 @@
   // Takeover.
   void ReadProgress(const std::string& aAfter);
   void ReadLeasedWorkers();
+  /** Adds a worker from the stored list: [address, machine, start time]. */
+  void AddLeasedWorker(const std::string& aId, const nlohmann::json& aRow);
   void BeginWhenLoaded();
   void Begin();
   void ResolveEarlierLease(const std::string& aWorkerId);
@@ -178,7 +187,9 @@
   ActiveJob MakeActive(Job& aJob) const;
   void FinishJob(Job& aJob);
   Task* FindTask(const std::string& aName);
-  void PublishPending();
+  void PublishStatus();
+  /** Adds the capacity of the shard and the load of its jobs that end. */
+  void MeasureLoad(ShardStatus& aStatus) const;
 
   // Placement.
   void RequestPlacement();
@@ -233,6 +244,10 @@
   void SendStop(const std::string& aName,
                 std::int64_t aAttempt,
                 const std::string& aWorkerId);
+  /** Repeats a stop of a task that is still to be stopped, after a delay. */
+  void RetryStop(const std::string& aName,
+                 std::int64_t aAttempt,
+                 const std::string& aWorkerId);
   void OnStopped(const std::string& aName,
                  std::int64_t aAttempt,
                  const std::string& aWorkerId,
@@ -321,7 +336,9 @@
   /** ProgressWriter::IsBehind at the last placement. */
   bool m_isStoreBehind = false;
   absl::Time m_beganAt;
-  std::string m_pendingText;
+  std::int64_t m_statusSequence = 0;
+  /** Machines of the shard that can run tasks; unset until they are listed. */
+  std::optional<int> m_machineCount;
   std::map<std::string, PoolDemand> m_poolDemands;
   std::set<std::string> m_shortPools;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -24,7 +24,8 @@
  */
 inline constexpr std::int64_t kLateFactor = 3;
 inline constexpr absl::Duration kTickInterval = absl::Milliseconds(200);
-inline constexpr absl::Duration kPendingInterval = absl::Milliseconds(800);
+/** Interval at which an owner publishes the status of its shard. */
+inline constexpr absl::Duration kStatusInterval = absl::Milliseconds(800);
 /**
  * A worker holds its response to a renewal until a task ends, or for this time
  * at most.
--- /dev/null
+++ b/scheduler/shard_status.cpp
@@ -0,0 +1,37 @@
+#include "scheduler/shard_status.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bramleystall {
+
+using nlohmann::json;
+
+std::string
+EncodeShardStatus(const ShardStatus& aStatus)
+{
+  return json{
+    { "pending", aStatus.m_pending },
+    { "capacity", aStatus.m_capacity },
+    { "load", aStatus.m_load },
+    { "sequence", aStatus.m_sequence }
+  }.dump();
+}
+
+std::optional<ShardStatus>
+DecodeShardStatus(const std::string& aJson)
+{
+  try {
+    const json body = json::parse(aJson);
+    return ShardStatus{
+      .m_pending =
+        body.at("pending").get<std::map<std::string, std::int64_t>>(),
+      .m_capacity = body.at("capacity").get<double>(),
+      .m_load = body.at("load").get<double>(),
+      .m_sequence = body.at("sequence").get<std::int64_t>()
+    };
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}
--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/json_fields.h"
 #include "core/log.h"
 #include "core/metrics.h"
 #include "jobs/job_codec.h"
@@ -37,6 +38,8 @@
 constexpr std::size_t kMaxEntriesPerJob = 3;
 /** Concurrent commits; jobs that arrive meanwhile share the next commit. */
 constexpr int kMaxOpenCommits = 2;
+/** Age of the views of the shards at which a submission refreshes them. */
+constexpr absl::Duration kViewMaxAge = absl::Milliseconds(800);
 /** Time for which read counts are reused. A count in a response may be at most
  * 2 s old, and the scheduler writes the counts every 0.8 s. */
 constexpr absl::Duration kPendingMaxAge = absl::Milliseconds(400);
@@ -66,6 +69,7 @@
   , m_codec(std::move(aCodec))
   , m_configuration(std::move(aConfiguration))
   , m_layout(std::move(aLayout))
+  , m_shardStatus(aLoop, aStore)
 {
 }
 
@@ -160,8 +164,8 @@
         return aStep.m_isLongRunning;
       });
     record.m_entryShard = m_layout()->OfJob(aId);
-    const int shard =
-      isLongRunning ? m_layout()->OfPool(aQueue.m_pool) : record.m_entryShard;
+    const int shard = isLongRunning ? m_layout()->OfPool(aQueue.m_pool)
+                                    : ChooseShardOf(aId, record.m_entryShard);
     m_submissions.push_back(
       { aId, EncodeJobRecord(record), shard, EntryKey(aId), aRespond });
   } catch (const Error& error) {
@@ -175,6 +179,17 @@
   FlushSubmissions();
 }
 
+int
+JobRequestHandler::ChooseShardOf(const std::string& aId, int aFallback)
+{
+  if (m_layout()->Count() == 1) {
+    return aFallback;
+  }
+  // The choice uses the last views, so that no submission waits for a read.
+  m_shardStatus.Refresh(kViewMaxAge, [](bool) {});
+  return ChooseShard(m_shardStatus.Views(), aId, aFallback);
+}
+
 void
 JobRequestHandler::FlushSubmissions()
 {
@@ -333,7 +348,7 @@
       }
       const json body =
         json::parse(aResult.m_items.front().m_value, nullptr, false);
-      const std::string state = body.is_object() ? body.value("state", "") : "";
+      const std::string state = StringField(body, "state");
       if (state.empty()) {
         LogError(
           LogPart::Server,
@@ -437,44 +452,15 @@
   const std::string& aQueue,
   const HttpListener::Responder& aRespond)
 {
-  const auto respond = [this, aQueue, aRespond] {
-    const auto found = m_pending.find(aQueue);
-    const std::int64_t count = found == m_pending.end() ? 0 : found->second;
-    aRespond({ .m_status = kOk, .m_body = m_codec.m_encodePending(count) });
-  };
-  if (m_loop.Now() < m_pendingReadAt + kPendingMaxAge) {
-    respond();
-    return;
-  }
-  // There is one key per shard, so a single page holds all of them.
-  m_store.List(
-    keys::kPendingPrefix,
-    "",
-    [this, respond, aRespond, alive = m_alive](const ReadResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      if (aResult.m_status != ReadStatus::Ok) {
-        Refuse("", "store_unavailable", kUnavailable, aRespond);
-        return;
-      }
-      m_pending.clear();
-      for (const StoreItem& item : aResult.m_items) {
-        const json counts = json::parse(item.m_value, nullptr, false);
-        if (!counts.is_object()) {
-          LogError(
-            LogPart::Server,
-            absl::StrCat("cannot parse the pending counts in the store under ",
-                         item.m_key));
-          continue;
-        }
-        for (const auto& [queue, count] : counts.items()) {
-          m_pending[queue] += count.get<std::int64_t>();
-        }
-      }
-      m_pendingReadAt = m_loop.Now();
-      respond();
-    });
+  m_shardStatus.Refresh(kPendingMaxAge, [this, aQueue, aRespond](bool aIsRead) {
+    if (!aIsRead) {
+      Refuse("", "store_unavailable", kUnavailable, aRespond);
+      return;
+    }
+    aRespond(
+      { .m_status = kOk,
+        .m_body = m_codec.m_encodePending(m_shardStatus.PendingIn(aQueue)) });
+  });
 }
 
 }
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -5,6 +5,7 @@
 #include "jobs/job_record.h"
 #include "net/http_listener.h"
 #include "scheduler/job_keys.h"
+#include "scheduler/shard_status_reader.h"
 #include "store/key_value_store.h"
 
 #include <absl/time/time.h>
@@ -12,7 +13,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -76,6 +76,8 @@
               const std::string& aId,
               const std::string& aBody,
               const HttpListener::Responder& aRespond);
+  /** Chooses the shard of a job whose tasks end. */
+  int ChooseShardOf(const std::string& aId, int aFallback);
   void FlushSubmissions();
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
   void ReadBack(const Submission& aSubmission);
@@ -117,8 +119,7 @@
   LayoutSource m_layout;
   std::deque<Submission> m_submissions;
   int m_openCommits = 0;
-  std::map<std::string, std::int64_t> m_pending;
-  absl::Time m_pendingReadAt = absl::InfinitePast();
+  ShardStatusReader m_shardStatus;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/tests/scheduler/test_progress_writer.cpp
+++ b/tests/scheduler/test_progress_writer.cpp
@@ -77,6 +77,44 @@
   REQUIRE(m_store.Value("doc") == "new");
 }
 
+// Guards against a delay of all documents of a transaction when one of them was
+// written by the previous owner.
+TEST_CASE_METHOD(WriterFixture,
+                 "A document with an unknown revision is stored at once",
+                 "[progress]")
+{
+  m_store.Set("status", "of the previous owner");
+  m_writer->Put("status", "new");
+  m_writer->Put("doc", "text");
+  m_loop.AdvanceBy(absl::Milliseconds(60));
+  REQUIRE(m_store.Value("status") == "new");
+  REQUIRE(m_store.Value("doc") == "text");
+}
+
+// Guards against a document that is written again after it was replaced, and
+// against a replacement that is lost with the response of an earlier write.
+TEST_CASE_METHOD(WriterFixture,
+                 "A document is replaced although a response is lost",
+                 "[progress]")
+{
+  m_writer->Put("doc", "first");
+  m_loop.AdvanceBy(absl::Milliseconds(50));
+  m_client.m_lostCommitResponses = 2;
+  m_writer->Put("doc", "second");
+  m_loop.AdvanceBy(absl::Milliseconds(30));
+  m_store.Set("record", "text");
+  m_writer->Replace(
+    "doc",
+    { .m_put = StorePut{ "entry", "final" }, .m_removals = { "record" } });
+  bool isStored = false;
+  m_writer->AfterStored([&isStored] { isStored = true; });
+  m_loop.AdvanceBy(absl::Seconds(5));
+  REQUIRE(isStored);
+  REQUIRE_FALSE(m_store.Has("doc"));
+  REQUIRE_FALSE(m_store.Has("record"));
+  REQUIRE(m_store.Value("entry") == "final");
+}
+
 // Guards against a previous owner that overwrites the progress of a later one.
 TEST_CASE_METHOD(WriterFixture,
                  "Nothing is written once the owner key has changed",
--- a/tests/server/test_job_request_handler.cpp
+++ b/tests/server/test_job_request_handler.cpp
@@ -132,6 +132,27 @@
   REQUIRE(Send("GET", "/q/" + kId).m_body == R"({"state":"completed"})");
 }
 
+// Guards against a malformed stored document that ends the process or is shown
+// as a state.
+TEST_CASE_METHOD(JobRequestFixture,
+                 "An unreadable document of a job is refused",
+                 "[front]")
+{
+  REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
+  for (const char* progress : { "", "[]", R"({"state":5})", "\xff" }) {
+    m_store.Set(kKeys.Progress(kId), progress);
+    REQUIRE(Send("GET", "/q/" + kId).m_status == 503);
+  }
+  for (const char* entry :
+       { "", "[]", R"({"shard":"x"})", R"({"shard":0,"state":"odd"})" }) {
+    m_store.Set(kKeys.Entry(kId), entry);
+    REQUIRE(Send("GET", "/q/" + kId).m_status == 503);
+    REQUIRE(Send("DELETE", "/q/" + kId).m_status == 503);
+  }
+  m_store.Set(kKeys.Status(), R"({"pending":{"quotes":"many"}})");
+  REQUIRE(Send("GET", "/q/").m_body == R"({"pending":0})");
+}
+
 // Guards against an invalid request that is accepted or gets the status of
 // another error.
 TEST_CASE_METHOD(JobRequestFixture,
@@ -196,8 +217,11 @@
                  "[front]")
 {
   REQUIRE(Send("GET", "/q/").m_body == R"({"pending":0})");
-  m_store.Set(kKeys.Pending(), R"({"quotes":12})");
-  m_store.Set(keys::ShardKeys(1).Pending(), R"({"quotes":3,"other":1})");
+  m_store.Set(kKeys.Status(),
+              EncodeShardStatus({ .m_pending = { { "quotes", 12 } } }));
+  m_store.Set(
+    keys::ShardKeys(1).Status(),
+    EncodeShardStatus({ .m_pending = { { "quotes", 3 }, { "other", 1 } } }));
   m_loop.AdvanceBy(absl::Seconds(1));
   REQUIRE(Send("GET", "/q/").m_body == R"({"pending":15})");
 }
