Keep the process up at malformed documents and send each stop

Cause, from reading: a field of another type in the owner's keys, the leased workers, the recent machine orders, the progress of waves and jobs, or in a lease or worker response threw outside any handler and ended the process; so did a submission with a huge number of repeats. A status outside the protocol counted as 'not carried out', so a task that had run could run again. A stop that came while orders were not allowed was dropped, which left its task stopping for ever, and so was the retry of a maintenance order without a response; that retry also read the controller after its end.

Change: such fields are read without exceptions, submissions have limits, other statuses leave the outcome unknown, stops and maintenance orders are repeated, and a stop that meets a later fencing token ends the ownership. Exceptions that remain still end the process: the next owner rebuilds the state, while this one might go on without one of its timers.

--- a/scheduler/fleet_controller_waves.cpp
+++ b/scheduler/fleet_controller_waves.cpp
@@ -65,16 +65,19 @@
   if (!m_hasWaveProgress) {
     m_env.m_scheduler.SetRevision(aItem.m_key, aItem.m_revision);
   }
-  const json body = json::parse(aItem.m_value, nullptr, false);
-  if (!body.is_object() || !body.contains("done")) {
+  try {
+    const json body = json::parse(aItem.m_value);
+    m_waveProgress[aItem.m_key] = {
+      .m_handled = body.at("done").get<std::set<std::string>>(),
+      .m_isCompleted = body.value("completed", false)
+    };
+  } catch (const json::exception& error) {
     LogError(LogPart::Fleet,
-             absl::StrCat("cannot decode the wave progress; ignoring key ",
-                          aItem.m_key));
-    return;
+             absl::StrCat("cannot decode the wave progress, ignoring it; key=",
+                          aItem.m_key,
+                          " error=",
+                          error.what()));
   }
-  WaveProgress& progress = m_waveProgress[aItem.m_key];
-  progress.m_handled = body["done"].get<std::set<std::string>>();
-  progress.m_isCompleted = body.value("completed", false);
 }
 
 void
@@ -287,14 +290,7 @@
   if (aOutcome == MachineOutcome::Unknown) {
     // The order may still be carried out. Repeating the call gives the outcome,
     // since it is accepted when the maintenance is already done.
-    m_env.m_loop.After(
-      kRefusedOrderRetryDelay, [this, aMachine, alive = m_alive] {
-        const auto open = *alive ? m_orders.find(aMachine) : m_orders.end();
-        if (!*alive || open == m_orders.end() || !MayOrder()) {
-          return;
-        }
-        SendMaintenance(aMachine);
-      });
+    RetryMaintenance(aMachine);
     return;
   }
   if (aOutcome == MachineOutcome::NotInWave ||
@@ -305,6 +301,22 @@
   m_orders.erase(found);
 }
 
+void
+FleetController::RetryMaintenance(const std::string& aMachine)
+{
+  m_env.m_loop.After(kRefusedOrderRetryDelay,
+                     [this, aMachine, alive = m_alive] {
+                       if (!*alive || !m_orders.contains(aMachine)) {
+                         return;
+                       }
+                       if (MayOrder()) {
+                         SendMaintenance(aMachine);
+                       } else {
+                         RetryMaintenance(aMachine);
+                       }
+                     });
+}
+
 void
 FleetController::MarkHandled(const std::string& aMachine, std::int64_t aWave)
 {
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/ownership.h"
 
 #include "core/error.h"
+#include "core/json_fields.h"
 #include "core/log.h"
 #include "core/uuid7.h"
 #include "net/event_loop.h"
@@ -129,13 +130,13 @@
   const json value = json::parse(aItem.m_value, nullptr, false);
   if (aItem.m_key == m_termKey) {
     m_termRevision = aItem.m_isRemoved ? 0 : aItem.m_revision;
-    m_term = value.is_object() ? value.value("term", std::int64_t{ 0 }) : 0;
+    m_term = IntegerField(value, "term");
     return;
   }
   m_ownerRevision = aItem.m_isRemoved ? 0 : aItem.m_revision;
-  m_ownerDaemon = value.is_object() ? value.value("daemon", "") : "";
-  m_ownerToken = value.is_object() ? value.value("token", "") : "";
-  m_ownerTerm = value.is_object() ? value.value("term", std::int64_t{ 0 }) : 0;
+  m_ownerDaemon = StringField(value, "daemon");
+  m_ownerToken = StringField(value, "token");
+  m_ownerTerm = IntegerField(value, "term");
   const bool isOurs = !m_token.empty() && m_ownerToken == m_token;
   if (IsInState("confirming") && isOurs) {
     ApplyEvent("key_confirmed");
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -204,7 +204,11 @@
                     const std::string& aWorkerId)
 {
   Worker* worker = FindWorker(aWorkerId);
-  if (worker == nullptr || !m_env.m_mayOrder()) {
+  if (worker == nullptr) {
+    return;
+  }
+  if (!m_env.m_mayOrder()) {
+    RetryStop(aName, aAttempt, aWorkerId);
     return;
   }
   m_env.m_workers.Stop(AddressOf(*worker),
@@ -232,6 +236,10 @@
                      task->m_phase != TaskPhase::Unresolved)) {
     return;
   }
+  if (aResult.m_outcome == OrderOutcome::StaleFencingToken) {
+    m_env.m_onSuperseded();
+    return;
+  }
   Worker* worker = FindWorker(aWorkerId);
   if (aResult.m_outcome == OrderOutcome::Accepted) {
     // The worker lists the end of a running task within the stop time. If the
@@ -251,6 +259,14 @@
         absl::StrCat(
           "stop_",
           std::string(NameOf(kOrderOutcomeNames, aResult.m_outcome))) } });
+  RetryStop(aName, aAttempt, aWorkerId);
+}
+
+void
+Scheduler::RetryStop(const std::string& aName,
+                     std::int64_t aAttempt,
+                     const std::string& aWorkerId)
+{
   After(kStopRetryDelay, [this, aName, aAttempt, aWorkerId] {
     const Task* stopping = FindTask(aName);
     if (stopping != nullptr && stopping->m_worker == aWorkerId &&
--- a/tests/fakes/fake_machines.cpp
+++ b/tests/fakes/fake_machines.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr absl::Duration kLatency = absl::Milliseconds(3);
+constexpr absl::Duration kResponseTimeout = absl::Seconds(1);
 constexpr absl::Duration kOrderTime = absl::Milliseconds(1500);
 
 }
@@ -72,6 +73,12 @@
         machine.m_state = MachineState::Up;
         machine.m_pool = aPool.empty() ? machine.m_pool : aPool;
       });
+      if (m_lostResponses > 0) {
+        --m_lostResponses;
+        m_loop.After(kResponseTimeout,
+                     [aCallback] { aCallback(MachineOutcome::Unknown); });
+        return;
+      }
       aCallback(MachineOutcome::Accepted);
     });
 }
--- a/tests/fakes/fake_machines.h
+++ b/tests/fakes/fake_machines.h
@@ -37,6 +37,9 @@
   {
   }
 
+  /** Number of coming orders that are accepted, but whose response is lost. */
+  int m_lostResponses = 0;
+
   void Add(const MachineEntry& aEntry) { m_entries[aEntry.m_name] = aEntry; }
   void SetOnOrder(OrderHook aHook) { m_onOrder = std::move(aHook); }
   const std::vector<Order>& Orders() const { return m_orders; }
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -31,7 +31,8 @@
           .m_configuration = [this]() -> const JobConfiguration& {
             return m_cluster.m_configuration;
           },
-          .m_mayOrder = [this] { return m_ownership->MayOrder(); },
+          .m_mayOrder =
+            [this] { return m_mayOrder && m_ownership->MayOrder(); },
           .m_holdsLease = [this] { return m_ownership->HoldsLease(); },
           .m_onSuperseded = [this] { m_ownership->StepDown(); } },
         SchedulerSettings{},
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -30,6 +30,8 @@
     JobCluster& m_cluster;
     FakeStoreClient m_store;
     FakeWorkerClient m_workers;
+    /** False to act as if the time for orders had run out. */
+    bool m_mayOrder = true;
     std::unique_ptr<Scheduler> m_scheduler;
     std::unique_ptr<Ownership> m_ownership;
     std::unique_ptr<StoreMirror> m_ownershipMirror;
--- a/tests/fakes/slow_server.cpp
+++ b/tests/fakes/slow_server.cpp
@@ -65,8 +65,11 @@
   const int connection = accept(m_listener, nullptr, nullptr);
   std::array<char, 4096> request{};
   recv(connection, request.data(), request.size(), 0);
-  const std::string head = absl::StrCat(
-    "HTTP/1.1 200 OK\r\nContent-Length: ", m_plan.m_body.size(), "\r\n\r\n");
+  const std::string head = absl::StrCat("HTTP/1.1 ",
+                                        m_plan.m_status,
+                                        " Status\r\nContent-Length: ",
+                                        m_plan.m_body.size(),
+                                        "\r\n\r\n");
   send(connection, head.data(), head.size(), MSG_NOSIGNAL);
   const std::size_t size =
     m_plan.m_body.size() / static_cast<std::size_t>(m_plan.m_pieces) + 1;
--- a/tests/fakes/slow_server.h
+++ b/tests/fakes/slow_server.h
@@ -8,13 +8,14 @@
 
 namespace bramleystall {
 
-/** HTTP server on the loopback that sends one response body in pieces. */
+/** HTTP server on the loopback that sends one response, its body in pieces. */
 class SlowServer
 {
 public:
   struct Plan
   {
     std::string m_body;
+    int m_status = 200;
     int m_pieces = 1;
     /** Time between two pieces. */
     absl::Duration m_pause;
--- a/tests/platform/test_wire_codec.cpp
+++ b/tests/platform/test_wire_codec.cpp
@@ -91,6 +91,11 @@
     R"({"spec":"x","phases":[{"count":0}]})",
     R"({"spec":"x","phases":[{"count":1,"after":[0]}]})",
     R"({"spec":"x","phases":[{"count":"four"}]})",
+    R"({"spec":"x","phases":[{"count":1,"cpu":-1}]})",
+    R"({"spec":"x","phases":[{"count":1,"estimate_ms":-5}]})",
+    R"({"spec":"x","phases":[{"count":1,"anti_affinity":-2}]})",
+    R"({"spec":"x","phases":[{"count":1}],"repeats":-1})",
+    R"({"spec":"x","phases":[{"count":900}],"repeats":2000000000})",
   };
   for (const std::string& body : bad) {
     INFO(body);
--- /dev/null
+++ b/tests/platform/test_worker_client.cpp
@@ -0,0 +1,63 @@
+#include "net/event_loop.h"
+#include "net/http_fetcher.h"
+#include "platform/worker_client.h"
+#include "tests/fakes/slow_server.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace bramleystall;
+
+namespace {
+
+OrderResult
+StartOn(const SlowServer::Plan& aPlan)
+{
+  SlowServer server(aPlan);
+  EventLoop loop;
+  HttpFetcher fetcher(loop, 1);
+  WorkerClient client(fetcher, "");
+  std::optional<OrderResult> result;
+  client.Start({ .m_workerId = "w", .m_address = server.Address() },
+               { .m_task = "job.0.0.0", .m_attempt = 1 },
+               [&](const OrderResult& aResult) {
+                 result = aResult;
+                 loop.Stop();
+               });
+  loop.After(absl::Seconds(5), [&loop] { loop.Stop(); });
+  loop.Run();
+  REQUIRE(result);
+  return *result;
+}
+
+}
+
+// Guards against a second run of a task whose worker started it and then failed
+// to answer properly.
+TEST_CASE("A status outside the protocol leaves the outcome unknown",
+          "[worker_client]")
+{
+  for (const int status : { 500, 502, 504 }) {
+    INFO(status);
+    REQUIRE(StartOn({ .m_body = "{}", .m_status = status }).m_outcome ==
+            OrderOutcome::Unknown);
+  }
+  REQUIRE(
+    StartOn({ .m_body = R"({"reason":"room"})", .m_status = 409 }).m_outcome ==
+    OrderOutcome::NoRoom);
+  REQUIRE(StartOn({ .m_status = 503 }).m_outcome == OrderOutcome::Busy);
+}
+
+// Guards against a malformed response that ends the process.
+TEST_CASE("A response with fields of other types is read without them",
+          "[worker_client]")
+{
+  const OrderResult started = StartOn({ .m_body = R"({"clock_ms":"late"})" });
+  REQUIRE(started.m_outcome == OrderOutcome::Accepted);
+  REQUIRE(started.m_workerClockMs == 0);
+  REQUIRE(StartOn({ .m_body = R"({"reason":7})", .m_status = 409 }).m_outcome ==
+          OrderOutcome::Invalid);
+  REQUIRE(StartOn({ .m_body = "[", .m_status = 409 }).m_outcome ==
+          OrderOutcome::Invalid);
+}
--- a/tests/scheduler/test_fleet_controller.cpp
+++ b/tests/scheduler/test_fleet_controller.cpp
@@ -59,7 +59,10 @@
           return m_cluster.m_configuration;
         },
         .m_holdsLease =
-          [this] { return m_cluster.At("one").m_ownership->HoldsLease(); },
+          [this] {
+            return m_holdsLease &&
+                   m_cluster.At("one").m_ownership->HoldsLease();
+          },
         .m_waveStatusKey =
           [](std::int64_t aWave) {
             return absl::StrCat("wave-status/", aWave);
@@ -101,6 +104,8 @@
   FakeMachines m_machines{ m_cluster.m_loop };
   /** One shard, unless a test divides the machines. */
   ShardLayout m_layout;
+  /** False to act as if the store lease had not been renewed. */
+  bool m_holdsLease = true;
   std::unique_ptr<FleetController> m_controller;
 };
 
@@ -234,6 +239,41 @@
   REQUIRE(hasOther);
 }
 
+// Guards against malformed documents that end each new owner in turn.
+TEST_CASE("A wave goes on although stored documents are malformed",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(2);
+  const keys::ShardKeys& keys = fleet.m_cluster.m_keys;
+  fleet.m_cluster.m_store.Set(keys.MachineOrders(), R"([7,"machine-9"])");
+  fleet.m_cluster.m_store.Set(keys.Wave(1), R"({"done":5})");
+  fleet.m_cluster.m_store.Set(keys::ShardKeys(1).Wave(1),
+                              R"({"done":[],"completed":"no"})");
+  fleet.StartController();
+  fleet.m_controller->OnWave(MakeWave(2, 2));
+  fleet.m_cluster.Run(absl::Seconds(12));
+  REQUIRE(fleet.m_machines.Orders().size() >= 2);
+  REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
+}
+
+// Guards against a wave that never completes because the retry of an order
+// without a response came while orders were not allowed.
+TEST_CASE("A maintenance order without a response is repeated until it is "
+          "answered",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(2);
+  fleet.StartController();
+  fleet.m_machines.m_lostResponses = 1;
+  fleet.m_controller->OnWave(MakeWave(2, 1));
+  fleet.m_cluster.Run(absl::Milliseconds(500));
+  fleet.m_holdsLease = false;
+  fleet.m_cluster.Run(absl::Seconds(3));
+  fleet.m_holdsLease = true;
+  fleet.m_cluster.Run(absl::Seconds(15));
+  REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
+}
+
 // Guards against orders that are unknown to the next owner.
 TEST_CASE("An order is sent only after the store has it", "[fleet_keeper]")
 {
--- a/tests/scheduler/test_takeover.cpp
+++ b/tests/scheduler/test_takeover.cpp
@@ -103,6 +103,55 @@
   REQUIRE(cluster.State("job1") == "cancelled");
 }
 
+// Guards against a task that stays stopping for ever because its stop came
+// while the owner might not send orders.
+TEST_CASE("A stop is sent once orders are allowed again", "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_isLongRunning = true });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  JobRecord record = JobCluster::MakeJob("job1", 1, 1);
+  record.m_steps.front().m_isLongRunning = true;
+  cluster.Submit(record);
+  cluster.Run(absl::Seconds(1));
+  const std::string first = cluster.m_workers.RunningOn("job1.0.0.0").front();
+  JobCluster::Daemon& owner = cluster.At("one");
+  owner.m_mayOrder = false;
+  owner.m_scheduler->EvacuateLongRunning(
+    *owner.m_scheduler->WorkerOnMachine(cluster.m_reports.at(first).m_machine));
+  cluster.Run(absl::Milliseconds(500));
+  owner.m_mayOrder = true;
+  cluster.Run(absl::Seconds(3));
+  REQUIRE(cluster.m_workers.StartCount("job1.0.0.0") == 2);
+  REQUIRE(cluster.m_workers.RunningOn("job1.0.0.0").size() == 1);
+}
+
+// Guards against a malformed document that ends each new owner in turn.
+TEST_CASE("An owner takes over although documents are malformed", "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  const keys::ShardKeys& keys = cluster.m_keys;
+  cluster.m_store.Set(keys.Term(), R"({"term":"first"})");
+  cluster.m_store.Set(keys.LeasedWorkers(),
+                      R"({"worker-0":["10.0.0.0:80",5],"worker-9":7})");
+  cluster.m_store.Set(keys.Status(), "[");
+  cluster.m_store.Set(keys.Job("bad1"), R"({"queue":7})");
+  cluster.m_store.Set(keys.Job("bad2"), "\xff");
+  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  cluster.m_store.Set(keys.Progress("job1"), R"({"tasks":{"a":1}})");
+  cluster.AddDaemon("one");
+  cluster.Run(absl::Seconds(2));
+  REQUIRE(cluster.Owner() == "one");
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.Violations().empty());
+  cluster.m_store.Set(keys.Owner(), R"({"daemon":1,"token":[],"term":{}})");
+  cluster.Run(absl::Seconds(1));
+  REQUIRE(cluster.Owner().empty());
+}
+
 // Guards against entries that are removed before callers may no longer ask for
 // them, and against entries that stay for ever.
 TEST_CASE("Entries of ended jobs are removed after the retention time",
