Let late jobs use the room beside long-running tasks

Cause: while a pool was short, late jobs of the other pools started nothing, also on machines that cannot leave their pool because long-running tasks hold them. Accepted jobs so waited while there was room for them. Change: withheld jobs may start on workers with long-running tasks.

--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -43,6 +43,14 @@
   return need;
 }
 
+bool
+HasLongRunning(const Worker& aWorker)
+{
+  return std::ranges::any_of(aWorker.m_tasks, [](const Task* aTask) {
+    return aTask->m_job->Spec(*aTask).m_isLongRunning;
+  });
+}
+
 Placement::Placement(std::vector<Worker*> aWorkers, absl::Time aNow)
   : m_workers(std::move(aWorkers))
   , m_now(aNow)
--- a/jobs/placement.h
+++ b/jobs/placement.h
@@ -10,6 +10,10 @@
 
 namespace bramleystall {
 
+/** True while a long-running task runs or may run on the worker. */
+bool
+HasLongRunning(const Worker& aWorker);
+
 /** Resources that a task reserves on a worker; a filler reserves no CPU. */
 Resources
 OccupiedBy(const StepSpec& aSpec);
--- a/scheduler/fleet_controller_waves.cpp
+++ b/scheduler/fleet_controller_waves.cpp
@@ -5,7 +5,7 @@
 
 #include "core/log.h"
 #include "core/metrics.h"
-#include "jobs/job.h"
+#include "jobs/placement.h"
 #include "net/event_loop.h"
 #include "scheduler/scheduler.h"
 #include "scheduler/shard_layout.h"
@@ -31,14 +31,6 @@
  * same time. */
 constexpr double kEvacuatedShare = 0.15;
 
-bool
-HasLongRunning(const Worker& aWorker)
-{
-  return std::ranges::any_of(aWorker.m_tasks, [](const Task* aTask) {
-    return aTask->m_job->Spec(*aTask).m_isLongRunning;
-  });
-}
-
 }
 
 void
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -209,6 +209,11 @@
     Overdue,
   };
   Tier TierOf(const ActiveJob& aActive) const;
+  /**
+   * Whether jobs of a tier give way to other pools that are short. They then
+   * start only on workers with long-running tasks, which stay in their pool
+   * anyway.
+   */
   bool IsWithheld(const std::string& aPool, Tier aTier) const;
   void AddWaitingDemand(const std::string& aPool,
                         Job& aJob,
@@ -222,6 +227,7 @@
   void PlaceStep(const ActiveJob& aActive,
                  int aOccurrence,
                  int aStep,
+                 bool aIsWithheld,
                  Placement& aPlacement);
   const std::string& PoolOf(const Job& aJob) const;
   bool IsDue(const Job& aJob, int aOccurrence) const;
--- /dev/null
+++ b/scheduler/scheduler_leases.cpp
@@ -0,0 +1,383 @@
+// The part of the scheduler that renews the leases of the workers and applies
+// the task lists that they return. See scheduler.h.
+
+#include "scheduler/scheduler.h"
+
+#include "core/log.h"
+#include "core/metrics.h"
+#include "jobs/placement.h"
+#include "net/event_loop.h"
+#include "scheduler/scheduling_limits.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleystall {
+
+std::int64_t
+Scheduler::NextLeaseExpiryMs(Worker& aWorker)
+{
+  const absl::Duration lease =
+    std::min(kWorkerLease, m_settings.m_maxWorkerLease);
+  const absl::Duration age = m_env.m_loop.ReadClock() - aWorker.m_clockReadAt;
+  aWorker.m_leaseExpiry = std::max(
+    aWorker.m_leaseExpiry,
+    aWorker.m_clockReadAt + PadForClockDrift(age + lease) + kLeaseMargin);
+  return aWorker.m_clockMs + absl::ToInt64Milliseconds(age + lease);
+}
+
+void
+Scheduler::EnsureRenewal(Worker& aWorker)
+{
+  if (!aWorker.m_isRenewing) {
+    ScheduleRenewal(aWorker, kRenewalDelay);
+  }
+}
+
+void
+Scheduler::ScheduleRenewal(Worker& aWorker, absl::Duration aDelay)
+{
+  const int number = ++aWorker.m_renewalNumber;
+  After(aDelay, [this, number, id = aWorker.m_report.m_id] {
+    Worker* worker = FindWorker(id);
+    if (worker != nullptr && worker->m_renewalNumber == number) {
+      Renew(*worker);
+    }
+  });
+}
+
+void
+Scheduler::Renew(Worker& aWorker)
+{
+  if (aWorker.m_isRenewing) {
+    return;
+  }
+  if (!m_env.m_mayOrder()) {
+    ScheduleRenewal(aWorker, kRenewalRetryDelay);
+    return;
+  }
+  aWorker.m_isRenewing = true;
+  LeaseOrder order;
+  order.m_fencingToken = m_grant.m_fencingToken;
+  // A restarted worker numbers its task ends from the start, so it may drop
+  // recorded ones only while its incarnation is known.
+  const bool isIncarnationKnown =
+    aWorker.m_unansweredRenewals == 0 &&
+    m_env.m_loop.Now() < aWorker.m_renewedAt + kIncarnationKnownTime;
+  order.m_lastRecordedEnd = isIncarnationKnown ? aWorker.m_recordedEnd : 0;
+  // An unresponsive worker may still receive the renewal, so its lease is left
+  // to expire. The clock of one that has not responded yet is unknown.
+  const bool mayExtend = aWorker.m_unansweredRenewals == 0 &&
+                         aWorker.m_clockReadAt != absl::InfinitePast() &&
+                         !aWorker.m_tasks.empty();
+  if (mayExtend) {
+    order.m_leaseExpiryMs = NextLeaseExpiryMs(aWorker);
+    if (aWorker.m_appliedEnd == aWorker.m_recordedEnd) {
+      order.m_wait = kRenewalLongPollTime;
+    }
+  }
+  m_env.m_metrics.Count("bramleystall_worker_looks_total");
+  m_env.m_workers.RenewLease(
+    AddressOf(aWorker),
+    order,
+    [this,
+     id = aWorker.m_report.m_id,
+     sentAt = m_env.m_loop.Now(),
+     alive = m_alive](const LeaseOrderResult& aResult) {
+      if (*alive) {
+        OnRenewed(id, sentAt, aResult);
+      }
+    });
+}
+
+void
+Scheduler::OnRenewed(const std::string& aWorkerId,
+                     absl::Time aSentAt,
+                     const LeaseOrderResult& aResult)
+{
+  Worker* found = FindWorker(aWorkerId);
+  if (found == nullptr) {
+    return;
+  }
+  Worker& worker = *found;
+  worker.m_isRenewing = false;
+  if (aResult.m_outcome != OrderOutcome::Accepted) {
+    if (aResult.m_outcome == OrderOutcome::WrongIncarnation) {
+      // Another worker uses the address, so this one has ended.
+      LogInfo(
+        LogPart::Workers,
+        absl::StrCat("worker replaced by another one at its address; worker=",
+                     aWorkerId,
+                     " tasks=",
+                     worker.m_tasks.size()));
+      OnWorkerEnded(aWorkerId);
+      return;
+    }
+    if (aResult.m_outcome == OrderOutcome::StaleFencingToken) {
+      m_env.m_onSuperseded();
+      return;
+    }
+    ++worker.m_unansweredRenewals;
+    if (worker.m_unansweredRenewals == 1) {
+      const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
+      LogWarning(LogPart::Workers,
+                 absl::StrCat("worker lease not renewed; worker=",
+                              aWorkerId,
+                              " outcome=",
+                              outcome,
+                              " tasks=",
+                              worker.m_tasks.size(),
+                              " error=",
+                              aResult.m_error));
+    }
+    if (worker.m_isListed || !worker.m_tasks.empty() ||
+        m_unresolvedWorkers.contains(aWorkerId)) {
+      ScheduleRenewal(worker, kRenewalRetryDelay);
+    }
+    return;
+  }
+  if (worker.m_unansweredRenewals > 0) {
+    worker.m_unansweredRenewals = 0;
+    RequestPlacement();
+  }
+  const bool isFirstResponse = worker.m_clockReadAt == absl::InfinitePast();
+  if (worker.m_startTimeMs != 0 &&
+      aResult.m_startTimeMs != worker.m_startTimeMs) {
+    StartNewIncarnation(worker, aResult.m_startTimeMs);
+  }
+  worker.m_startTimeMs = aResult.m_startTimeMs;
+  worker.m_clockMs = aResult.m_workerClockMs;
+  // Now() is the start of the loop's iteration and would be too early when
+  // other callbacks have delayed this one.
+  worker.m_clockReadAt = m_env.m_loop.ReadClock();
+  worker.m_renewedAt = m_env.m_loop.Now();
+  const std::int64_t before = worker.m_appliedEnd;
+  for (const TaskEnd& end : aResult.m_ends) {
+    if (end.m_number > worker.m_appliedEnd) {
+      ApplyEnd(worker, end);
+      worker.m_appliedEnd = end.m_number;
+    }
+  }
+  ApplyRunning(worker, aResult, aSentAt);
+  ResolveEarlierLease(aWorkerId);
+  if (isFirstResponse) {
+    RequestPlacement();
+  }
+  if (worker.m_appliedEnd > before) {
+    AfterStored([this,
+                 aWorkerId,
+                 startTimeMs = worker.m_startTimeMs,
+                 number = worker.m_appliedEnd,
+                 alive = m_alive] {
+      Worker* stored = *alive ? FindWorker(aWorkerId) : nullptr;
+      if (stored != nullptr && stored->m_startTimeMs == startTimeMs) {
+        stored->m_recordedEnd = std::max(stored->m_recordedEnd, number);
+        EnsureRenewal(*stored);
+      }
+    });
+  }
+  if (!worker.m_tasks.empty() || worker.m_appliedEnd > worker.m_recordedEnd) {
+    ScheduleRenewal(worker,
+                    worker.m_appliedEnd > worker.m_recordedEnd
+                      ? kRenewalRetryDelay
+                      : kRenewalDelay);
+  }
+}
+
+void
+Scheduler::ApplyRunning(Worker& aWorker,
+                        const LeaseOrderResult& aResult,
+                        absl::Time aSentAt)
+{
+  std::set<const Task*> listed;
+  for (const RunningTask& running : aResult.m_running) {
+    Task* task = FindTask(running.m_task);
+    const bool isWanted = task != nullptr && !task->m_job->IsFinal() &&
+                          task->m_phase != TaskPhase::Done;
+    const bool isHere = task != nullptr &&
+                        task->m_worker == aWorker.m_report.m_id &&
+                        task->m_attempt == running.m_attempt;
+    if (isHere) {
+      listed.insert(task);
+    }
+    if (isWanted && !isHere && task->m_phase == TaskPhase::Waiting &&
+        running.m_attempt >= task->m_attempt) {
+      // Started by a previous owner, or by an order that was carried out late.
+      Assign(*task, aWorker);
+      task->m_attempt = running.m_attempt;
+      task->m_orderedAt = absl::Time();
+      task->m_phase = TaskPhase::Running;
+      task->m_startedAt = aSentAt;
+      task->m_progressAt = m_env.m_loop.Now();
+      task->m_percent = 0;
+      task->m_job->MarkStarted();
+      listed.insert(task);
+    } else if (!isWanted || !isHere) {
+      SendStop(running.m_task, running.m_attempt, aWorker.m_report.m_id);
+      continue;
+    }
+    if (task->m_phase == TaskPhase::Starting) {
+      task->m_phase = TaskPhase::Running;
+      task->m_startedAt = aSentAt;
+      task->m_progressAt = m_env.m_loop.Now();
+      task->m_job->MarkStarted();
+    }
+    if (task->m_phase == TaskPhase::Running) {
+      CheckProgress(aWorker, *task, running);
+    }
+  }
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  for (Task* task : tasks) {
+    if (listed.contains(task) || task->m_isStartUnsent) {
+      continue;
+    }
+    const bool isLost =
+      task->m_phase == TaskPhase::Running && aSentAt > task->m_startedAt;
+    const bool isStopped = aSentAt >= task->m_stopAckedAt &&
+                           (task->m_phase == TaskPhase::Stopping ||
+                            task->m_phase == TaskPhase::Unresolved);
+    if (isLost) {
+      LogWarning(LogPart::Jobs,
+                 absl::StrCat("task no longer runs on its worker; task=",
+                              task->m_job->NameOf(*task),
+                              " worker=",
+                              aWorker.m_report.m_id));
+      m_env.m_metrics.Count("bramleystall_tasks_lost_total",
+                            { { "reason", "not_listed" } });
+    }
+    if (isLost || isStopped || task->m_phase == TaskPhase::Done) {
+      Release(*task);
+    }
+  }
+}
+
+void
+Scheduler::CheckProgress(Worker& aWorker,
+                         Task& aTask,
+                         const RunningTask& aRunning)
+{
+  if (!aRunning.m_checkpoint.empty()) {
+    aTask.m_checkpoint = aRunning.m_checkpoint;
+  }
+  const absl::Time now = m_env.m_loop.Now();
+  const bool hasAdvanced = aRunning.m_percent != aTask.m_percent;
+  aTask.m_percent = aRunning.m_percent;
+  if (hasAdvanced || aTask.m_job->Spec(aTask).m_isLongRunning ||
+      aTask.m_job->Spec(aTask).m_isGang) {
+    aTask.m_progressAt = now;
+    return;
+  }
+  if (now < aTask.m_progressAt + kStallTimeout) {
+    return;
+  }
+  LogWarning(LogPart::Jobs,
+             absl::StrCat("task makes no progress, stopping it; task=",
+                          aTask.m_job->NameOf(aTask),
+                          " worker=",
+                          aWorker.m_report.m_id,
+                          " percent=",
+                          aTask.m_percent));
+  m_env.m_metrics.Count("bramleystall_tasks_lost_total",
+                        { { "reason", "stalled" } });
+  aTask.m_failedOn = aWorker.m_report.m_id;
+  aWorker.m_avoidUntil = now + kSuspectAvoidTime;
+  StopTask(aTask, TaskPhase::Stopping);
+}
+
+void
+Scheduler::ApplyEnd(Worker& aWorker, const TaskEnd& aEnd)
+{
+  const std::string kind(NameOf(kTaskEndKindNames, aEnd.m_kind));
+  m_env.m_metrics.Count("bramleystall_task_ends_total", { { "kind", kind } });
+  Task* task = FindTask(aEnd.m_task);
+  if (task == nullptr) {
+    return;
+  }
+  Job& job = *task->m_job;
+  const bool isHere = task->m_worker == aWorker.m_report.m_id &&
+                      task->m_attempt == aEnd.m_attempt;
+  const bool wasFinal = job.IsFinal();
+  const bool wasStopped = task->m_phase == TaskPhase::Stopping;
+  if (isHere) {
+    // The run time is counted from the order, since a short task may end before
+    // its start is acknowledged. The order time of a task that was found
+    // running on the worker is unknown.
+    if (aEnd.m_kind == TaskEndKind::Done && task->m_checkpoint.empty() &&
+        task->m_orderedAt != absl::Time()) {
+      m_demandEstimator.AddRunTime(job.Record().m_queue,
+                                   m_env.m_loop.Now() - task->m_orderedAt);
+    }
+    Release(*task);
+  }
+  if (wasFinal || task->m_phase == TaskPhase::Done) {
+    return;
+  }
+  if (!aEnd.m_checkpoint.empty() && task->m_phase == TaskPhase::Waiting) {
+    task->m_checkpoint = aEnd.m_checkpoint;
+  }
+  if (aEnd.m_kind == TaskEndKind::Done) {
+    aWorker.m_failuresInARow = 0;
+    if (job.Spec(*task).m_isLongRunning) {
+      return;
+    }
+    if (job.Spec(*task).m_isGang) {
+      // The whole gang is done when one of its members is.
+      for (Task& member : job.Tasks(task->m_occurrence, task->m_step)) {
+        job.MarkDone(member);
+      }
+    } else {
+      job.MarkDone(*task);
+    }
+  } else if (aEnd.m_kind == TaskEndKind::Failed) {
+    task->m_failedOn = aWorker.m_report.m_id;
+    job.MarkFailed(*task, aEnd.m_attempt);
+    RecordTaskFailure(aWorker);
+  }
+  if (aEnd.m_kind != TaskEndKind::Done && !wasStopped) {
+    LogInfo(LogPart::Jobs,
+            absl::StrCat("task ended without completion; task=",
+                         aEnd.m_task,
+                         " attempt=",
+                         aEnd.m_attempt,
+                         " worker=",
+                         aWorker.m_report.m_id,
+                         " kind=",
+                         kind,
+                         " failures=",
+                         task->Failures()));
+  }
+  if (job.IsFinal()) {
+    FinishJob(job);
+  } else if (aEnd.m_kind == TaskEndKind::Done ||
+             aEnd.m_kind == TaskEndKind::Failed || !aEnd.m_checkpoint.empty()) {
+    Store(job);
+  }
+  RequestPlacement();
+}
+
+void
+Scheduler::ReleaseExpired(Worker& aWorker)
+{
+  if (aWorker.m_unansweredRenewals == 0 || aWorker.m_tasks.empty() ||
+      m_env.m_loop.Now() < aWorker.m_leaseExpiry || !m_env.m_holdsLease()) {
+    // Without the store lease nothing is released: the next owner may already
+    // have recorded how the tasks of an unreachable worker ended.
+    return;
+  }
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  LogWarning(LogPart::Workers,
+             absl::StrCat("worker lease expired, releasing its tasks; worker=",
+                          aWorker.m_report.m_id,
+                          " tasks=",
+                          tasks.size()));
+  m_env.m_metrics.Count("bramleystall_tasks_lost_total",
+                        { { "reason", "lease_lapsed" } },
+                        tasks.size());
+  for (Task* task : tasks) {
+    Release(*task);
+  }
+}
+
+}
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -190,9 +190,7 @@
       }
       for (int s = 0; s < steps; ++s) {
         if (!job.IsStepDone(k, s) && job.IsStepReady(k, s)) {
-          if (!isWithheld) {
-            PlaceStep(*rank.m_active, k, s, aPlacement);
-          }
+          PlaceStep(*rank.m_active, k, s, isWithheld, aPlacement);
           AddWaitingDemand(aPool, job, k, s, rank.m_tier);
         }
       }
@@ -263,6 +261,7 @@
 Scheduler::PlaceStep(const ActiveJob& aActive,
                      int aOccurrence,
                      int aStep,
+                     bool aIsWithheld,
                      Placement& aPlacement)
 {
   Job& job = *aActive.m_job;
@@ -283,10 +282,12 @@
   }
   // While the store accepts no writes, the job's tasks can start only on
   // workers that are already stored with it.
-  const WorkerFilter filter = [this, tickets, &job](const Worker& aWorker) {
-    return (tickets == nullptr || tickets->contains(aWorker.m_report.m_id)) &&
-           (!m_isStoreBehind || job.IsWorkerRecorded(aWorker.m_report.m_id));
-  };
+  const WorkerFilter filter =
+    [this, tickets, &job, aIsWithheld](const Worker& aWorker) {
+      return (!aIsWithheld || HasLongRunning(aWorker)) &&
+             (tickets == nullptr || tickets->contains(aWorker.m_report.m_id)) &&
+             (!m_isStoreBehind || job.IsWorkerRecorded(aWorker.m_report.m_id));
+    };
   const auto ticketOf = [tickets](const Worker& aWorker) {
     return tickets == nullptr ? "" : tickets->at(aWorker.m_report.m_id);
   };
--- a/tests/scheduler/test_fleet_controller.cpp
+++ b/tests/scheduler/test_fleet_controller.cpp
@@ -371,6 +371,42 @@
   REQUIRE(fleet.m_cluster.State("late") == "completed");
 }
 
+// Guards against accepted jobs that wait although machines that cannot leave
+// their pool have room for them (LOST on the small twins of lican-gt-large).
+TEST_CASE("Late jobs use the room beside long-running tasks", "[fleet_keeper]")
+{
+  FleetFixture fleet(2);
+  QueueSpec queue = fleet.m_cluster.m_configuration.m_queues.front();
+  queue.m_name = "alarms";
+  queue.m_pool = "alarms";
+  fleet.m_cluster.m_configuration.m_queues.push_back(queue);
+  fleet.m_cluster.m_configuration.m_pools["alarms"] = { .m_name = "alarms" };
+  fleet.m_cluster.m_workers.SetPlanner(
+    [](const std::string& aTask, std::int64_t) {
+      return FakeRunPlan{ .m_time = absl::Milliseconds(600),
+                          .m_isLongRunning = aTask.starts_with("serving") };
+    });
+  JobRecord serving = JobCluster::MakeJob("serving", 2, 1);
+  serving.m_steps.front().m_isLongRunning = true;
+  serving.m_steps.front().m_maxPerWorker = 1;
+  fleet.m_cluster.Submit(serving);
+  fleet.m_cluster.Run(absl::Seconds(1));
+  fleet.StartController();
+  // No machine can leave the pool, so the other pool stays short.
+  JobRecord urgent = JobCluster::MakeJob("urgent", 8, 1);
+  urgent.m_queue = "alarms";
+  urgent.m_pool = "alarms";
+  urgent.m_steps.front().m_estimateMs = 60000;
+  fleet.m_cluster.Submit(urgent);
+  fleet.m_cluster.Run(absl::Seconds(1));
+  JobRecord late = JobCluster::MakeJob("late", 12, 1);
+  late.m_acceptedAtMs -= 60000;
+  fleet.m_cluster.Submit(late);
+  fleet.m_cluster.Run(absl::Seconds(4));
+  REQUIRE(fleet.m_cluster.State("urgent") != "completed");
+  REQUIRE(fleet.m_cluster.State("late") == "completed");
+}
+
 // Guards against owners that together list machines faster than the platform
 // allows (run sweep-300 of lican-gt-grown: 35 owners, 15 pages).
 TEST_CASE("The owners of a large fleet share the platform's read rate",
