Look up starts without a response, and wait for silent workers that are alive

Ruled out: a restarted worker, two owners.

Change: a start without a response is looked up with the next renewal; if the worker lists the task it goes on, else it is stopped before it is placed again. The fake cluster drops the entry of a crashed worker, as the platform does, so the bound of its test stays.

--- a/jobs/task.h
+++ b/jobs/task.h
@@ -21,7 +21,11 @@
   Running,
   /** A stop order was sent; the worker has not yet listed the task's end. */
   Stopping,
-  /** A start order got no response, so the task may run on its worker. */
+  /**
+   * A start order got no response, so the task may run on its worker. It goes
+   * on if the worker lists it; else it is stopped, since the order may still
+   * arrive.
+   */
   Unresolved,
   Done,
 };
@@ -64,6 +68,10 @@
    * sent whose response first listed the task.
    */
   absl::Time m_startedAt;
+  /** Time at which the start was found to have no response. */
+  absl::Time m_unresolvedSince;
+  /** A stop was ordered for the current attempt. */
+  bool m_isStopOrdered = false;
   /** Time of the stop's acknowledgement; infinite future before it. */
   absl::Time m_stopAckedAt = absl::InfiniteFuture();
   /** Progress in percent. */
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -207,6 +207,7 @@
       // Started by a previous owner, or by an order that was carried out late.
       Assign(*task, aWorker);
       task->m_attempt = running.m_attempt;
+      task->m_isStopOrdered = false;
       task->m_orderedAt = absl::Time();
       task->m_phase = TaskPhase::Running;
       task->m_startedAt = aSentAt;
@@ -218,7 +219,10 @@
       SendStop(running.m_task, running.m_attempt, aWorker.m_report.m_id);
       continue;
     }
-    if (task->m_phase == TaskPhase::Starting) {
+    const bool isStarted =
+      task->m_phase == TaskPhase::Starting ||
+      (task->m_phase == TaskPhase::Unresolved && !task->m_isStopOrdered);
+    if (isStarted) {
       task->m_phase = TaskPhase::Running;
       task->m_startedAt = aSentAt;
       task->m_progressAt = m_env.m_loop.Now();
@@ -233,9 +237,16 @@
     if (listed.contains(task) || task->m_isStartUnsent) {
       continue;
     }
+    if (task->m_phase == TaskPhase::Unresolved && !task->m_isStopOrdered &&
+        aSentAt >= task->m_unresolvedSince) {
+      // Without the stop, the order could still start the task later.
+      StopTask(*task, TaskPhase::Unresolved);
+      continue;
+    }
     const bool isLost =
       task->m_phase == TaskPhase::Running && aSentAt > task->m_startedAt;
-    const bool isStopped = aSentAt >= task->m_stopAckedAt &&
+    const bool isStopped = task->m_isStopOrdered &&
+                           aSentAt >= task->m_stopAckedAt &&
                            (task->m_phase == TaskPhase::Stopping ||
                             task->m_phase == TaskPhase::Unresolved);
     if (isLost) {
@@ -366,6 +377,12 @@
     // have recorded how the tasks of an unreachable worker ended.
     return;
   }
+  if (aWorker.m_isListed &&
+      m_env.m_loop.Now() < aWorker.m_leaseExpiry + kSilentWorkerGrace) {
+    // A listed worker is alive, and its tasks may have ended as done before the
+    // lease expired. Its next response tells.
+    return;
+  }
   const std::set<Task*> tasks = aWorker.m_tasks;
   LogWarning(LogPart::Workers,
              absl::StrCat("worker lease expired, releasing its tasks; worker=",
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -66,6 +66,8 @@
   aTask.m_phase = TaskPhase::Starting;
   aTask.m_attempt = aAttempt;
   aTask.m_percent = 0;
+  aTask.m_isStopOrdered = false;
+  aTask.m_stopAckedAt = absl::InfiniteFuture();
   aTask.m_orderedAt = m_env.m_loop.Now();
   if (job.IsWorkerRecorded(workerId)) {
     SendStart(aTask, aWorker, aTicket);
@@ -151,7 +153,8 @@
     case OrderOutcome::Unknown:
       MarkUnresponsive(*worker);
       if (task->m_phase == TaskPhase::Starting) {
-        StopTask(*task, TaskPhase::Unresolved);
+        task->m_phase = TaskPhase::Unresolved;
+        task->m_unresolvedSince = m_env.m_loop.Now();
       }
       EnsureRenewal(*worker);
       return;
@@ -194,6 +197,7 @@
 Scheduler::StopTask(Task& aTask, TaskPhase aPhase)
 {
   aTask.m_phase = aPhase;
+  aTask.m_isStopOrdered = true;
   aTask.m_stopAckedAt = absl::InfiniteFuture();
   SendStop(aTask.m_job->NameOf(aTask), aTask.m_attempt, aTask.m_worker);
 }
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -9,6 +9,13 @@
 
 namespace bramleystall {
 
+namespace {
+
+/** Time after which the store drops the entry of a silent worker. */
+constexpr absl::Duration kEntryTimeout = absl::Milliseconds(4500);
+
+}
+
 JobCluster::Daemon::Daemon(JobCluster& aCluster, const std::string& aName)
   : m_cluster(aCluster)
   , m_store(aCluster.m_loop, aCluster.m_store)
@@ -135,6 +142,20 @@
   return owners;
 }
 
+void
+JobCluster::CrashWorker(const std::string& aWorkerId)
+{
+  m_workers.Crash(aWorkerId);
+  m_loop.After(kEntryTimeout, [this, aWorkerId] {
+    m_reports.erase(aWorkerId);
+    for (const auto& [name, daemon] : m_daemons) {
+      if (daemon->m_scheduler != nullptr) {
+        daemon->m_scheduler->OnWorkerRemoved(aWorkerId);
+      }
+    }
+  });
+}
+
 void
 JobCluster::RestartWorker(const std::string& aWorkerId)
 {
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -54,6 +54,11 @@
   std::string State(const std::string& aId) const;
 
   void Run(absl::Duration aTime) { m_loop.AdvanceBy(aTime); }
+  /**
+   * Crashes a worker for good; the store drops its entry as after three missed
+   * heartbeats.
+   */
+  void CrashWorker(const std::string& aWorkerId);
   /**
    * Crashes a worker that is up and starts it again under the same id after
    * 300 ms.
--- /dev/null
+++ b/tests/scheduler/test_silent_workers.cpp
@@ -0,0 +1,117 @@
+#include "tests/fakes/job_cluster.h"
+#include "tests/fakes/quiet_log.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace bramleystall;
+
+namespace {
+
+constexpr absl::Duration kStartup = absl::Milliseconds(300);
+
+}
+
+// Guards against running work that is stopped and started again because the
+// response to its start came late (rule AVAIL, trouble-3 --small of
+// lican-gt-large: a long-running task was stopped while others were away).
+TEST_CASE("A task whose start response was lost goes on running", "[silent]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(3) });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.At("one").m_workers.m_lostStartResponses = 2;
+  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  cluster.Run(absl::Seconds(4));
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.StartCount() == 2);
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
+
+// Guards against a late start that runs beside the next one because an earlier
+// attempt of the task had been stopped (rule TWICE, trouble-3 --small of
+// lican-gt-large).
+TEST_CASE("A late start of a task that was stopped before runs alone",
+          "[silent]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(3);
+  cluster.m_workers.SetPlanner(
+    [](const std::string& aTask, std::int64_t aAttempt) {
+      return FakeRunPlan{ .m_time = absl::Seconds(2),
+                          .m_isStalled =
+                            aTask.starts_with("job1") && aAttempt == 1,
+                          .m_isLongRunning = aTask.starts_with("job2") };
+    });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  // Keeps a renewal in flight at each worker.
+  JobRecord serving = JobCluster::MakeJob("job2", 3, 1);
+  serving.m_steps.front().m_isLongRunning = true;
+  serving.m_steps.front().m_maxPerWorker = 1;
+  cluster.Submit(serving);
+  cluster.Run(absl::Milliseconds(500));
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
+  cluster.Run(absl::Milliseconds(500));
+  JobCluster::Daemon& owner = cluster.At("one");
+  owner.m_workers.m_delayedStarts = 1;
+  owner.m_workers.m_startDelay = absl::Milliseconds(2500);
+  while (owner.m_workers.m_delayedStarts > 0) {
+    cluster.Run(absl::Milliseconds(20));
+  }
+  // A further attempt, if there is one, runs on another worker.
+  for (const auto& [id, report] : cluster.m_reports) {
+    const Worker* worker = owner.m_scheduler->WorkerOnMachine(report.m_machine);
+    if (std::ranges::any_of(worker->m_tasks, [](const Task* aTask) {
+          return aTask->m_job->Id() == "job1";
+        })) {
+      owner.m_scheduler->SetEvacuating(id, true);
+    }
+  }
+  cluster.Run(absl::Seconds(10));
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
+
+// Guards against work of a worker that was only silent for a while and that is
+// started again elsewhere, although it had ended as done (rule TWICE, trouble-3
+// --small of lican-gt-large).
+TEST_CASE("Work of a silent worker that is alive is not started again",
+          "[silent]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(2) });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  cluster.Run(absl::Milliseconds(500));
+  const std::string silent = cluster.m_workers.RunningOn("job1.0.0.0").front();
+  cluster.At("one").m_workers.m_unreachableWorkers = { silent };
+  cluster.Run(absl::Milliseconds(6500));
+  cluster.At("one").m_workers.m_unreachableWorkers.clear();
+  cluster.Run(absl::Seconds(2));
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.StartCount() == 2);
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
+
+// Guards against work that waits for ever for a worker that cannot be reached,
+// although the store goes on listing it.
+TEST_CASE("Work of a worker that stays silent is started elsewhere", "[silent]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(1) });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  cluster.Run(absl::Milliseconds(300));
+  const std::string silent = cluster.m_workers.RunningOn("job1.0.0.0").front();
+  cluster.m_workers.Crash(silent);
+  cluster.Run(absl::Seconds(14));
+  REQUIRE(cluster.State("job1") == "completed");
+}
