Let a new owner wait for silent workers that are alive

Cause: a new owner gave up waiting for workers that it cannot reach when all leases of previous owners had expired, and started their tasks again, though the store listed the workers and the tasks may have ended as done. Change: it waits 6 s longer for workers that the store still lists.

--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -167,6 +167,8 @@
   void Begin();
   void ResolveEarlierLease(const std::string& aWorkerId);
   bool MayRunOnUnresolvedWorker(const Job& aJob) const;
+  /** Gives up waiting for workers whose leases of previous owners expired. */
+  void ClearExpiredLeases();
   void SendPlacedStarts();
   void SendStart(Task& aTask, Worker& aWorker, const std::string& aTicket);
   void ReleaseUnsentStarts();
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -222,6 +222,34 @@
   });
 }
 
+void
+Scheduler::ClearExpiredLeases()
+{
+  const absl::Time now = m_env.m_loop.Now();
+  const absl::Time expiry = m_grant.m_previousOwnersExpireAt +
+                            PadForClockDrift(kWorkerLease) + kLeaseMargin;
+  if (m_unresolvedWorkers.empty() || now < expiry) {
+    return;
+  }
+  // A listed worker is alive, and its tasks may have ended as done before the
+  // leases expired. Its first response tells.
+  const std::size_t cleared =
+    std::erase_if(m_unresolvedWorkers, [&](const std::string& aId) {
+      const Worker* worker = FindWorker(aId);
+      return worker == nullptr || !worker->m_isListed ||
+             now >= expiry + kSilentWorkerGrace;
+    });
+  if (cleared > 0) {
+    LogInfo(LogPart::Owner,
+            absl::StrCat("leases of previous owners have expired; shard=",
+                         m_keys.Shard(),
+                         " workers=",
+                         cleared,
+                         " left=",
+                         m_unresolvedWorkers.size()));
+  }
+}
+
 void
 Scheduler::Tick()
 {
@@ -241,16 +269,7 @@
     }
     ++it;
   }
-  if (!m_unresolvedWorkers.empty() && now >= m_grant.m_previousOwnersExpireAt +
-                                               PadForClockDrift(kWorkerLease) +
-                                               kLeaseMargin) {
-    LogInfo(LogPart::Owner,
-            absl::StrCat("leases of previous owners have expired; shard=",
-                         m_keys.Shard(),
-                         " workers=",
-                         m_unresolvedWorkers.size()));
-    m_unresolvedWorkers.clear();
-  }
+  ClearExpiredLeases();
   ReleaseUnsentStarts();
   StoreLeasedWorkers();
   RequestPlacement();
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -45,9 +45,9 @@
  */
 inline constexpr absl::Duration kWorkerLease = absl::Milliseconds(4500);
 /**
- * Tasks of a worker that does not respond, but is still listed by the store, are
- * released this long after its lease has expired. The store removes the entry
- * of a worker that has ended much sooner.
+ * Tasks of a worker that does not respond, but is still listed by the store,
+ * are released this long after its lease has expired. The store removes the
+ * entry of a worker that has ended much sooner.
  */
 inline constexpr absl::Duration kSilentWorkerGrace = absl::Seconds(6);
 /** A worker's clock may be slow by this share. */
--- a/tests/scheduler/test_silent_workers.cpp
+++ b/tests/scheduler/test_silent_workers.cpp
@@ -99,6 +99,31 @@
   REQUIRE(cluster.m_workers.Violations().empty());
 }
 
+// Guards against a new owner that starts again what a worker had done that it
+// cannot reach (rule TWICE, hunt-0f31-39 of lican-gt: the worker was cut off
+// with its zone).
+TEST_CASE("A new owner waits for a silent worker that is alive", "[silent]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(2) });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  cluster.Run(absl::Milliseconds(500));
+  const std::string silent = cluster.m_workers.RunningOn("job1.0.0.0").front();
+  cluster.KillDaemon("one");
+  cluster.AddDaemon("two");
+  cluster.At("two").m_workers.m_unreachableWorkers = { silent };
+  cluster.Run(absl::Seconds(14));
+  REQUIRE(cluster.Owner() == "two");
+  cluster.At("two").m_workers.m_unreachableWorkers.clear();
+  cluster.Run(absl::Seconds(3));
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.StartCount() == 2);
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
+
 // Guards against work that waits for ever for a worker that cannot be reached,
 // although the store goes on listing it.
 TEST_CASE("Work of a worker that stays silent is started elsewhere", "[silent]")
