Leave the progress of a job with an unreadable record alone

Cause, from reading the change: a new owner removed progress that belongs to no job it knows, and so that of a job whose record it cannot decode. Change: only progress without a record is removed. Measured: the test fails without the change.

--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -196,9 +196,13 @@
       m_earlierJobs.insert(job.get());
     }
   }
-  // Left behind by writes that were applied after their jobs were archived.
+  // Progress without a record was left behind by a write that was applied after
+  // its job had been archived.
   for (const auto& [key, item] : m_progress) {
-    m_writer.Replace(key, {});
+    const std::string id = key.substr(m_keys.ProgressPrefix().size());
+    if (!m_unreadableJobs.contains(id)) {
+      m_writer.Replace(key, {});
+    }
   }
   m_progress.clear();
   for (const auto& [id, worker] : m_workers) {
@@ -291,6 +295,7 @@
     m_jobs[aId] = std::move(job);
   } catch (const Error& error) {
     // An invalid record of another writer does not affect the other jobs.
+    m_unreadableJobs.insert(aId);
     LogError(LogPart::Jobs, error.what());
     return;
   }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -297,6 +297,8 @@
   ProgressWriter m_writer;
   EntrySweeper m_sweeper;
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
+  /** Jobs whose records cannot be decoded; their keys are left alone. */
+  std::set<std::string> m_unreadableJobs;
   /** Jobs that are not final, in the order of their ids. */
   std::map<std::string, ActiveJob> m_active;
   /** Jobs whose progress has to be written. */
--- a/tests/scheduler/test_takeover.cpp
+++ b/tests/scheduler/test_takeover.cpp
@@ -140,12 +140,15 @@
   cluster.m_store.Set(keys.Status(), "[");
   cluster.m_store.Set(keys.Job("bad1"), R"({"queue":7})");
   cluster.m_store.Set(keys.Job("bad2"), "\xff");
+  cluster.m_store.Set(keys.Progress("bad2"), R"({"state":"running"})");
   cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
   cluster.m_store.Set(keys.Progress("job1"), R"({"tasks":{"a":1}})");
   cluster.AddDaemon("one");
   cluster.Run(absl::Seconds(2));
   REQUIRE(cluster.Owner() == "one");
   REQUIRE(cluster.State("job1") == "completed");
+  // Another version of the daemon may be able to read the record.
+  REQUIRE(cluster.m_store.Has(keys.Progress("bad2")));
   REQUIRE(cluster.m_workers.Violations().empty());
   cluster.m_store.Set(keys.Owner(), R"({"daemon":1,"token":[],"term":{}})");
   cluster.Run(absl::Seconds(1));
