--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/** Names and revisions of an item in a response; values come as base64. */
+constexpr std::size_t kBytesPerItem = 70;
 constexpr absl::Duration kLatency = absl::Milliseconds(2);
 constexpr absl::Duration kTimeout = absl::Milliseconds(1000);
 constexpr absl::Duration kWatchPollInterval = absl::Milliseconds(3);
@@ -223,6 +225,10 @@
     m_store.RemoveExpiredLeases();
     const ReadResult page = m_store.List(aPrefix, aAfter);
     m_listedItems += page.m_items.size();
+    for (const StoreItem& item : page.m_items) {
+      m_listedBytes +=
+        kBytesPerItem + item.m_key.size() + item.m_value.size() * 4 / 3;
+    }
     CallAfter(kLatency, [callback, page] { callback(page); });
   });
 }
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -84,8 +84,9 @@
   /** Number of coming commits that are applied, but whose response is lost. */
   int m_lostCommitResponses = 0;
   int m_commitCount = 0;
-  /** Number of items that List has returned. */
+  /** Number of items that List has returned, and their bytes on the wire. */
   std::size_t m_listedItems = 0;
+  std::size_t m_listedBytes = 0;
   int m_watchCount = 0;
 
   void Get(const std::string& aKey, ReadCallback aCallback) override;
--- a/tests/measure/main.cpp
+++ b/tests/measure/main.cpp
@@ -6,6 +6,7 @@
 #include "tests/measure/measure_result.h"
 #include "tests/measure/process_measure.h"
 #include "tests/measure/size_report.h"
+#include "tests/measure/takeover_measure.h"
 
 #include <curl/curl.h>
 #include <gflags/gflags.h>
@@ -21,7 +22,8 @@
 DEFINE_string(
   name,
   "all",
-  "name of a measurement, or all; sizes or daemon_sizes for docs/CAPACITY.md");
+  "name of a measurement, or all; sizes, daemon_sizes or takeover for "
+  "docs/CAPACITY.md");
 DEFINE_string(charts, BRAMLEYSTALL_CHARTS_DIR, "folder with the state charts");
 DEFINE_string(programs,
               BRAMLEYSTALL_PROGRAMS_DIR,
@@ -134,6 +136,10 @@
     PrintSizeReport(std::cout, LifecycleChart(), FLAGS_charts);
     return EXIT_SUCCESS;
   }
+  if (FLAGS_name == "takeover") {
+    PrintTakeovers(std::cout);
+    return EXIT_SUCCESS;
+  }
   if (FLAGS_name == "daemon_sizes") {
     PrintDaemonSizes();
     return EXIT_SUCCESS;
