--- a/scheduler/job_keys.h
+++ b/scheduler/job_keys.h
@@ -8,7 +8,8 @@
 inline constexpr const char* kLayoutKey = "bramleystall/layout";
 /** Exists while a daemon creates the layout. */
 inline constexpr const char* kLayoutMakerKey = "bramleystall/layout-maker";
-/** Owners of all shards and the terms of their last owners. */
+/** Owners of all shards, the terms of their last owners, and offers to replace
+ * an owner. */
 inline constexpr const char* kOwnershipPrefix = "bramleystall/scheduler/";
 /** Status that each shard's owner publishes; see ShardStatus. */
 inline constexpr const char* kShardStatusPrefix = "bramleystall/shards/";
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -25,7 +25,7 @@
   /**
    * Monotonic time from which no previous owner sends orders: counted from
    * its last renewal if its key has expired, or from now if its key was
-   * replaced.
+   * replaced. An owner that gives its key up has stopped sending orders before.
    */
   absl::Time m_previousOwnersExpireAt;
 };
