Use one fake HTTP server, one read of a job's key and one wait at a hand-over

Cause, from reading the change: the slow server of the new tests wrote again what FakeTarget has; the entry and the progress of a job were read by the same code twice; the hand-over repeated the wait of the shutdown, and giving up the owner key stood twice; tests repeated their set-up. Change: FakeTarget sends any status and bodies in pieces, JobRequestHandler has ReadKey, ShardRunner has WhenStored, Ownership has GiveUpKey. Behaviour and assertions are as before.

--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -279,15 +279,8 @@
   m_callerListener->CloseConnectionsAfterResponse();
   bool isOwner = false;
   for (const auto& shard : m_shards) {
-    if (shard->Jobs() == nullptr) {
-      shard->Owner().Resign();
-      continue;
-    }
-    isOwner = true;
-    Ownership& ownership = shard->Owner();
-    shard->Jobs()->AfterStored([this, &ownership] {
-      m_loop.After(absl::ZeroDuration(), [&ownership] { ownership.Resign(); });
-    });
+    isOwner = isOwner || shard->Jobs() != nullptr;
+    shard->WhenStored([&ownership = shard->Owner()] { ownership.Resign(); });
   }
   m_loop.After(isOwner ? ShardRunner::kMaxHandoverTime : absl::ZeroDuration(),
                [this] { ResignAll(); });
--- a/daemon/shard_runner.cpp
+++ b/daemon/shard_runner.cpp
@@ -41,22 +41,22 @@
       m_env.m_priorityDelay,
       [this](const OwnershipGrant& aGrant) { Start(aGrant); },
       [this](const std::string&) { Stop(); },
-      [this] { HandOver(); })
+      [this] { WhenStored([this] { m_ownership.Release(); }); })
 {
 }
 
 void
-ShardRunner::HandOver()
+ShardRunner::WhenStored(const std::function<void()>& aHook)
 {
   if (!m_scheduler) {
-    m_ownership.Release();
+    aHook();
     return;
   }
-  const auto release = [this] { m_ownership.Release(); };
-  // The hook runs inside the scheduler, which the release destroys.
+  // The hook may end the ownership and with it the scheduler, inside which this
+  // callback runs.
   m_scheduler->AfterStored(
-    [this, release] { m_env.m_loop.After(absl::ZeroDuration(), release); });
-  m_env.m_loop.After(kMaxHandoverTime, release);
+    [this, aHook] { m_env.m_loop.After(absl::ZeroDuration(), aHook); });
+  m_env.m_loop.After(kMaxHandoverTime, aHook);
 }
 
 void
--- a/daemon/shard_runner.h
+++ b/daemon/shard_runner.h
@@ -53,14 +53,16 @@
   Ownership& Owner() { return m_ownership; }
   /** Null unless this daemon owns the shard. */
   Scheduler* Jobs() { return m_scheduler.get(); }
+  /** Calls back once the changes of this owner are stored, or after
+   * kMaxHandoverTime; at once when this daemon is not the owner. The hook may
+   * run twice. */
+  void WhenStored(const std::function<void()>& aHook);
   void OnConfigurationChanged();
   void OnWave(const MaintenanceWave& aWave);
 
 private:
   void Start(const OwnershipGrant& aGrant);
   void Stop();
-  /** Gives the shard to another daemon once its changes are stored. */
-  void HandOver();
   void OnWorkerItem(const StoreItem& aItem);
 
   Environment m_env;
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -91,8 +91,7 @@
 {
   m_isResigned = true;
   if (IsInState("owner")) {
-    m_store.RevokeLease(m_lease);
-    Lose("resigned", "the daemon is stopping");
+    GiveUpKey("the daemon is stopping");
   }
 }
 
@@ -103,8 +102,14 @@
     return;
   }
   m_candidateFrom = m_loop.Now() + kReleasePause;
+  GiveUpKey("a daemon with more resources takes over");
+}
+
+void
+Ownership::GiveUpKey(const std::string& aReason)
+{
   m_store.RevokeLease(m_lease);
-  Lose("resigned", "a daemon with more resources takes over");
+  Lose("resigned", aReason);
 }
 
 void
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -96,6 +96,8 @@
 private:
   void ApplyEvent(const char* aEvent);
   bool IsInState(const char* aState) const { return m_state == aState; }
+  /** Ends the lease of the owner key, so that others need not wait for it. */
+  void GiveUpKey(const std::string& aReason);
   void OnOwnerItem(const StoreItem& aItem);
   void OnOfferItem(const StoreItem& aItem);
   /** Schedules a look at whether this daemon should replace the owner. */
--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -297,6 +297,27 @@
   aSubmission.m_respond({ .m_status = kOk, .m_body = "{}" });
 }
 
+void
+JobRequestHandler::ReadKey(const std::string& aKey,
+                           const std::string& aId,
+                           const HttpListener::Responder& aRespond,
+                           std::function<void(const StoreItem* aItem)> aOnRead)
+{
+  m_store.Get(
+    aKey,
+    [this, aId, aRespond, onRead = std::move(aOnRead), alive = m_alive](
+      const ReadResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      if (aResult.m_status != ReadStatus::Ok) {
+        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
+        return;
+      }
+      onRead(aResult.m_items.empty() ? nullptr : &aResult.m_items.front());
+    });
+}
+
 void
 JobRequestHandler::RespondWithState(const std::string& aId,
                                     const HttpListener::Responder& aRespond)
@@ -331,23 +352,16 @@
                                        const HttpListener::Responder& aRespond,
                                        std::function<void()> aOnNone)
 {
-  m_store.Get(
+  ReadKey(
     keys::ShardKeys(aShard).Progress(aId),
-    [this, aId, aRespond, onNone = std::move(aOnNone), alive = m_alive](
-      const ReadResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      if (aResult.m_status != ReadStatus::Ok) {
-        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
-        return;
-      }
-      if (aResult.m_items.empty()) {
+    aId,
+    aRespond,
+    [this, aId, aRespond, onNone = std::move(aOnNone)](const StoreItem* aItem) {
+      if (aItem == nullptr) {
         onNone();
         return;
       }
-      const json body =
-        json::parse(aResult.m_items.front().m_value, nullptr, false);
+      const json body = json::parse(aItem->m_value, nullptr, false);
       const std::string state = StringField(body, "state");
       if (state.empty()) {
         LogError(
@@ -366,32 +380,25 @@
   const HttpListener::Responder& aRespond,
   std::function<void(const JobEntry& aEntry, std::int64_t aRevision)> aOnFound)
 {
-  m_store.Get(
-    EntryKey(aId),
-    [this, aId, aRespond, onFound = std::move(aOnFound), alive = m_alive](
-      const ReadResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      if (aResult.m_status != ReadStatus::Ok) {
-        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
-        return;
-      }
-      if (aResult.m_items.empty()) {
-        Refuse(aId, "unknown_job", kGone, aRespond);
-        return;
-      }
-      const StoreItem& item = aResult.m_items.front();
-      const auto entry = DecodeJobEntry(item.m_value);
-      if (!entry) {
-        LogError(
-          LogPart::Server,
-          absl::StrCat("cannot parse the stored entry of a job; job=", aId));
-        Refuse(aId, "unreadable_entry", kUnavailable, aRespond);
-        return;
-      }
-      onFound(*entry, item.m_revision);
-    });
+  ReadKey(EntryKey(aId),
+          aId,
+          aRespond,
+          [this, aId, aRespond, onFound = std::move(aOnFound)](
+            const StoreItem* aItem) {
+            if (aItem == nullptr) {
+              Refuse(aId, "unknown_job", kGone, aRespond);
+              return;
+            }
+            const auto entry = DecodeJobEntry(aItem->m_value);
+            if (!entry) {
+              LogError(LogPart::Server,
+                       absl::StrCat(
+                         "cannot parse the stored entry of a job; job=", aId));
+              Refuse(aId, "unreadable_entry", kUnavailable, aRespond);
+              return;
+            }
+            onFound(*entry, aItem->m_revision);
+          });
 }
 
 void
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -82,6 +82,12 @@
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
   void ReadBack(const Submission& aSubmission);
   void Accept(const Submission& aSubmission, const char* aHow);
+  /** Reads a key of a job; calls back with null when there is none. Refuses the
+   * request itself when the store is unavailable. */
+  void ReadKey(const std::string& aKey,
+               const std::string& aId,
+               const HttpListener::Responder& aRespond,
+               std::function<void(const StoreItem* aItem)> aOnRead);
   void RespondWithState(const std::string& aId,
                         const HttpListener::Responder& aRespond);
   /** Responds with the stored progress of a job that has a record; calls
--- a/tests/cluster/test_decider_lease.cpp
+++ b/tests/cluster/test_decider_lease.cpp
@@ -2,8 +2,8 @@
 #include "core/error.h"
 #include "tests/fakes/fake_platform_store.h"
 #include "tests/fakes/interleaving.h"
+#include "tests/fakes/quiet_log.h"
 
-#include <boost/log/core.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -74,16 +74,6 @@
     .get<std::uint64_t>();
 }
 
-/** Silences the log while an exploration repeats transitions. */
-class QuietLog
-{
-public:
-  QuietLog() { boost::log::core::get()->set_logging_enabled(false); }
-  ~QuietLog() { boost::log::core::get()->set_logging_enabled(true); }
-  QuietLog(const QuietLog&) = delete;
-  QuietLog& operator=(const QuietLog&) = delete;
-};
-
 }
 
 // Guards against states that differ between the chart and the code.
--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -132,6 +132,33 @@
   return absl::StrCat("127.0.0.1:", m_port);
 }
 
+void
+FakeTarget::SetStatus(int aStatus)
+{
+  m_status = aStatus;
+}
+
+void
+FakeTarget::SetPieces(int aPieces, absl::Duration aPause)
+{
+  m_pieces = aPieces;
+  m_pause = aPause;
+}
+
+void
+FakeTarget::SendBody(int aSocket, const std::string& aBody) const
+{
+  const std::size_t size =
+    aBody.size() / static_cast<std::size_t>(m_pieces) + 1;
+  for (std::size_t at = 0; at < aBody.size(); at += size) {
+    SendAll(aSocket, aBody.substr(at, size));
+    const absl::Time until = absl::Now() + m_pause;
+    while (absl::Now() < until && !m_isStopping) {
+      absl::SleepFor(absl::Milliseconds(kAcceptPollMs));
+    }
+  }
+}
+
 void
 FakeTarget::SetDelay(absl::Duration aDelay)
 {
@@ -263,9 +290,11 @@
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   switch (behaviour) {
     case FakeBehaviour::Respond:
-      SendAll(aSocket,
-              ok + "X-Target: fake\r\n" + length +
-                (aRequest.m_method == "HEAD" ? "" : body));
+      SendAll(
+        aSocket,
+        absl::StrCat(
+          "HTTP/1.1 ", m_status.load(), " OK\r\nX-Target: fake\r\n", length));
+      SendBody(aSocket, aRequest.m_method == "HEAD" ? "" : body);
       return true;
     case FakeBehaviour::RespondChunked:
       SendAll(aSocket, ok + chunked + Chunk(body) + "0\r\n\r\n");
--- a/tests/fakes/fake_target.h
+++ b/tests/fakes/fake_target.h
@@ -66,6 +66,10 @@
   /** Delay before each response. */
   void SetDelay(absl::Duration aDelay);
   void SetBody(std::string aBody);
+  /** Status of FakeBehaviour::Respond; 200 unless it is set. */
+  void SetStatus(int aStatus);
+  /** Sends the body of FakeBehaviour::Respond in pieces, with pauses. */
+  void SetPieces(int aPieces, absl::Duration aPause);
   void SetBehaviourChooser(BehaviourChooser aChooseBehaviour);
 
   /** Closes the listening socket, so that new connections are refused. */
@@ -87,6 +91,7 @@
   void Serve(int aSocket);
   bool Serve(int aSocket, const FakeRequest& aRequest);
   bool Handle(int aSocket, const FakeRequest& aRequest);
+  void SendBody(int aSocket, const std::string& aBody) const;
   int CountOpen() const;
   void Record(const FakeRequest& aRequest);
 
@@ -94,6 +99,10 @@
   BehaviourChooser m_chooseBehaviour;
   std::string m_body = "ok";
   absl::Duration m_delay;
+  std::atomic<int> m_status = 200;
+  /** Set before the first request. */
+  int m_pieces = 1;
+  absl::Duration m_pause;
   int m_listener = -1;
   int m_port = 0;
   std::atomic<bool> m_isStopping = false;
--- a/tests/platform/test_kv_store_client.cpp
+++ b/tests/platform/test_kv_store_client.cpp
@@ -1,7 +1,7 @@
 #include "net/event_loop.h"
 #include "net/http_fetcher.h"
 #include "platform/kv_store_client.h"
-#include "tests/fakes/slow_server.h"
+#include "tests/fakes/fake_target.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
@@ -15,9 +15,11 @@
 struct SlowStoreFixture
 {
   /** Lists a prefix from a server that sends the page in pieces. */
-  ReadResult List(const SlowServer::Plan& aPlan)
+  ReadResult List(int aPieces, absl::Duration aPause)
   {
-    SlowServer server(aPlan);
+    FakeTarget server;
+    server.SetBody(m_page);
+    server.SetPieces(aPieces, aPause);
     EventLoop loop;
     HttpFetcher fetcher(loop, 2);
     KvStoreClient store(fetcher, server.Address());
@@ -47,8 +49,7 @@
                  "A page is read as long as data keeps arriving",
                  "[store]")
 {
-  const ReadResult page = List(
-    { .m_body = m_page, .m_pieces = 5, .m_pause = absl::Milliseconds(400) });
+  const ReadResult page = List(5, absl::Milliseconds(400));
   REQUIRE(page.m_status == ReadStatus::Ok);
   REQUIRE(page.m_items.size() == 1);
   REQUIRE(page.m_storeRevision == 4);
@@ -59,8 +60,7 @@
                  "A page that stops arriving fails soon",
                  "[store]")
 {
-  const ReadResult page =
-    List({ .m_body = m_page, .m_pieces = 2, .m_pause = absl::Seconds(5) });
+  const ReadResult page = List(2, absl::Seconds(5));
   REQUIRE(page.m_status == ReadStatus::Unavailable);
   REQUIRE(m_duration < absl::Seconds(3));
 }
--- a/tests/platform/test_worker_client.cpp
+++ b/tests/platform/test_worker_client.cpp
@@ -1,20 +1,23 @@
 #include "net/event_loop.h"
 #include "net/http_fetcher.h"
 #include "platform/worker_client.h"
-#include "tests/fakes/slow_server.h"
+#include "tests/fakes/fake_target.h"
 
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <string>
 
 using namespace bramleystall;
 
 namespace {
 
 OrderResult
-StartOn(const SlowServer::Plan& aPlan)
+StartOn(const std::string& aBody, int aStatus = 200)
 {
-  SlowServer server(aPlan);
+  FakeTarget server;
+  server.SetBody(aBody);
+  server.SetStatus(aStatus);
   EventLoop loop;
   HttpFetcher fetcher(loop, 1);
   WorkerClient client(fetcher, "");
@@ -40,24 +43,20 @@
 {
   for (const int status : { 500, 502, 504 }) {
     INFO(status);
-    REQUIRE(StartOn({ .m_body = "{}", .m_status = status }).m_outcome ==
-            OrderOutcome::Unknown);
+    REQUIRE(StartOn("{}", status).m_outcome == OrderOutcome::Unknown);
   }
-  REQUIRE(
-    StartOn({ .m_body = R"({"reason":"room"})", .m_status = 409 }).m_outcome ==
-    OrderOutcome::NoRoom);
-  REQUIRE(StartOn({ .m_status = 503 }).m_outcome == OrderOutcome::Busy);
+  REQUIRE(StartOn(R"({"reason":"room"})", 409).m_outcome ==
+          OrderOutcome::NoRoom);
+  REQUIRE(StartOn("", 503).m_outcome == OrderOutcome::Busy);
 }
 
 // Guards against a malformed response that ends the process.
 TEST_CASE("A response with fields of other types is read without them",
           "[worker_client]")
 {
-  const OrderResult started = StartOn({ .m_body = R"({"clock_ms":"late"})" });
+  const OrderResult started = StartOn(R"({"clock_ms":"late"})");
   REQUIRE(started.m_outcome == OrderOutcome::Accepted);
   REQUIRE(started.m_workerClockMs == 0);
-  REQUIRE(StartOn({ .m_body = R"({"reason":7})", .m_status = 409 }).m_outcome ==
-          OrderOutcome::Invalid);
-  REQUIRE(StartOn({ .m_body = "[", .m_status = 409 }).m_outcome ==
-          OrderOutcome::Invalid);
+  REQUIRE(StartOn(R"({"reason":7})", 409).m_outcome == OrderOutcome::Invalid);
+  REQUIRE(StartOn("[", 409).m_outcome == OrderOutcome::Invalid);
 }
--- a/tests/scheduler/test_fleet_controller.cpp
+++ b/tests/scheduler/test_fleet_controller.cpp
@@ -44,6 +44,16 @@
     boost::log::core::get()->set_logging_enabled(true);
   }
 
+  /** Adds a queue and its pool, which has no machines yet. */
+  void AddQueueWithPool(const std::string& aName)
+  {
+    QueueSpec queue = m_cluster.m_configuration.m_queues.front();
+    queue.m_name = aName;
+    queue.m_pool = aName;
+    m_cluster.m_configuration.m_queues.push_back(queue);
+    m_cluster.m_configuration.m_pools[aName] = { .m_name = aName };
+  }
+
   void StartController()
   {
     m_controller = std::make_unique<FleetController>(
@@ -348,11 +358,7 @@
           "[fleet_keeper]")
 {
   FleetFixture fleet(2);
-  QueueSpec queue = fleet.m_cluster.m_configuration.m_queues.front();
-  queue.m_name = "alarms";
-  queue.m_pool = "alarms";
-  fleet.m_cluster.m_configuration.m_queues.push_back(queue);
-  fleet.m_cluster.m_configuration.m_pools["alarms"] = { .m_name = "alarms" };
+  fleet.AddQueueWithPool("alarms");
   fleet.m_cluster.m_workers.SetPlan({ .m_time = absl::Milliseconds(600) });
   JobRecord late = JobCluster::MakeJob("late", 80, 1);
   late.m_acceptedAtMs -= 60000;
@@ -376,11 +382,7 @@
 TEST_CASE("Late jobs use the room beside long-running tasks", "[fleet_keeper]")
 {
   FleetFixture fleet(2);
-  QueueSpec queue = fleet.m_cluster.m_configuration.m_queues.front();
-  queue.m_name = "alarms";
-  queue.m_pool = "alarms";
-  fleet.m_cluster.m_configuration.m_queues.push_back(queue);
-  fleet.m_cluster.m_configuration.m_pools["alarms"] = { .m_name = "alarms" };
+  fleet.AddQueueWithPool("alarms");
   fleet.m_cluster.m_workers.SetPlanner(
     [](const std::string& aTask, std::int64_t) {
       return FakeRunPlan{ .m_time = absl::Milliseconds(600),
--- a/tests/scheduler/test_silent_workers.cpp
+++ b/tests/scheduler/test_silent_workers.cpp
@@ -11,6 +11,18 @@
 
 constexpr absl::Duration kStartup = absl::Milliseconds(300);
 
+/** Lets daemon "one" run a job of two tasks for some time; returns the worker
+ * of its first task. */
+std::string
+StartJob(JobCluster& aCluster, absl::Duration aTime)
+{
+  aCluster.AddDaemon("one");
+  aCluster.Run(kStartup);
+  aCluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  aCluster.Run(aTime);
+  return aCluster.m_workers.RunningOn("job1.0.0.0").front();
+}
+
 }
 
 // Guards against running work that is stopped and started again because the
@@ -85,11 +97,7 @@
   const QuietLog quiet;
   JobCluster cluster(2);
   cluster.m_workers.SetPlan({ .m_time = absl::Seconds(2) });
-  cluster.AddDaemon("one");
-  cluster.Run(kStartup);
-  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
-  cluster.Run(absl::Milliseconds(500));
-  const std::string silent = cluster.m_workers.RunningOn("job1.0.0.0").front();
+  const std::string silent = StartJob(cluster, absl::Milliseconds(500));
   cluster.At("one").m_workers.m_unreachableWorkers = { silent };
   cluster.Run(absl::Milliseconds(6500));
   cluster.At("one").m_workers.m_unreachableWorkers.clear();
@@ -107,11 +115,7 @@
   const QuietLog quiet;
   JobCluster cluster(2);
   cluster.m_workers.SetPlan({ .m_time = absl::Seconds(2) });
-  cluster.AddDaemon("one");
-  cluster.Run(kStartup);
-  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
-  cluster.Run(absl::Milliseconds(500));
-  const std::string silent = cluster.m_workers.RunningOn("job1.0.0.0").front();
+  const std::string silent = StartJob(cluster, absl::Milliseconds(500));
   cluster.KillDaemon("one");
   cluster.AddDaemon("two");
   cluster.At("two").m_workers.m_unreachableWorkers = { silent };
@@ -131,11 +135,7 @@
   const QuietLog quiet;
   JobCluster cluster(2);
   cluster.m_workers.SetPlan({ .m_time = absl::Seconds(1) });
-  cluster.AddDaemon("one");
-  cluster.Run(kStartup);
-  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
-  cluster.Run(absl::Milliseconds(300));
-  const std::string silent = cluster.m_workers.RunningOn("job1.0.0.0").front();
+  const std::string silent = StartJob(cluster, absl::Milliseconds(300));
   cluster.m_workers.Crash(silent);
   cluster.Run(absl::Seconds(14));
   REQUIRE(cluster.State("job1") == "completed");
