Send a request again only if it is idempotent

A worker that had started a task and refused a second sending of the order counted as busy, so that the task ran twice.

Cause: libcurl resends a request when a reused connection ends before the response. The response to the second sending, here a 503, was taken as the answer to both, though the first one may have been carried out. Evidence: the tests with a server that reads a request, closes the connection and refuses from then on count two sendings.

The fetcher knows by the same callback whether anything was sent. A cancel whose write has no response is read back like a submission. The unused option for fresh connections is gone.

--- a/net/http_fetcher.cpp
+++ b/net/http_fetcher.cpp
@@ -82,6 +82,22 @@
   FetchResult m_result;
   CURL* m_easy = nullptr;
   curl_slist* m_headers = nullptr;
+  /** At least one byte of the request may have left. */
+  bool m_isSent = false;
+
+  /** Called by libcurl when it has a connection, immediately before it sends
+   * the request. */
+  static int OnBeforeRequest(void* aSelf, char*, char*, int, int)
+  {
+    auto* self = static_cast<Transfer*>(aSelf);
+    // A second call means that libcurl is about to resend the request. Its
+    // response, e.g. a refusal, would say nothing about the first sending.
+    if (self->m_isSent && !self->m_request.IsIdempotent()) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+    self->m_isSent = true;
+    return CURL_PREREQFUNC_OK;
+  }
 };
 
 struct HttpFetcher::Multi
@@ -205,9 +221,8 @@
       easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.m_body.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.m_body.c_str());
   }
-  if (request.m_usesFreshConnection) {
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-  }
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, Transfer::OnBeforeRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, ResetOnClose);
   for (const std::string& header : request.m_headers) {
     transfer->m_headers =
@@ -276,6 +291,7 @@
   } else {
     curl_easy_cleanup(easy);
   }
+  aTransfer->m_result.m_mayHaveBeenSent = aTransfer->m_isSent;
   aTransfer->m_callback(std::move(aTransfer->m_result));
 }
 
@@ -295,10 +311,9 @@
       long status = 0;
       curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
       transfer.m_result.m_status = static_cast<int>(status);
+    } else if (code == CURLE_ABORTED_BY_CALLBACK) {
+      transfer.m_result.m_error = "connection closed before the response";
     } else {
-      curl_off_t connectTime = 0;
-      curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &connectTime);
-      transfer.m_result.m_mayHaveBeenSent = connectTime != 0;
       transfer.m_result.m_error = curl_easy_strerror(code);
     }
     Finish(std::move(node.mapped()));
--- a/net/http_fetcher.h
+++ b/net/http_fetcher.h
@@ -24,8 +24,13 @@
   /** Longest time without a further byte of the response body, counted from
    * Send on; for large responses on slow links, in addition to m_timeout. */
   absl::Duration m_stallTimeout = absl::InfiniteDuration();
-  /** Opens a new connection for this request instead of reusing an idle one. */
-  bool m_usesFreshConnection = false;
+  /** Executing the request twice has the same effect as once, and each response
+   * is valid. Such a request is sent again when a reused connection turns out
+   * to be closed; any other request is sent at most once. GET requests are
+   * always idempotent. */
+  bool m_isIdempotent = false;
+
+  bool IsIdempotent() const { return m_isIdempotent || m_method == "GET"; }
 };
 
 /** Result of a request; m_status is 0 if there was no complete response. */
@@ -37,7 +42,7 @@
   std::string m_error;
   /** Monotonic time of the loop when Send was called. */
   absl::Time m_sentAt;
-  /** False only if no connection was established, so that the server received
+  /** False only if no connection was available, so that the server received
    * nothing. */
   bool m_mayHaveBeenSent = true;
 
@@ -46,8 +51,7 @@
 
 /**
  * HTTP/1.1 client on an event loop, based on libcurl's multi interface with
- * kept-alive connections. libcurl resends a request if a reused connection
- * turns out to be closed, so requests have to be idempotent or conditional.
+ * kept-alive connections.
  */
 class HttpFetcher
 {
--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -257,7 +257,12 @@
                submission.m_respond);
         break;
       case CommitStatus::Unknown:
-        ReadBack(submission);
+        m_metrics.Count("bramleystall_job_retries_total",
+                        { { "reason", "acceptance_unknown" } });
+        ReadBack(submission.m_entryKey,
+                 submission.m_id,
+                 submission.m_respond,
+                 [this, submission] { Accept(submission, "read_back"); });
         break;
     }
   }
@@ -265,27 +270,26 @@
 }
 
 void
-JobRequestHandler::ReadBack(const Submission& aSubmission)
+JobRequestHandler::ReadBack(const std::string& aKey,
+                            const std::string& aId,
+                            const HttpListener::Responder& aRespond,
+                            std::function<void()> aOnStored)
 {
-  m_metrics.Count("bramleystall_job_retries_total",
-                  { { "reason", "acceptance_unknown" } });
-  m_store.Get(aSubmission.m_entryKey,
-              [this, aSubmission, alive = m_alive](const ReadResult& aResult) {
-                if (!*alive) {
-                  return;
-                }
-                if (aResult.m_status == ReadStatus::Ok &&
-                    !aResult.m_items.empty()) {
-                  Accept(aSubmission, "read_back");
-                  return;
-                }
-                // The store may still apply the write, so the outcome is
-                // unknown. The caller may repeat the request with the same id.
-                Refuse(aSubmission.m_id,
-                       "outcome_unknown",
-                       kOutcomeUnknown,
-                       aSubmission.m_respond);
-              });
+  m_store.Get(
+    aKey,
+    [this, aId, aRespond, onStored = std::move(aOnStored), alive = m_alive](
+      const ReadResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      if (aResult.m_status == ReadStatus::Ok && !aResult.m_items.empty()) {
+        onStored();
+        return;
+      }
+      // The store may still apply the write, so the outcome is unknown. The
+      // caller may repeat the request with the same id.
+      Refuse(aId, "outcome_unknown", kOutcomeUnknown, aRespond);
+    });
 }
 
 void
@@ -429,15 +433,14 @@
   transaction.m_puts = { { keys::ShardKeys(aShard).Cancel(aId), "{}", 0 } };
   m_store.Commit(
     transaction,
-    [this, aId, aRespond, alive = m_alive](const CommitResult& aResult) {
+    [this, aId, aShard, aRespond, alive = m_alive](
+      const CommitResult& aResult) {
       if (!*alive) {
         return;
       }
       switch (aResult.m_status) {
         case CommitStatus::Applied:
-          LogInfo(LogPart::Server, absl::StrCat("job cancelled; job=", aId));
-          m_metrics.Count("bramleystall_jobs_cancelled_total");
-          aRespond({ .m_status = kOk, .m_body = "{}" });
+          ConfirmCancel(aId, aRespond);
           break;
         case CommitStatus::Conflict:
           // The entry of a live job changes only when the job ends.
@@ -448,12 +451,24 @@
           Refuse(aId, "store_unavailable", kUnavailable, aRespond);
           break;
         case CommitStatus::Unknown:
-          Refuse(aId, "outcome_unknown", kOutcomeUnknown, aRespond);
+          ReadBack(keys::ShardKeys(aShard).Cancel(aId),
+                   aId,
+                   aRespond,
+                   [this, aId, aRespond] { ConfirmCancel(aId, aRespond); });
           break;
       }
     });
 }
 
+void
+JobRequestHandler::ConfirmCancel(const std::string& aId,
+                                 const HttpListener::Responder& aRespond)
+{
+  LogInfo(LogPart::Server, absl::StrCat("job cancelled; job=", aId));
+  m_metrics.Count("bramleystall_jobs_cancelled_total");
+  aRespond({ .m_status = kOk, .m_body = "{}" });
+}
+
 void
 JobRequestHandler::RespondWithPendingCount(
   const std::string& aQueue,
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -80,7 +80,14 @@
   int ChooseShardOf(const std::string& aId, int aFallback);
   void FlushSubmissions();
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
-  void ReadBack(const Submission& aSubmission);
+  /**
+   * Resolves a write without a response: calls back when the key that it sets
+   * is there. Otherwise refuses the request itself, with an unknown outcome.
+   */
+  void ReadBack(const std::string& aKey,
+                const std::string& aId,
+                const HttpListener::Responder& aRespond,
+                std::function<void()> aOnStored);
   void Accept(const Submission& aSubmission, const char* aHow);
   /** Reads a key of a job; calls back with null when there is none. Refuses the
    * request itself when the store is unavailable. */
@@ -109,6 +116,8 @@
                    int aShard,
                    std::int64_t aEntryRevision,
                    const HttpListener::Responder& aRespond);
+  void ConfirmCancel(const std::string& aId,
+                     const HttpListener::Responder& aRespond);
   void RespondWithPendingCount(const std::string& aQueue,
                                const HttpListener::Responder& aRespond);
   std::string EntryKey(const std::string& aId) const;
--- a/tests/platform/test_kv_store_client.cpp
+++ b/tests/platform/test_kv_store_client.cpp
@@ -1,6 +1,7 @@
 #include "net/event_loop.h"
 #include "net/http_fetcher.h"
 #include "platform/kv_store_client.h"
+#include "tests/fakes/closing_server.h"
 #include "tests/fakes/fake_target.h"
 
 #include <absl/strings/str_cat.h>
@@ -64,3 +65,19 @@
   REQUIRE(page.m_status == ReadStatus::Unavailable);
   REQUIRE(m_duration < absl::Seconds(3));
 }
+
+// Guards against a job that is refused and runs: the store carried out the
+// write that accepts it, closed the connection and refused a second sending
+// (rule REFUSED, review/2).
+TEST_CASE("A commit whose connection is closed has an unknown outcome",
+          "[store]")
+{
+  ClosingServer server;
+  KvStoreClient store(server.Fetcher(), server.Address());
+  const auto result =
+    server.Call<CommitResult>([&](KeyValueStore::CommitCallback aCallback) {
+      store.Commit({}, std::move(aCallback));
+    });
+  REQUIRE(result.m_status == CommitStatus::Unknown);
+  REQUIRE(server.RequestCount() == 1);
+}
--- a/tests/platform/test_worker_client.cpp
+++ b/tests/platform/test_worker_client.cpp
@@ -1,6 +1,7 @@
 #include "net/event_loop.h"
 #include "net/http_fetcher.h"
 #include "platform/worker_client.h"
+#include "tests/fakes/closing_server.h"
 #include "tests/fakes/fake_target.h"
 
 #include <catch2/catch.hpp>
@@ -60,3 +61,20 @@
   REQUIRE(StartOn(R"({"reason":7})", 409).m_outcome == OrderOutcome::Invalid);
   REQUIRE(StartOn("[", 409).m_outcome == OrderOutcome::Invalid);
 }
+
+// Guards against a second run of a task whose worker started it, closed the
+// connection and refused a second sending of the order (rule TWICE).
+TEST_CASE("A start whose connection is closed has an unknown outcome",
+          "[worker_client]")
+{
+  ClosingServer server;
+  WorkerClient client(server.Fetcher(), "");
+  const auto result =
+    server.Call<OrderResult>([&](WorkerGateway::OrderCallback aCallback) {
+      client.Start({ .m_workerId = "w", .m_address = server.Address() },
+                   { .m_task = "job.0.0.0", .m_attempt = 1 },
+                   std::move(aCallback));
+    });
+  REQUIRE(result.m_outcome == OrderOutcome::Unknown);
+  REQUIRE(server.RequestCount() == 1);
+}
--- a/tests/server/test_job_request_handler.cpp
+++ b/tests/server/test_job_request_handler.cpp
@@ -114,6 +114,18 @@
   REQUIRE(Send("DELETE", "/q/" + kId).m_status == 200);
 }
 
+// Guards against a cancel that is stored, but reported as unknown, after the
+// response of the store was lost.
+TEST_CASE_METHOD(JobRequestFixture,
+                 "A cancel whose commit response was lost is read back",
+                 "[front]")
+{
+  REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
+  m_client.m_lostCommitResponses = 1;
+  REQUIRE(Send("DELETE", "/q/" + kId).m_status == 200);
+  REQUIRE(m_store.Has(kKeys.Cancel(kId)));
+}
+
 // Guards against a job that is unknown or runs again once its record was
 // removed at its end.
 TEST_CASE_METHOD(JobRequestFixture,
