Wait for the ends that a worker has not listed yet

Cause: a worker's response to a lease renewal lists at most 500 ends, and drops them only up to the number that is recorded, which does not grow while the store is down. The scheduler took the list as complete: a task beyond it was in no list, counted as lost and was started again. A new owner counted the worker as known after the first such list.

Change: the decoder says whether a response has all ends. Until one does, no unlisted task is released, the worker stays unresolved after a takeover, and it is renewed until all ends have come; a worker that responds is not given up when the leases of previous owners have expired.

--- a/core/worker_gateway.h
+++ b/core/worker_gateway.h
@@ -163,7 +163,11 @@
    */
   std::int64_t m_startTimeMs = 0;
   std::vector<RunningTask> m_running;
+  /** The oldest ends that are not recorded yet. */
   std::vector<TaskEnd> m_ends;
+  /** False if there may be later ends, which the worker lists once those in
+   * m_ends are recorded. A task in neither list may then have ended. */
+  bool m_hasAllEnds = true;
   std::string m_error;
 };
 
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -273,9 +273,17 @@
                  const LeaseOrderResult& aResult);
   void EndEarlierIncarnations(const Worker& aWorker);
   void StartNewIncarnation(Worker& aWorker, std::int64_t aStartTimeMs);
-  void ApplyRunning(Worker& aWorker,
-                    const LeaseOrderResult& aResult,
-                    absl::Time aSentAt);
+  /** Applies the list of running tasks; returns the worker's tasks in it. */
+  std::set<const Task*> ApplyRunning(Worker& aWorker,
+                                     const LeaseOrderResult& aResult,
+                                     absl::Time aSentAt);
+  /**
+   * Releases the worker's tasks that neither run nor are to run there. Requires
+   * that all ends of the response have been applied and no later ones exist.
+   */
+  void ReleaseUnlisted(Worker& aWorker,
+                       const std::set<const Task*>& aListed,
+                       absl::Time aSentAt);
   void ApplyEnd(Worker& aWorker, const TaskEnd& aEnd);
   void CheckProgress(Worker& aWorker, Task& aTask, const RunningTask& aRunning);
   void RecordTaskFailure(Worker& aWorker);
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -160,8 +160,11 @@
       worker.m_appliedEnd = end.m_number;
     }
   }
-  ApplyRunning(worker, aResult, aSentAt);
-  ResolveEarlierLease(aWorkerId);
+  const std::set<const Task*> listed = ApplyRunning(worker, aResult, aSentAt);
+  if (aResult.m_hasAllEnds) {
+    ReleaseUnlisted(worker, listed, aSentAt);
+    ResolveEarlierLease(aWorkerId);
+  }
   if (isFirstResponse) {
     RequestPlacement();
   }
@@ -178,7 +181,8 @@
       }
     });
   }
-  if (!worker.m_tasks.empty() || worker.m_appliedEnd > worker.m_recordedEnd) {
+  if (!worker.m_tasks.empty() || !aResult.m_hasAllEnds ||
+      worker.m_appliedEnd > worker.m_recordedEnd) {
     ScheduleRenewal(worker,
                     worker.m_appliedEnd > worker.m_recordedEnd
                       ? kRenewalRetryDelay
@@ -186,7 +190,7 @@
   }
 }
 
-void
+std::set<const Task*>
 Scheduler::ApplyRunning(Worker& aWorker,
                         const LeaseOrderResult& aResult,
                         absl::Time aSentAt)
@@ -232,9 +236,17 @@
       CheckProgress(aWorker, *task, running);
     }
   }
+  return listed;
+}
+
+void
+Scheduler::ReleaseUnlisted(Worker& aWorker,
+                           const std::set<const Task*>& aListed,
+                           absl::Time aSentAt)
+{
   const std::set<Task*> tasks = aWorker.m_tasks;
   for (Task* task : tasks) {
-    if (listed.contains(task) || task->m_isStartUnsent) {
+    if (aListed.contains(task) || task->m_isStartUnsent) {
       continue;
     }
     if (task->m_phase == TaskPhase::Unresolved && !task->m_isStopOrdered &&
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -232,12 +232,15 @@
     return;
   }
   // A listed worker is alive, and its tasks may have ended as done before the
-  // leases expired. Its first response tells.
+  // leases expired. Its responses tell, once they have listed all ends.
   const std::size_t cleared =
     std::erase_if(m_unresolvedWorkers, [&](const std::string& aId) {
       const Worker* worker = FindWorker(aId);
-      return worker == nullptr || !worker->m_isListed ||
-             now >= expiry + kSilentWorkerGrace;
+      const bool isResponding = worker != nullptr &&
+                                worker->m_clockReadAt != absl::InfinitePast() &&
+                                worker->m_unansweredRenewals == 0;
+      return !isResponding && (worker == nullptr || !worker->m_isListed ||
+                               now >= expiry + kSilentWorkerGrace);
     });
   if (cleared > 0) {
     LogInfo(LogPart::Owner,
--- a/tests/fakes/fake_workers.cpp
+++ b/tests/fakes/fake_workers.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace bramleystall {
@@ -182,7 +183,11 @@
     return isRecorded;
   });
   result.m_outcome = OrderOutcome::Accepted;
-  result.m_ends = worker.m_ends;
+  const std::size_t count = std::min(worker.m_ends.size(), m_maxListedEnds);
+  std::ranges::copy_n(worker.m_ends.begin(),
+                      static_cast<std::ptrdiff_t>(count),
+                      std::back_inserter(result.m_ends));
+  result.m_hasAllEnds = count < m_maxListedEnds;
   for (const auto& [task, run] : worker.m_runs) {
     RunningTask row{ .m_task = task, .m_attempt = run.m_attempt };
     if (run.m_plan.m_isLongRunning) {
--- a/tests/fakes/fake_workers.h
+++ b/tests/fakes/fake_workers.h
@@ -53,6 +53,9 @@
     m_planner = [aPlan](const std::string&, std::int64_t) { return aPlan; };
   }
 
+  /** Sets how many ends a response lists at most; 500 unless it is set. */
+  void SetMaxListedEnds(std::size_t aCount) { m_maxListedEnds = aCount; }
+
   OrderResult Start(const std::string& aWorkerId, const StartOrder& aOrder);
   OrderResult Stop(const std::string& aWorkerId, const StopOrder& aOrder);
   LeaseOrderResult RenewLease(const std::string& aWorkerId,
@@ -119,6 +122,7 @@
   Planner m_planner = [](const std::string&, std::int64_t) {
     return FakeRunPlan{};
   };
+  std::size_t m_maxListedEnds = 500;
   std::map<std::string, WorkerState> m_workers;
   std::map<std::string, int> m_startCounts;
   int m_startCount = 0;
--- a/tests/platform/test_wire_codec.cpp
+++ b/tests/platform/test_wire_codec.cpp
@@ -2,6 +2,7 @@
 #include "platform/wire_codec.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace bramleystall;
 
@@ -118,3 +119,20 @@
       R"({"clock_ms":5,"running":[],"finished":[[1,"a",1,"odd",""]]})"),
     Error);
 }
+
+// Guards against a list that counts as complete although the worker holds more
+// ends than it lists in one response (rule TWICE, review/1).
+TEST_CASE("A worker's list of 500 ends may lack later ones", "[wire]")
+{
+  const auto decode = [](int aCount) {
+    nlohmann::json body = { { "clock_ms", 5 },
+                            { "running", nlohmann::json::array() },
+                            { "finished", nlohmann::json::array() } };
+    for (int number = 1; number <= aCount; ++number) {
+      body["finished"].push_back({ number, "a.0.0.0", number, "done", "" });
+    }
+    return wire::DecodeLeaseResponse(body.dump());
+  };
+  REQUIRE(decode(499).m_hasAllEnds);
+  REQUIRE_FALSE(decode(500).m_hasAllEnds);
+}
