Let workers take tasks again when their machine has stayed

Cause: a move marks its worker as evacuating. A move without a response counts as carried out; its order was closed once the list showed the machine as up, but the mark stayed. Evidence: after 'move ordered' with outcome unknown, the pool counts one machine of four, and no line names the others any more.

Change: one function closes orders and takes the mark back. As the worker may have ended by the order, it gets no task before it has responded.

--- a/scheduler/fleet_controller.cpp
+++ b/scheduler/fleet_controller.cpp
@@ -184,8 +184,7 @@
           continue;
         }
         if (!MayOrder()) {
-          m_env.m_scheduler.SetEvacuating(found->second.m_workerId, false);
-          m_orders.erase(found);
+          CloseOrder(found);
           continue;
         }
         found->second.m_isSent = true;
@@ -205,7 +204,7 @@
   if (m_env.m_loop.Now() >= m_listedAt + m_listInterval && !m_isListing) {
     ListMachines();
   }
-  CloseOrders();
+  CloseArrivedOrders();
   for (const auto& [name, machine] : m_machines) {
     const Worker* worker = WorkerOn(machine);
     if (worker == nullptr || m_env.m_scheduler.MayRunTasks(*worker)) {
@@ -273,17 +272,7 @@
     m_machines[name] = std::move(entry);
   }
   m_env.m_scheduler.SetMachineCount(UsableMachineCount());
-  std::erase_if(m_orders, [&](const auto& aEntry) {
-    const auto& [name, order] = aEntry;
-    const auto found = m_machines.find(name);
-    const absl::Duration time =
-      order.m_wave != 0 ? m_settings.m_maintenanceTime : m_settings.m_moveTime;
-    const bool isOver = found == m_machines.end() ||
-                        found->second.m_state == MachineState::Up ||
-                        found->second.m_state == MachineState::Down;
-    return order.m_isAccepted && isOver &&
-           aSentAt > order.m_sentAt + time + kArrivalMargin;
-  });
+  CloseListedOrders(aSentAt);
 }
 
 int
@@ -305,8 +294,16 @@
   return m_env.m_scheduler.WorkerOnMachine(aMachine.m_name);
 }
 
+FleetController::OrderMap::iterator
+FleetController::CloseOrder(OrderMap::iterator aOrder)
+{
+  // The machine may have stayed where it was, with its worker.
+  m_env.m_scheduler.SetEvacuating(aOrder->second.m_workerId, false);
+  return m_orders.erase(aOrder);
+}
+
 void
-FleetController::CloseOrders()
+FleetController::CloseArrivedOrders()
 {
   const absl::Time now = m_env.m_loop.Now();
   for (auto it = m_orders.begin(); it != m_orders.end();) {
@@ -324,7 +321,27 @@
     if (hasArrived && isMaintenanceOver) {
       machine->second.m_pool = worker->m_report.m_pool;
       machine->second.m_state = MachineState::Up;
-      it = m_orders.erase(it);
+      it = CloseOrder(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void
+FleetController::CloseListedOrders(absl::Time aListSentAt)
+{
+  for (auto it = m_orders.begin(); it != m_orders.end();) {
+    const OpenOrder& order = it->second;
+    const auto machine = m_machines.find(it->first);
+    const absl::Duration time =
+      order.m_wave != 0 ? m_settings.m_maintenanceTime : m_settings.m_moveTime;
+    const bool isOver = machine == m_machines.end() ||
+                        machine->second.m_state == MachineState::Up ||
+                        machine->second.m_state == MachineState::Down;
+    if (order.m_isAccepted && isOver &&
+        aListSentAt > order.m_sentAt + time + kArrivalMargin) {
+      it = CloseOrder(it);
     } else {
       ++it;
     }
--- a/scheduler/fleet_controller.h
+++ b/scheduler/fleet_controller.h
@@ -95,6 +95,9 @@
     std::string m_workerId;
   };
 
+  /** Open orders by machine. */
+  using OrderMap = std::map<std::string, OpenOrder>;
+
   struct WaveState
   {
     MaintenanceWave m_wave;
@@ -140,8 +143,13 @@
   void OnListed(absl::Time aSentAt, MachineListResult aResult);
   /** Number of machines that are up or can be brought up by a move. */
   int UsableMachineCount() const;
-  /** Removes the orders whose effect has been seen. */
-  void CloseOrders();
+  /** Removes an order; returns the next one. */
+  OrderMap::iterator CloseOrder(OrderMap::iterator aOrder);
+  /** Removes the orders whose machine has a new worker. */
+  void CloseArrivedOrders();
+  /** Removes the accepted orders that are over by the machine list, whether
+   * they were carried out or not. */
+  void CloseListedOrders(absl::Time aListSentAt);
   void WorkOnWaves();
   void WorkOnWave(WaveState& aState);
   bool MayEvacuateForMaintenance(const MachineEntry& aMachine,
@@ -211,7 +219,7 @@
   };
   /** Stored progress of the waves in all shards, by key. */
   std::map<std::string, WaveProgress> m_waveProgress;
-  std::map<std::string, OpenOrder> m_orders;
+  OrderMap m_orders;
   /** Time since which a machine has had no task. */
   std::map<std::string, absl::Time> m_idleSince;
   /**
--- a/scheduler/fleet_controller_pools.cpp
+++ b/scheduler/fleet_controller_pools.cpp
@@ -264,8 +264,7 @@
     return;
   }
   BlockAfter(aMachine, aOutcome);
-  m_env.m_scheduler.SetEvacuating(order.m_workerId, false);
-  m_orders.erase(found);
+  CloseOrder(found);
 }
 
 }
--- a/scheduler/fleet_controller_waves.cpp
+++ b/scheduler/fleet_controller_waves.cpp
@@ -289,8 +289,7 @@
       aOutcome == MachineOutcome::Invalid) {
     MarkHandled(aMachine, order.m_wave);
   }
-  m_env.m_scheduler.SetEvacuating(order.m_workerId, false);
-  m_orders.erase(found);
+  CloseOrder(found);
 }
 
 void
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -95,7 +95,8 @@
    */
   void OnWorkerEnded(const std::string& aWorkerId);
 
-  /** No task starts on the worker while it is being evacuated. */
+  /** No task starts on the worker while it is being evacuated, nor afterwards
+   * until it has responded. */
   void SetEvacuating(const std::string& aWorkerId, bool aIsEvacuating);
 
   /**
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -333,8 +333,13 @@
 Scheduler::SetEvacuating(const std::string& aWorkerId, bool aIsEvacuating)
 {
   Worker* worker = FindWorker(aWorkerId);
-  if (worker != nullptr) {
-    worker->m_isEvacuating = aIsEvacuating;
+  if (worker == nullptr) {
+    return;
+  }
+  worker->m_isEvacuating = aIsEvacuating;
+  if (!aIsEvacuating && worker->m_isListed) {
+    // The order for its machine may have ended it.
+    MarkUnresponsive(*worker);
   }
 }
 
--- a/tests/fakes/fake_machines.cpp
+++ b/tests/fakes/fake_machines.cpp
@@ -16,6 +16,11 @@
 FakeMachines::List(ListCallback aCallback)
 {
   ++m_listCount;
+  if (m_isSilent) {
+    m_loop.After(kResponseTimeout,
+                 [callback = std::move(aCallback)] { callback({}); });
+    return;
+  }
   m_loop.After(kLatency, [this, callback = std::move(aCallback)] {
     MachineListResult result;
     result.m_isComplete = true;
@@ -51,6 +56,11 @@
                           MachineState aState,
                           const OrderCallback& aCallback)
 {
+  if (m_isSilent) {
+    m_loop.After(kResponseTimeout,
+                 [aCallback] { aCallback(MachineOutcome::Unknown); });
+    return;
+  }
   m_loop.After(
     kLatency, [this, aMachine, aPool, aAuthority, aState, aCallback] {
       MachineEntry& entry = m_entries.at(aMachine);
--- a/tests/fakes/fake_machines.h
+++ b/tests/fakes/fake_machines.h
@@ -39,6 +39,8 @@
 
   /** Number of coming orders that are accepted, but whose response is lost. */
   int m_lostResponses = 0;
+  /** Orders and lists time out and have no effect. */
+  bool m_isSilent = false;
 
   void Add(const MachineEntry& aEntry) { m_entries[aEntry.m_name] = aEntry; }
   void SetOnOrder(OrderHook aHook) { m_onOrder = std::move(aHook); }
--- a/tests/scheduler/test_fleet_controller.cpp
+++ b/tests/scheduler/test_fleet_controller.cpp
@@ -284,6 +284,51 @@
   REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
 }
 
+// Guards against idle workers that get no task for good, since the move of
+// their machine got no response and was not carried out (rule LOST, review/4).
+TEST_CASE("A worker whose machine has stayed takes tasks again",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(4);
+  fleet.m_cluster.m_workers.SetPlanner(
+    [](const std::string& aTask, std::int64_t) {
+      return FakeRunPlan{ .m_time = aTask.starts_with("long")
+                                      ? absl::Seconds(30)
+                                      : absl::Milliseconds(300) };
+    });
+  fleet.StartController();
+  fleet.m_cluster.Run(absl::Milliseconds(500));
+  fleet.m_machines.m_isSilent = true;
+  fleet.m_cluster.Run(absl::Seconds(5));
+  fleet.m_machines.m_isSilent = false;
+  REQUIRE(fleet.m_machines.Orders().empty());
+  // Keeps the remaining machine busy.
+  fleet.m_cluster.Submit(JobCluster::MakeJob("long", 4, 1));
+  fleet.m_cluster.Run(absl::Seconds(3));
+  fleet.m_cluster.Submit(JobCluster::MakeJob("short", 4, 1));
+  fleet.m_cluster.Run(absl::Seconds(4));
+  REQUIRE_FALSE(fleet.m_cluster.m_workers.RunningOn("long.0.0.0").empty());
+  REQUIRE(fleet.m_cluster.State("short") == "completed");
+}
+
+// Guards against a task that starts on a worker whose machine has left, though
+// the response to the order was lost.
+TEST_CASE("A worker takes tasks after an order only once it has responded",
+          "[fleet_keeper]")
+{
+  FleetFixture fleet(1);
+  fleet.m_cluster.At("one").m_workers.m_unreachableWorkers = { "worker-0" };
+  Scheduler& scheduler = *fleet.m_cluster.At("one").m_scheduler;
+  scheduler.SetEvacuating("worker-0", true);
+  scheduler.SetEvacuating("worker-0", false);
+  fleet.m_cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
+  fleet.m_cluster.Run(absl::Seconds(3));
+  REQUIRE(scheduler.WorkerOnMachine("machine-0")->m_tasks.empty());
+  fleet.m_cluster.At("one").m_workers.m_unreachableWorkers.clear();
+  fleet.m_cluster.Run(absl::Seconds(3));
+  REQUIRE(fleet.m_cluster.State("job1") == "completed");
+}
+
 // Guards against orders that are unknown to the next owner.
 TEST_CASE("An order is sent only after the store has it", "[fleet_keeper]")
 {
