Log why a task is released and which unexpected attempts run

Change: each release names its proof (ReleaseReason) in a log line and in bramleystall_task_releases_total, but for ends that are listed and starts that are refused, which are logged already. A listed run of an attempt that was given up is a warning and counts in bramleystall_unexpected_runs_total. The owner logs until when previous owners may send orders, and how old its last renewal was when it lost the shard. Behaviour is as before.

--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -197,22 +197,25 @@
   const bool isOurs = !m_token.empty() && m_ownerToken == m_token;
   if (IsInState("confirming") && isOurs) {
     ApplyEvent("key_confirmed");
+    const absl::Time leaseRequestedAt = m_renewedAt;
+    // A key that expired was last renewed at least one lease TTL before.
+    const absl::Time previousOwnersExpireAt =
+      m_isReplacingKey ? m_loop.Now() + kAuthorityTime
+                       : leaseRequestedAt + kAuthorityTime - kLeaseTtl;
     LogInfo(LogPart::Owner,
             absl::StrCat("became owner; shard=",
                          m_shard,
                          " term=",
                          m_ownerTerm,
                          " fence=",
-                         m_ownerRevision));
+                         m_ownerRevision,
+                         " previous_owners_expire_in_ms=",
+                         absl::ToInt64Milliseconds(previousOwnersExpireAt -
+                                                   m_loop.Now())));
     Schedule(kRenewInterval, &Ownership::Renew);
-    const absl::Time leaseRequestedAt = m_renewedAt;
-    // A key that expired was last renewed at least one lease TTL before.
     m_onGrant({ .m_fencingToken = m_ownerRevision,
                 .m_term = m_ownerTerm,
-                .m_previousOwnersExpireAt =
-                  m_isReplacingKey
-                    ? m_loop.Now() + kAuthorityTime
-                    : leaseRequestedAt + kAuthorityTime - kLeaseTtl });
+                .m_previousOwnersExpireAt = previousOwnersExpireAt });
     return;
   }
   if (IsInState("confirming") && m_ownerRevision != 0) {
@@ -419,7 +422,12 @@
   ApplyEvent(aEvent);
   LogWarning(
     LogPart::Owner,
-    absl::StrCat("lost ownership; shard=", m_shard, " reason=", aReason));
+    absl::StrCat("lost ownership; shard=",
+                 m_shard,
+                 " reason=",
+                 aReason,
+                 " renewed_ms_ago=",
+                 absl::ToInt64Milliseconds(m_loop.ReadClock() - m_renewedAt)));
   m_token.clear();
   m_onLoss(aReason);
   Schedule(kRetryDelay, &Ownership::ConsiderCandidacy);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -10,6 +10,7 @@
 #include "scheduler/job_keys.h"
 #include "scheduler/ownership.h"
 #include "scheduler/progress_writer.h"
+#include "scheduler/release_reason.h"
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/shard_status.h"
 #include "store/store_mirror.h"
@@ -262,7 +263,8 @@
                  const std::string& aWorkerId,
                  const OrderResult& aResult);
   void Assign(Task& aTask, Worker& aWorker);
-  void Release(Task& aTask);
+  /** Lets the task start elsewhere, as its last attempt has certainly ended. */
+  void Release(Task& aTask, ReleaseReason aReason);
   /** Releases a task whose worker has ended, now or once the owner holds the
    * store's lease again. */
   void ReleaseLost(Task& aTask);
@@ -290,6 +292,10 @@
                        absl::Time aSentAt);
   void ApplyEnd(Worker& aWorker, const TaskEnd& aEnd);
   void CheckProgress(Worker& aWorker, Task& aTask, const RunningTask& aRunning);
+  /** Logs that a worker runs an attempt that is not the task's current one. */
+  void ReportUnexpectedRun(const Worker& aWorker,
+                           const Task& aTask,
+                           std::int64_t aAttempt);
   void RecordTaskFailure(Worker& aWorker);
   void ScheduleRenewal(Worker& aWorker, absl::Duration aDelay);
   void ReleaseExpired(Worker& aWorker);
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -210,6 +210,9 @@
     if (isWanted && !isHere && task->m_phase == TaskPhase::Waiting &&
         running.m_attempt >= task->m_attempt) {
       // Started by a previous owner, or by an order that was carried out late.
+      if (running.m_attempt == task->m_attempt) {
+        ReportUnexpectedRun(aWorker, *task, running.m_attempt);
+      }
       Assign(*task, aWorker);
       task->m_attempt = running.m_attempt;
       task->m_isStopOrdered = false;
@@ -221,6 +224,9 @@
       task->m_job->MarkStarted();
       listed.insert(task);
     } else if (!isWanted || !isHere) {
+      if (task != nullptr && !task->m_job->IsFinal()) {
+        ReportUnexpectedRun(aWorker, *task, running.m_attempt);
+      }
       SendStop(running.m_task, running.m_attempt, aWorker.m_report.m_id);
       continue;
     }
@@ -272,11 +278,35 @@
                             { { "reason", "not_listed" } });
     }
     if (isLost || isStopped || task->m_phase == TaskPhase::Done) {
-      Release(*task);
+      Release(*task,
+              isStopped ? ReleaseReason::Stopped : ReleaseReason::NotListed);
     }
   }
 }
 
+void
+Scheduler::ReportUnexpectedRun(const Worker& aWorker,
+                               const Task& aTask,
+                               std::int64_t aAttempt)
+{
+  m_env.m_metrics.Count("bramleystall_unexpected_runs_total");
+  LogWarning(LogPart::Jobs,
+             absl::StrCat("worker runs an attempt that was given up; task=",
+                          aTask.m_job->NameOf(aTask),
+                          " attempt=",
+                          aAttempt,
+                          " worker=",
+                          aWorker.m_report.m_id,
+                          " born_ms=",
+                          aWorker.m_startTimeMs,
+                          " current_attempt=",
+                          aTask.m_attempt,
+                          " current_worker=",
+                          aTask.m_worker,
+                          " phase=",
+                          std::string(NameOf(kTaskPhaseNames, aTask.m_phase))));
+}
+
 void
 Scheduler::CheckProgress(Worker& aWorker,
                          Task& aTask,
@@ -333,7 +363,7 @@
       m_demandEstimator.AddRunTime(job.Record().m_queue,
                                    m_env.m_loop.Now() - task->m_orderedAt);
     }
-    Release(*task);
+    Release(*task, ReleaseReason::EndListed);
   }
   if (wasFinal || task->m_phase == TaskPhase::Done) {
     return;
@@ -406,7 +436,7 @@
                         { { "reason", "lease_lapsed" } },
                         tasks.size());
   for (Task* task : tasks) {
-    Release(*task);
+    Release(*task, ReleaseReason::LeaseExpired);
   }
 }
 
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -149,7 +149,7 @@
     for (Task* task : tasks) {
       if (task->m_isStartUnsent &&
           m_env.m_loop.Now() > task->m_orderedAt + kUnsentStartTimeout) {
-        Release(*task);
+        Release(*task, ReleaseReason::NotSent);
       }
     }
   }
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -36,9 +36,24 @@
 }
 
 void
-Scheduler::Release(Task& aTask)
+Scheduler::Release(Task& aTask, ReleaseReason aReason)
 {
   Worker* worker = FindWorker(aTask.m_worker);
+  if (aReason != ReleaseReason::EndListed &&
+      aReason != ReleaseReason::NotStarted) {
+    const std::string reason(NameOf(kReleaseReasonNames, aReason));
+    m_env.m_metrics.Count("bramleystall_task_releases_total",
+                          { { "reason", reason } });
+    LogInfo(LogPart::Jobs,
+            absl::StrCat("task released; task=",
+                         aTask.m_job->NameOf(aTask),
+                         " attempt=",
+                         aTask.m_attempt,
+                         " worker=",
+                         aTask.m_worker,
+                         " reason=",
+                         reason));
+  }
   if (worker != nullptr && worker->m_tasks.erase(&aTask) > 0) {
     worker->m_used.Subtract(OccupiedBy(aTask.m_job->Spec(aTask)));
   }
@@ -59,7 +74,7 @@
 Scheduler::ReleaseLost(Task& aTask)
 {
   if (m_env.m_holdsLease()) {
-    Release(aTask);
+    Release(aTask, ReleaseReason::WorkerEnded);
   } else {
     aTask.m_isLost = true;
   }
@@ -192,7 +207,7 @@
   }
   if (task->m_phase == TaskPhase::Starting ||
       task->m_phase == TaskPhase::Stopping) {
-    Release(*task);
+    Release(*task, ReleaseReason::NotStarted);
   }
 }
 
