Let a new owner wait for a previous one whose key was revoked

Cause: a new owner took a key that was gone for one that had expired, "last renewed at least one lease TTL before", and so let the orders of the previous owner end 4 s after its own request for the lease. The store may also take a key away just after it was renewed. The previous owner, if the store refuses it, learns nothing and sends orders for 6.5 s after that renewal. The new owner then counted the leases of a worker that only the previous one reaches as expired up to 2.5 s too early, and started its tasks elsewhere.

Fix: the 6.5 s count from the new owner's request for the lease. The key was gone before, so the previous owner sent its last accepted renewal earlier, and no owner lies between, since the term key has its revision. Tasks on silent workers that are not listed wait up to 2.5 s longer at a takeover.

--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -198,10 +198,10 @@
   if (IsInState("confirming") && isOurs) {
     ApplyEvent("key_confirmed");
     const absl::Time leaseRequestedAt = m_renewedAt;
-    // A key that expired was last renewed at least one lease TTL before.
+    // The previous owner renewed its lease for the last time before its key
+    // went, but possibly just before: the store may take keys away early.
     const absl::Time previousOwnersExpireAt =
-      m_isReplacingKey ? m_loop.Now() + kAuthorityTime
-                       : leaseRequestedAt + kAuthorityTime - kLeaseTtl;
+      (m_isReplacingKey ? m_loop.Now() : leaseRequestedAt) + kAuthorityTime;
     LogInfo(LogPart::Owner,
             absl::StrCat("became owner; shard=",
                          m_shard,
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -23,9 +23,11 @@
   /** Number of the owner's term, from 1. */
   std::int64_t m_term = 0;
   /**
-   * Monotonic time from which no previous owner sends orders: counted from
-   * its last renewal if its key has expired, or from now if its key was
-   * replaced. An owner that gives its key up has stopped sending orders before.
+   * Monotonic time from which no previous owner sends orders: counted from the
+   * request for the own lease if there was no owner key then, or from now if
+   * the key was replaced. The store may have taken the key away just after it
+   * was renewed, so its absence does not tell how old the last renewal is. An
+   * owner that gives its key up has stopped sending orders before.
    */
   absl::Time m_previousOwnersExpireAt;
 };
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -128,6 +128,17 @@
   }
 }
 
+void
+FakeStore::Revoke(const std::string& aKey, bool aDoesLeaseGoOn)
+{
+  const std::int64_t lease = m_items.at(aKey).m_lease;
+  if (aDoesLeaseGoOn) {
+    Remove(aKey);
+  } else {
+    RemoveLease(lease);
+  }
+}
+
 void
 FakeStore::RemoveExpiredLeases()
 {
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -42,6 +42,9 @@
   std::int64_t AddLease(absl::Duration aTtl);
   bool ExtendLease(std::int64_t aLease);
   void RemoveLease(std::int64_t aLease);
+  /** Takes a key away although its lease has just been renewed, and the lease
+   * as well unless it goes on. */
+  void Revoke(const std::string& aKey, bool aDoesLeaseGoOn);
   void RemoveExpiredLeases();
 
   ReadResult List(const std::string& aPrefix, const std::string& aAfter) const;
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -147,14 +147,29 @@
 JobCluster::CrashWorker(const std::string& aWorkerId)
 {
   m_workers.Crash(aWorkerId);
-  m_loop.After(kEntryTimeout, [this, aWorkerId] {
-    m_reports.erase(aWorkerId);
-    for (const auto& [name, daemon] : m_daemons) {
-      if (daemon->m_scheduler != nullptr) {
-        daemon->m_scheduler->OnWorkerRemoved(aWorkerId);
-      }
+  m_loop.After(kEntryTimeout, [this, aWorkerId] { Unlist(aWorkerId); });
+}
+
+void
+JobCluster::List(const WorkerReport& aReport)
+{
+  m_reports[aReport.m_id] = aReport;
+  for (const auto& [name, daemon] : m_daemons) {
+    if (daemon->m_scheduler != nullptr) {
+      daemon->m_scheduler->OnWorkerReport(aReport);
     }
-  });
+  }
+}
+
+void
+JobCluster::Unlist(const std::string& aWorkerId)
+{
+  m_reports.erase(aWorkerId);
+  for (const auto& [name, daemon] : m_daemons) {
+    if (daemon->m_scheduler != nullptr) {
+      daemon->m_scheduler->OnWorkerRemoved(aWorkerId);
+    }
+  }
 }
 
 void
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -59,6 +59,10 @@
    * heartbeats.
    */
   void CrashWorker(const std::string& aWorkerId);
+  /** Lists a worker, or takes its entry out of the store although the worker is
+   * alive. */
+  void List(const WorkerReport& aReport);
+  void Unlist(const std::string& aWorkerId);
   /**
    * Crashes a worker that is up and starts it again under the same id after
    * 300 ms.
--- /dev/null
+++ b/tests/scheduler/test_revoked_keys.cpp
@@ -0,0 +1,52 @@
+#include "tests/fakes/job_cluster.h"
+#include "tests/fakes/quiet_log.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace bramleystall;
+
+namespace {
+
+constexpr absl::Duration kStartup = absl::Milliseconds(300);
+
+/** Daemon "one" owns the shard and runs a long task on worker-0, which daemon
+ * "two" cannot reach. */
+struct CutOffWorkerFixture
+{
+  CutOffWorkerFixture()
+  {
+    m_cluster.m_workers.SetPlan({ .m_time = absl::Seconds(60) });
+    m_cluster.AddDaemon("one");
+    m_cluster.Run(kStartup);
+    m_cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
+    m_cluster.AddDaemon("two");
+    m_cluster.At("two").m_workers.m_unreachableWorkers = { "worker-0" };
+    m_cluster.Run(absl::Seconds(2));
+    REQUIRE(m_cluster.Owner() == "one");
+    REQUIRE(m_cluster.m_workers.RunningOn("job1.0.0.0").front() == "worker-0");
+  }
+
+  const QuietLog m_quiet;
+  JobCluster m_cluster{ 3 };
+};
+
+}
+
+// Guards against a new owner that starts a task while it still runs by order of
+// the previous owner, whose key was taken away just after it had been renewed
+// (rule TWICE, issue 31).
+TEST_CASE_METHOD(CutOffWorkerFixture,
+                 "A new owner waits for a previous one whose key was revoked",
+                 "[silent]")
+{
+  const bool doesLeaseGoOn = GENERATE(false, true);
+  m_cluster.Unlist("worker-0");
+  m_cluster.At("one").m_store.m_isRefusing = true;
+  m_cluster.m_store.Revoke(m_cluster.m_keys.Owner(), doesLeaseGoOn);
+  m_cluster.Run(absl::Seconds(20));
+  REQUIRE(m_cluster.Owner() == "two");
+  REQUIRE(m_cluster.m_workers.StartCount("job1.0.0.0") == 2);
+  REQUIRE(m_cluster.m_workers.Violations().empty());
+}
