Start no task on a worker that the stored list of leased workers misses

Cause: the owner drops a worker from the list of leased workers once the store no longer lists it and it has no tasks, but went on to count it as recorded. If the store listed the worker again within the rest of its lease (4.7 s), a task of a job that had run there before started at once, before the list that names the worker was stored. When the owner was then replaced, the new owner did not wait for that worker, and started the task again elsewhere. The hook of an earlier list could also mark a worker as recorded that a later one had dropped, or whose new incarnation only a later one names.

Fix: a worker keeps the number of the list from which on all lists name its incarnation. It counts as recorded once that list, or a later one, is stored, and no longer as soon as a list without it is queued.

--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -39,6 +39,11 @@
   int m_renewalNumber = 0;
   /** The store records for the next owner that the worker may hold leases. */
   bool m_isLeaseRecorded = false;
+  /**
+   * Number of the list of leased workers from which on all lists name this
+   * incarnation; 0 if the latest one does not.
+   */
+  std::int64_t m_leasedSince = 0;
   /**
    * Consecutive lease renewals without a response; at least 1 after any order
    * without one.
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -338,7 +338,9 @@
   DemandEstimator m_demandEstimator;
   /** Workers with leases of a previous owner that have not responded yet. */
   std::set<std::string> m_unresolvedWorkers;
+  /** Latest list of leased workers, stored or not yet, and its number. */
   std::string m_leasedWorkersText;
+  std::int64_t m_leasedWorkersNumber = 0;
   std::map<std::string, StoreItem> m_progress;
   struct Advice
   {
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -151,6 +151,7 @@
   // It knows no fencing token. No task starts here until the leased workers
   // have been written again, which shows that this daemon is still the owner.
   aWorker.m_isLeaseRecorded = false;
+  aWorker.m_leasedSince = 0;
   m_leasedWorkersText.clear();
   const std::set<Task*> tasks = aWorker.m_tasks;
   for (Task* task : tasks) {
@@ -196,15 +197,16 @@
 void
 Scheduler::StoreLeasedWorkers()
 {
+  const auto mayHoldLeases = [this](const Worker& aWorker) {
+    return aWorker.m_isListed || !aWorker.m_tasks.empty() ||
+           m_unresolvedWorkers.contains(aWorker.m_report.m_id);
+  };
   json addresses = json::object();
-  std::vector<std::string> ids;
   for (const auto& [id, worker] : m_workers) {
-    if (worker.m_isListed || !worker.m_tasks.empty() ||
-        m_unresolvedWorkers.contains(id)) {
+    if (mayHoldLeases(worker)) {
       addresses[id] = { worker.m_report.m_address,
                         worker.m_report.m_machine,
                         worker.m_report.m_startTimeMs };
-      ids.push_back(id);
     }
   }
   std::string text = addresses.dump();
@@ -212,15 +214,24 @@
     return;
   }
   m_leasedWorkersText = text;
+  const std::int64_t number = ++m_leasedWorkersNumber;
+  for (auto& [id, worker] : m_workers) {
+    if (!mayHoldLeases(worker)) {
+      // No task starts there until a later list names the worker again.
+      worker.m_leasedSince = 0;
+      worker.m_isLeaseRecorded = false;
+    } else if (worker.m_leasedSince == 0) {
+      worker.m_leasedSince = number;
+    }
+  }
   m_writer.Put(m_keys.LeasedWorkers(), std::move(text));
-  AfterStored([this, ids = std::move(ids), alive = m_alive] {
+  AfterStored([this, number, alive = m_alive] {
     if (!*alive) {
       return;
     }
-    for (const std::string& id : ids) {
-      Worker* worker = FindWorker(id);
-      if (worker != nullptr) {
-        worker->m_isLeaseRecorded = true;
+    for (auto& [id, worker] : m_workers) {
+      if (worker.m_leasedSince != 0 && worker.m_leasedSince <= number) {
+        worker.m_isLeaseRecorded = true;
       }
     }
     RequestPlacement();
--- a/tests/scheduler/test_takeover.cpp
+++ b/tests/scheduler/test_takeover.cpp
@@ -184,3 +184,39 @@
   REQUIRE(store.Has(keys.Entry("alive")));
   REQUIRE(store.Has(keys.Entry("unreadable")));
 }
+
+// Guards against a task that a new owner starts again, because the stored list
+// of leased workers has missed its worker, which was listed again just before
+// the start (rule TWICE, issue 31).
+TEST_CASE("No task starts on a worker that the stored list misses",
+          "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(1);
+  cluster.m_workers.SetPlanner([](const std::string& aTask, std::int64_t) {
+    return FakeRunPlan{ .m_time = aTask == "job1.0.1.0"
+                                    ? absl::Seconds(10)
+                                    : absl::Milliseconds(300) };
+  });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 2));
+  cluster.Run(absl::Milliseconds(200));
+  const WorkerReport report = cluster.m_reports.at("worker-0");
+  cluster.Unlist(report.m_id);
+  cluster.Run(absl::Seconds(1));
+  REQUIRE(cluster.m_workers.DoneTasks().contains("job1.0.0.0"));
+  REQUIRE(cluster.m_store.Value(cluster.m_keys.LeasedWorkers()) == "{}");
+  cluster.List(report);
+  cluster.At("one").m_store.m_isRefusing = true;
+  cluster.Run(absl::Milliseconds(500));
+  const WorkerReport other = JobCluster::MakeReport(1);
+  cluster.m_workers.Add(other);
+  cluster.m_reports[other.m_id] = other;
+  cluster.AddDaemon("two");
+  cluster.At("two").m_workers.m_unreachableWorkers = { report.m_id };
+  cluster.Run(absl::Seconds(25));
+  REQUIRE(cluster.Owner() == "two");
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
