Send no placed start to a worker that has restarted meanwhile

Found by reading; no run shows that it is the fault that was met.

Cause: a start on a worker that is not stored with its job waits for that write. If the worker restarted meanwhile, no task may start there before the list of leased workers has been written again, but only the placement asked for that, not the sending.

--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -130,7 +130,9 @@
         continue;
       }
       task->m_job->MarkWorkerRecorded(start.m_worker);
-      const bool isCurrent = worker != nullptr && task->m_isStartUnsent &&
+      // Not so if the worker has restarted since the placement.
+      const bool isCurrent = worker != nullptr && worker->m_isLeaseRecorded &&
+                             task->m_isStartUnsent &&
                              task->m_worker == start.m_worker &&
                              task->m_attempt == start.m_attempt;
       if (isCurrent) {
