Let no order of a frozen owner give a longer lease

Cause: an owner checks whether it may still send orders, and then computes the deadline of the order from the time of that moment. Placements send many starts after one check.

Fix: the lease counts from the end of the owner's time for orders at the latest (Ownership::OrdersEndAt), whatever time passes before the order is sent.

Evidence: a renewal that is frozen for 1.5 s in the new test kept its task running beside the one of the new owner.

--- a/daemon/shard_runner.cpp
+++ b/daemon/shard_runner.cpp
@@ -109,6 +109,7 @@
       .m_metrics = m_env.m_metrics,
       .m_configuration = m_env.m_configuration,
       .m_mayOrder = [this] { return m_ownership.MayOrder(); },
+      .m_ordersEndAt = [this] { return m_ownership.OrdersEndAt(); },
       .m_holdsLease = [this] { return m_ownership.HoldsLease(); },
       .m_onSuperseded = [this] { m_ownership.StepDown(); } },
     SchedulerSettings{ .m_maxWorkerLease = settings.m_maxWorkerLease,
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -76,8 +76,13 @@
 bool
 Ownership::MayOrder() const
 {
-  return IsInState("owner") &&
-         m_loop.ReadClock() < m_renewedAt + kAuthorityTime;
+  return IsInState("owner") && m_loop.ReadClock() < OrdersEndAt();
+}
+
+absl::Time
+Ownership::OrdersEndAt() const
+{
+  return m_renewedAt + kAuthorityTime;
 }
 
 bool
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -66,6 +66,9 @@
    * that an unreachable worker may still run.
    */
   bool MayOrder() const;
+  /** Monotonic time from which MayOrder is false unless the lease is renewed.
+   */
+  absl::Time OrdersEndAt() const;
 
   /** True while this daemon is the owner or is acquiring the ownership. */
   bool IsOwnerOrAcquiring() const
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -54,6 +54,8 @@
     std::function<const JobConfiguration&()> m_configuration;
     /** Whether this daemon may still send orders; see Ownership::MayOrder. */
     std::function<bool()> m_mayOrder;
+    /** Until when it may; see Ownership::OrdersEndAt. */
+    std::function<absl::Time()> m_ordersEndAt;
     /** Whether the store lease is valid; see Ownership::HoldsLease. */
     std::function<bool()> m_holdsLease;
     /** Called when a worker has seen the fencing token of a later owner. */
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -21,7 +21,11 @@
 {
   const absl::Duration lease =
     std::min(kWorkerLease, m_settings.m_maxWorkerLease);
-  const absl::Duration age = m_env.m_loop.ReadClock() - aWorker.m_clockReadAt;
+  // The daemon may have been frozen since it found that it may send orders. The
+  // next owner waits only for leases that were given before OrdersEndAt.
+  const absl::Time givenAt =
+    std::min(m_env.m_loop.ReadClock(), m_env.m_ordersEndAt());
+  const absl::Duration age = givenAt - aWorker.m_clockReadAt;
   aWorker.m_leaseExpiry = std::max(
     aWorker.m_leaseExpiry,
     aWorker.m_clockReadAt + PadForClockDrift(age + lease) + kLeaseMargin);
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -7,6 +7,8 @@
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace bramleystall {
 
 namespace {
@@ -38,8 +40,8 @@
           .m_configuration = [this]() -> const JobConfiguration& {
             return m_cluster.m_configuration;
           },
-          .m_mayOrder =
-            [this] { return m_mayOrder && m_ownership->MayOrder(); },
+          .m_mayOrder = [this] { return MayOrder(); },
+          .m_ordersEndAt = [this] { return m_ownership->OrdersEndAt(); },
           .m_holdsLease = [this] { return m_ownership->HoldsLease(); },
           .m_onSuperseded = [this] { m_ownership->StepDown(); } },
         SchedulerSettings{},
@@ -62,6 +64,17 @@
     });
 }
 
+bool
+JobCluster::Daemon::MayOrder()
+{
+  const bool mayOrder = m_mayOrder && m_ownership->MayOrder();
+  if (mayOrder) {
+    m_cluster.m_loop.AddIterationTime(
+      std::exchange(m_freezeAfterCheck, absl::ZeroDuration()));
+  }
+  return mayOrder;
+}
+
 JobCluster::JobCluster(int aWorkers)
 {
   QueueSpec queue;
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -27,11 +27,16 @@
   {
     Daemon(JobCluster& aCluster, const std::string& aName);
 
+    bool MayOrder();
+
     JobCluster& m_cluster;
     FakeStoreClient m_store;
     FakeWorkerClient m_workers;
     /** False to act as if the time for orders had run out. */
     bool m_mayOrder = true;
+    /** The daemon is frozen once for this time, just after it has found that it
+     * may send orders. */
+    absl::Duration m_freezeAfterCheck;
     std::unique_ptr<Scheduler> m_scheduler;
     std::unique_ptr<Ownership> m_ownership;
     std::unique_ptr<StoreMirror> m_ownershipMirror;
--- a/tests/scheduler/test_revoked_keys.cpp
+++ b/tests/scheduler/test_revoked_keys.cpp
@@ -50,3 +50,33 @@
   REQUIRE(m_cluster.m_workers.StartCount("job1.0.0.0") == 2);
   REQUIRE(m_cluster.m_workers.Violations().empty());
 }
+
+// Guards against a lease that outlasts the time for which a new owner waits,
+// because the previous one was frozen between its check that it may send orders
+// and the order (rule TWICE, issue 31).
+TEST_CASE_METHOD(CutOffWorkerFixture,
+                 "An order of a frozen owner gives no longer lease",
+                 "[silent]")
+{
+  JobCluster::Daemon& first = m_cluster.At("one");
+  const Worker& worker = *first.m_scheduler->WorkerOnMachine("machine-0");
+  first.m_store.m_isRefusing = true;
+  m_cluster.m_store.Revoke(m_cluster.m_keys.Owner(), false);
+  m_cluster.Run(absl::Milliseconds(5300));
+  while (worker.m_isRenewing) {
+    m_cluster.Run(absl::Milliseconds(1));
+  }
+  // The next check is that of the renewal, which is sent 50 ms later.
+  m_cluster.Run(absl::Milliseconds(45));
+  first.m_freezeAfterCheck = absl::Milliseconds(1500);
+  while (first.m_freezeAfterCheck > absl::ZeroDuration()) {
+    m_cluster.Run(absl::Milliseconds(1));
+  }
+  REQUIRE(first.m_scheduler != nullptr);
+  REQUIRE(worker.m_isRenewing);
+  m_cluster.Unlist("worker-0");
+  m_cluster.Run(absl::Seconds(15));
+  REQUIRE(m_cluster.Owner() == "two");
+  REQUIRE(m_cluster.m_workers.StartCount("job1.0.0.0") == 2);
+  REQUIRE(m_cluster.m_workers.Violations().empty());
+}
