Start a task of a lost worker again only after a write under the owner key

Cause: an owner releases the tasks of a lost worker only while it holds the store's lease, since the next owner may otherwise have recorded how they ended. It took the lease for valid for 2.5 s after a renewal, but the store may take the key away within that time. The next owner then reaches the worker, records the end and drops it from the worker's list, while the first owner starts the task again on a worker that the next one does not reach and that is already stored with the job, so that no write stood in between.

Fix: when a task is released because its worker has ended or its lease has expired, the job forgets which of its workers are stored and is written again. Its next starts wait for that write, which depends on the owner key.

--- a/jobs/job.h
+++ b/jobs/job.h
@@ -105,6 +105,8 @@
   {
     m_recordedWorkers.insert(aWorkerId);
   }
+  /** Lets each next start wait for a further write of the job. */
+  void ForgetRecordedWorkers() { m_recordedWorkers.clear(); }
 
   /** Approximate number of unfinished steps in the current occurrence. */
   int RemainingStepCount() const;
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -63,7 +63,13 @@
   if (aTask.m_phase != TaskPhase::Done) {
     aTask.m_phase = TaskPhase::Waiting;
   }
-  if (aTask.m_job->IsFinal()) {
+  if (aReason == ReleaseReason::WorkerEnded ||
+      aReason == ReleaseReason::LeaseExpired) {
+    // The next owner may reach the worker and record how the task ended. A
+    // write after the release shows that there was none; see StartTask.
+    aTask.m_job->ForgetRecordedWorkers();
+    Store(*aTask.m_job);
+  } else if (aTask.m_job->IsFinal()) {
     // The job is archived once none of its tasks is placed.
     Store(*aTask.m_job);
   }
--- a/tests/scheduler/test_revoked_keys.cpp
+++ b/tests/scheduler/test_revoked_keys.cpp
@@ -80,3 +80,38 @@
   REQUIRE(m_cluster.m_workers.StartCount("job1.0.0.0") == 2);
   REQUIRE(m_cluster.m_workers.Violations().empty());
 }
+
+// Guards against an owner that starts a task again after its key was revoked,
+// although the next owner has recorded the end of that task (rule TWICE, issue
+// 31). The next owner cannot reach the worker of the second start.
+TEST_CASE("An owner without its key starts no task whose worker is lost",
+          "[silent]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlanner([](const std::string& aTask, std::int64_t) {
+    return FakeRunPlan{ .m_time = absl::Milliseconds(
+                          aTask.ends_with(".0") ? 3000 : 300) };
+  });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  JobRecord record = JobCluster::MakeJob("job1", 2, 1);
+  record.m_steps.front().m_need.m_cpu = 3000;
+  cluster.Submit(record);
+  cluster.AddDaemon("two");
+  cluster.Run(absl::Seconds(1));
+  const std::string lost = cluster.m_workers.RunningOn("job1.0.0.0").front();
+  JobCluster::Daemon& first = cluster.At("one");
+  first.m_workers.m_unreachableWorkers = { lost };
+  cluster.At("two").m_workers.m_unreachableWorkers = { lost == "worker-0"
+                                                         ? "worker-1"
+                                                         : "worker-0" };
+  cluster.Unlist(lost);
+  cluster.Run(absl::Milliseconds(3900));
+  first.m_store.m_isRefusing = true;
+  cluster.m_store.Revoke(cluster.m_keys.Owner(), false);
+  cluster.Run(absl::Seconds(10));
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.StartCount() == 2);
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
