Give no longer lease to a worker whose clock was read long ago

Cause: the deadline of an order is the worker's clock as it was last read, plus the time since then, plus the lease. A worker's clock may be 2% slow, so after two minutes without an order, as on an idle worker, the lease lasts 2.4 s longer. The owner itself allowed for that, but the next owner, which does not know the age of the reading, waits only for a lease of 4.5 s on a slow clock. If a start on such a worker was one of the last orders of the previous owner, the next one started the task elsewhere while it was still running.

Fix: the time since the reading counts as a slow clock shows it, so that the lease ends within what the next owner counts. On other clocks the first lease is shorter, by 1.2 s after a minute, until the first renewal.

Evidence: the new test, with clocks that are 2% slow, fails on the code before (two runs of job1.0.1.0 at once) and passes with the fix, as do the other tests of scheduler/, store/ and jobs/ in a trial build (99 test cases).

--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -25,11 +25,14 @@
   // next owner waits only for leases that were given before OrdersEndAt.
   const absl::Time givenAt =
     std::min(m_env.m_loop.ReadClock(), m_env.m_ordersEndAt());
-  const absl::Duration age = givenAt - aWorker.m_clockReadAt;
-  aWorker.m_leaseExpiry = std::max(
-    aWorker.m_leaseExpiry,
-    aWorker.m_clockReadAt + PadForClockDrift(age + lease) + kLeaseMargin);
-  return aWorker.m_clockMs + absl::ToInt64Milliseconds(age + lease);
+  // A slow clock has advanced by less than this since it was read. The lease
+  // must end within PadForClockDrift(lease) nevertheless.
+  const absl::Duration sinceReading = givenAt - aWorker.m_clockReadAt;
+  const absl::Duration expiry = sinceReading * (1.0 - kClockDrift) + lease;
+  aWorker.m_leaseExpiry =
+    std::max(aWorker.m_leaseExpiry,
+             aWorker.m_clockReadAt + PadForClockDrift(expiry) + kLeaseMargin);
+  return aWorker.m_clockMs + absl::ToInt64Milliseconds(expiry);
 }
 
 void
--- a/tests/fakes/fake_workers.cpp
+++ b/tests/fakes/fake_workers.cpp
@@ -36,8 +36,8 @@
 std::int64_t
 FakeWorkers::ClockMs(const WorkerState& aWorker) const
 {
-  return 1000 +
-         absl::ToInt64Milliseconds(m_loop.ReadClock() - aWorker.m_startTime);
+  return 1000 + absl::ToInt64Milliseconds(
+                  (m_loop.ReadClock() - aWorker.m_startTime) * m_clockRate);
 }
 
 void
@@ -97,7 +97,8 @@
   worker.m_fencingToken = aOrder.m_fencingToken;
   const absl::Time leaseExpiry =
     m_loop.ReadClock() +
-    absl::Milliseconds(aOrder.m_leaseExpiryMs - result.m_workerClockMs);
+    absl::Milliseconds(aOrder.m_leaseExpiryMs - result.m_workerClockMs) /
+      m_clockRate;
   if (leaseExpiry <= m_loop.ReadClock()) {
     result.m_outcome = OrderOutcome::LeaseExpired;
     return result;
@@ -173,7 +174,8 @@
     worker.m_leaseExpiry =
       std::max(worker.m_leaseExpiry,
                m_loop.ReadClock() + absl::Milliseconds(aOrder.m_leaseExpiryMs -
-                                                       result.m_workerClockMs));
+                                                       result.m_workerClockMs) /
+                                      m_clockRate);
   }
   std::erase_if(worker.m_ends, [&](const TaskEnd& aEnd) {
     const bool isRecorded = aEnd.m_number <= aOrder.m_lastRecordedEnd;
--- a/tests/fakes/fake_workers.h
+++ b/tests/fakes/fake_workers.h
@@ -53,6 +53,8 @@
     m_planner = [aPlan](const std::string&, std::int64_t) { return aPlan; };
   }
 
+  /** Sets how fast the clocks of all workers run. */
+  void SetClockRate(double aRate) { m_clockRate = aRate; }
   /** Sets how many ends a response lists at most; 500 unless it is set. */
   void SetMaxListedEnds(std::size_t aCount) { m_maxListedEnds = aCount; }
 
@@ -123,6 +125,7 @@
     return FakeRunPlan{};
   };
   std::size_t m_maxListedEnds = 500;
+  double m_clockRate = 1;
   std::map<std::string, WorkerState> m_workers;
   std::map<std::string, int> m_startCounts;
   int m_startCount = 0;
--- a/tests/scheduler/test_silent_workers.cpp
+++ b/tests/scheduler/test_silent_workers.cpp
@@ -167,3 +167,48 @@
   REQUIRE(cluster.m_workers.StartCount() == 2);
   REQUIRE(cluster.m_workers.Violations().empty());
 }
+
+// Guards against a lease that outlasts the time for which a new owner waits,
+// because the worker's clock is slow and was last read long before the start
+// (rule TWICE, issue 31).
+TEST_CASE("A start on a worker that was idle for long gives no longer lease",
+          "[silent]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(1);
+  cluster.m_workers.SetClockRate(0.98);
+  cluster.m_workers.SetPlanner([](const std::string& aTask, std::int64_t) {
+    return FakeRunPlan{ .m_time = aTask == "job1.0.1.0"
+                                    ? absl::Seconds(10)
+                                    : absl::Milliseconds(300) };
+  });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 2));
+  cluster.Run(absl::Milliseconds(200));
+  // Nothing starts on a draining worker.
+  WorkerReport report = cluster.m_reports.at("worker-0");
+  report.m_isDraining = true;
+  cluster.List(report);
+  cluster.Run(absl::Seconds(120));
+  const WorkerReport other = JobCluster::MakeReport(1);
+  cluster.m_workers.Add(other);
+  cluster.m_reports[other.m_id] = other;
+  cluster.AddDaemon("two");
+  cluster.At("two").m_workers.m_unreachableWorkers = { report.m_id };
+  cluster.Run(absl::Seconds(1));
+  cluster.At("one").m_store.m_isRefusing = true;
+  cluster.m_store.Revoke(cluster.m_keys.Owner(), false);
+  cluster.Run(absl::Milliseconds(5700));
+  report.m_isDraining = false;
+  cluster.List(report);
+  cluster.Run(absl::Milliseconds(100));
+  REQUIRE(cluster.m_workers.RunningOn("job1.0.1.0").front() == "worker-0");
+  // Its lease is not renewed.
+  cluster.At("one").m_workers.m_unreachableWorkers = { report.m_id };
+  cluster.Unlist(report.m_id);
+  cluster.Run(absl::Seconds(25));
+  REQUIRE(cluster.Owner() == "two");
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
