End a machine's earlier worker only when the next one responds

Cause: EndEarlierIncarnations took an entry in the store as proof that the earlier workers of its machine had ended. An entry of another writer "names no worker to use". Change: it is called when a worker has responded itself, under its id and with its own start time. Only one worker at a time runs on a machine, so the one that responds later is the live one.

--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -205,11 +205,6 @@
     }
   }
   m_progress.clear();
-  for (const auto& [id, worker] : m_workers) {
-    if (worker.m_isListed && !worker.m_report.m_machine.empty()) {
-      EndEarlierIncarnations(worker);
-    }
-  }
   LogInfo(
     LogPart::Owner,
     absl::StrCat("took over; shard=",
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -279,6 +279,8 @@
   void OnRenewed(const std::string& aWorkerId,
                  absl::Time aSentAt,
                  const LeaseOrderResult& aResult);
+  /** A worker has responded, so the earlier ones of its machine have ended. Its
+   * entry alone would not show that: other writers may write entries, too. */
   void EndEarlierIncarnations(const Worker& aWorker);
   void StartNewIncarnation(Worker& aWorker, std::int64_t aStartTimeMs);
   /** Applies the list of running tasks; returns the worker's tasks in it. */
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -155,6 +155,9 @@
     StartNewIncarnation(worker, aResult.m_startTimeMs);
   }
   worker.m_startTimeMs = aResult.m_startTimeMs;
+  if (worker.m_clockReadAt == absl::InfinitePast()) {
+    EndEarlierIncarnations(worker);
+  }
   worker.m_clockMs = aResult.m_workerClockMs;
   // Now() is the start of the loop's iteration and would be too early when
   // other callbacks have delayed this one.
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -27,7 +27,6 @@
   m_typicalWorker = aReport.m_capacity;
   if (isNew && !aReport.m_machine.empty()) {
     m_workerOfMachine[aReport.m_machine] = aReport.m_id;
-    EndEarlierIncarnations(worker);
   }
   if (worker.m_startTimeMs != 0 &&
       aReport.m_startTimeMs > worker.m_startTimeMs) {
@@ -64,12 +63,15 @@
 void
 Scheduler::EndEarlierIncarnations(const Worker& aWorker)
 {
+  if (aWorker.m_report.m_machine.empty()) {
+    return;
+  }
   // A machine runs one worker at a time.
   for (auto& [id, other] : m_workers) {
     if (id != aWorker.m_report.m_id &&
         other.m_report.m_machine == aWorker.m_report.m_machine &&
         other.m_report.m_startTimeMs != 0 &&
-        other.m_report.m_startTimeMs < aWorker.m_report.m_startTimeMs) {
+        other.m_report.m_startTimeMs < aWorker.m_startTimeMs) {
       OnWorkerEnded(id);
     }
   }
