Resolve leases of earlier owners only while holding the store's lease

Cause: an owner sends orders for up to 4 s after its store lease may have expired. Within that time ClearExpiredLeases counted the leases of the owners before it as expired, and a worker's end or restart resolved them, although the next owner may have renewed them or recorded how the tasks had ended. Tasks of the silent worker were then started on a worker that only this owner reaches. ReleaseExpired and ReleaseLost have kept to the lease for that reason. Change: both paths wait until the store's lease is held again. A worker that responds is asked again meanwhile, and an ended one no longer counts as responding, so that its leases still count as expired in the end. Evidence: the test (three owners, one after the other cut off from the store, two workers that different owners reach) fails without the change: "two runs of a task at once: job1.0.0.0".

--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -234,6 +234,11 @@
 void
 Scheduler::ResolveEarlierLease(const std::string& aWorkerId)
 {
+  if (!m_env.m_holdsLease()) {
+    // The next owner may have renewed these leases or recorded how the tasks
+    // ended, and the worker may have restarted since.
+    return;
+  }
   if (m_unresolvedWorkers.erase(aWorkerId) > 0 && m_unresolvedWorkers.empty()) {
     RequestPlacement();
   }
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -192,7 +192,8 @@
     });
   }
   if (!worker.m_tasks.empty() || !aResult.m_hasAllEnds ||
-      worker.m_appliedEnd > worker.m_recordedEnd) {
+      worker.m_appliedEnd > worker.m_recordedEnd ||
+      m_unresolvedWorkers.contains(aWorkerId)) {
     ScheduleRenewal(worker,
                     worker.m_appliedEnd > worker.m_recordedEnd
                       ? kRenewalRetryDelay
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -85,6 +85,7 @@
     return;
   }
   worker->m_isListed = false;
+  worker->m_clockReadAt = absl::InfinitePast();
   worker->m_leaseExpiry = m_env.m_loop.Now();
   const std::set<Task*> tasks = worker->m_tasks;
   for (Task* task : tasks) {
@@ -246,7 +247,8 @@
   const absl::Time now = m_env.m_loop.Now();
   const absl::Time expiry = m_grant.m_previousOwnersExpireAt +
                             PadForClockDrift(kWorkerLease) + kLeaseMargin;
-  if (m_unresolvedWorkers.empty() || now < expiry) {
+  if (m_unresolvedWorkers.empty() || now < expiry || !m_env.m_holdsLease()) {
+    // Without the store lease, the next owner may have renewed them.
     return;
   }
   // A listed worker is alive, and its tasks may have ended as done before the
--- a/tests/scheduler/test_release_proofs.cpp
+++ b/tests/scheduler/test_release_proofs.cpp
@@ -105,3 +105,36 @@
   REQUIRE(cluster.m_workers.StartCount(kTask) == 2);
   REQUIRE(cluster.m_workers.Violations().empty());
 }
+
+// Guards against an owner cut off from the store that counts leases of previous
+// owners as expired, although its successor has renewed them (rule TWICE).
+TEST_CASE("An owner without the store's lease gives up no earlier leases",
+          "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  // Three tasks fit on one worker.
+  JobRecord record = JobCluster::MakeJob("job1", 4, 1);
+  record.m_steps.front().m_need.m_cpu = 1300;
+  cluster.Submit(record);
+  cluster.Run(absl::Milliseconds(300));
+  const std::string first = cluster.m_workers.RunningOn(kTask).front();
+  const std::string second = cluster.m_workers.RunningOn("job1.0.0.3").front();
+  REQUIRE(first != second);
+  cluster.m_reports.erase(first);
+  cluster.At("one").m_store.m_isPartitioned = true;
+  cluster.At("one").m_workers.m_unreachableWorkers = { second };
+  cluster.AddDaemon("two");
+  cluster.At("two").m_workers.m_unreachableWorkers = { first };
+  cluster.Run(absl::Milliseconds(5300));
+  REQUIRE(cluster.Owner() == "two");
+  cluster.At("two").m_store.m_isPartitioned = true;
+  cluster.AddDaemon("three");
+  cluster.At("three").m_workers.m_unreachableWorkers = { second };
+  cluster.Run(absl::Seconds(9));
+  REQUIRE(cluster.Owner() == "three");
+  CheckRunsOnce(cluster);
+}
