Send a held start only if its task and worker still need it

Cause: a start is held until the store has its worker. Change: SendPlacedStarts sends the start only if the task is still to be started and the worker's clock is known and its lease recorded; else the task is released, as its start was never sent. Evidence: both tests fail without the change (task started twice; deadline below 0).

--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -135,8 +135,16 @@
                              task->m_isStartUnsent &&
                              task->m_worker == start.m_worker &&
                              task->m_attempt == start.m_attempt;
-      if (isCurrent) {
+      if (!isCurrent) {
+        continue;
+      }
+      // Meanwhile another worker may have listed the task as done, or this one
+      // may have restarted, so that its clock and fencing token are unknown.
+      if (task->m_phase == TaskPhase::Starting && worker->m_isLeaseRecorded &&
+          worker->m_clockReadAt != absl::InfinitePast()) {
         SendStart(*task, *worker, start.m_ticket);
+      } else {
+        Release(*task, ReleaseReason::NotSent);
       }
     }
   });
--- /dev/null
+++ b/tests/fakes/held_worker_gateway.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "core/worker_gateway.h"
+
+#include <functional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bramleystall {
+
+/** Connections to the workers whose responses a test can hold back. */
+class HeldWorkerGateway : public WorkerGateway
+{
+public:
+  explicit HeldWorkerGateway(WorkerGateway& aWorkers)
+    : m_workers(aWorkers)
+  {
+  }
+
+  /** Holds the responses to coming starts until DeliverStarts. */
+  bool m_isHoldingStarts = false;
+  /** Addresses at which a worker with another id responds. */
+  std::set<std::string> m_takenAddresses;
+  /** All starts that were sent. */
+  std::vector<StartOrder> m_starts;
+
+  void DeliverStarts()
+  {
+    for (const auto& deliver : std::exchange(m_heldStarts, {})) {
+      deliver();
+    }
+  }
+
+  void Start(const WorkerAddress& aWorker,
+             const StartOrder& aOrder,
+             OrderCallback aCallback) override
+  {
+    m_starts.push_back(aOrder);
+    m_workers.Start(
+      aWorker,
+      aOrder,
+      [this, isHeld = m_isHoldingStarts, callback = std::move(aCallback)](
+        const OrderResult& aResult) {
+        if (isHeld) {
+          m_heldStarts.push_back([callback, aResult] { callback(aResult); });
+        } else {
+          callback(aResult);
+        }
+      });
+  }
+
+  void Stop(const WorkerAddress& aWorker,
+            const StopOrder& aOrder,
+            OrderCallback aCallback) override
+  {
+    m_workers.Stop(aWorker, aOrder, std::move(aCallback));
+  }
+
+  void Pace(const WorkerAddress& aWorker,
+            const PaceOrder& aOrder,
+            OrderCallback aCallback) override
+  {
+    m_workers.Pace(aWorker, aOrder, std::move(aCallback));
+  }
+
+  void RenewLease(const WorkerAddress& aWorker,
+                  const LeaseOrder& aOrder,
+                  LeaseCallback aCallback) override
+  {
+    const bool isTaken = m_takenAddresses.contains(aWorker.m_address);
+    m_workers.RenewLease(
+      aWorker,
+      aOrder,
+      [isTaken, callback = std::move(aCallback)](LeaseOrderResult aResult) {
+        callback(isTaken ? LeaseOrderResult{ .m_outcome =
+                                               OrderOutcome::WrongIncarnation }
+                         : std::move(aResult));
+      });
+  }
+
+  void Advise(const std::string& aStep,
+              const std::vector<std::string>& aWorkers,
+              AdviceCallback aCallback) override
+  {
+    m_workers.Advise(aStep, aWorkers, std::move(aCallback));
+  }
+
+private:
+  WorkerGateway& m_workers;
+  std::vector<std::function<void()>> m_heldStarts;
+};
+
+}
--- a/tests/scheduler/test_release_proofs.cpp
+++ b/tests/scheduler/test_release_proofs.cpp
@@ -1,9 +1,19 @@
+#include "core/metrics.h"
+#include "jobs/job_codec.h"
+#include "net/event_loop.h"
+#include "scheduler/job_keys.h"
+#include "scheduler/scheduler.h"
+#include "tests/fakes/fake_store.h"
+#include "tests/fakes/fake_workers.h"
+#include "tests/fakes/held_worker_gateway.h"
 #include "tests/fakes/job_cluster.h"
 #include "tests/fakes/quiet_log.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <memory>
 #include <string>
 
 using namespace bramleystall;
@@ -35,6 +45,61 @@
   return other;
 }
 
+/** A scheduler alone, with responses of the workers that can be held back. */
+struct SchedulerFixture
+{
+  SchedulerFixture()
+  {
+    m_store.Set(m_keys.Owner(), "{}");
+    QueueSpec queue;
+    queue.m_name = "quotes";
+    queue.m_pool = "counter";
+    m_configuration.m_queues = { queue };
+    m_workers.Add(JobCluster::MakeReport(0));
+    m_workers.Add(JobCluster::MakeReport(1));
+  }
+
+  void StartScheduler()
+  {
+    const std::int64_t fence =
+      m_store.List(m_keys.Owner(), "").m_items.front().m_revision;
+    m_scheduler = std::make_unique<Scheduler>(
+      Scheduler::Environment{
+        .m_loop = m_loop,
+        .m_store = m_storeClient,
+        .m_workers = m_gateway,
+        .m_metrics = m_metrics,
+        .m_configuration = [this]() -> const JobConfiguration& {
+          return m_configuration;
+        },
+        .m_mayOrder = [] { return true; },
+        .m_holdsLease = [] { return true; },
+        .m_onSuperseded = [] {} },
+      SchedulerSettings{},
+      m_keys,
+      OwnershipGrant{ .m_fencingToken = fence,
+                      .m_term = 1,
+                      .m_previousOwnersExpireAt = m_loop.Now() });
+  }
+
+  void Submit(const JobRecord& aRecord)
+  {
+    m_store.Set(m_keys.Job(aRecord.m_id), EncodeJobRecord(aRecord));
+  }
+
+  const QuietLog m_quiet;
+  const keys::ShardKeys m_keys{ 0 };
+  EventLoop m_loop{ EventLoop::ClockMode::Simulated };
+  FakeStore m_store{ m_loop };
+  FakeStoreClient m_storeClient{ m_loop, m_store };
+  FakeWorkers m_workers{ m_loop };
+  FakeWorkerClient m_client{ m_loop, m_workers };
+  HeldWorkerGateway m_gateway{ m_client };
+  Metrics m_metrics;
+  JobConfiguration m_configuration;
+  std::unique_ptr<Scheduler> m_scheduler;
+};
+
 void
 CheckRunsOnce(JobCluster& aCluster)
 {
@@ -138,3 +203,74 @@
   REQUIRE(cluster.Owner() == "three");
   CheckRunsOnce(cluster);
 }
+
+// Guards against a start of a task that was found done while its start waited
+// for the store (rule TWICE).
+TEST_CASE("A held start is not sent once its task is done", "[scheduler]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlanner([](const std::string& aTask, std::int64_t) {
+    return FakeRunPlan{ .m_time = absl::Seconds(aTask == kTask ? 2 : 20) };
+  });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  cluster.Run(absl::Milliseconds(300));
+  const std::string silent = cluster.m_workers.RunningOn(kTask).front();
+  const WorkerReport report = cluster.m_reports.at(silent);
+  const WorkerReport spare =
+    JobCluster::MakeReport(silent == "worker-0" ? 1 : 0);
+  JobCluster::Daemon& owner = cluster.At("one");
+  const Worker* other = owner.m_scheduler->WorkerOnMachine(spare.m_machine);
+  // With this delay, the worker is asked again while the starts wait.
+  cluster.Run(absl::Milliseconds(600));
+  owner.m_workers.m_unreachableWorkers = { silent };
+  owner.m_scheduler->OnWorkerRemoved(silent);
+  for (int i = 0; i < 2000 && other->m_tasks.empty(); ++i) {
+    cluster.Run(absl::Milliseconds(5));
+  }
+  REQUIRE(other->m_tasks.size() == 2);
+  // The two starts wait for the store, which refuses all calls for a while.
+  owner.m_store.m_isRefusing = true;
+  owner.m_workers.m_unreachableWorkers.clear();
+  owner.m_scheduler->OnWorkerReport(report);
+  cluster.Run(absl::Milliseconds(450));
+  REQUIRE(std::ranges::any_of(other->m_tasks, [](const Task* aTask) {
+    return aTask->m_phase == TaskPhase::Done && aTask->m_isStartUnsent;
+  }));
+  owner.m_store.m_isRefusing = false;
+  cluster.Run(absl::Seconds(3));
+  CheckRunsOnce(cluster);
+}
+
+// Guards against a held start that is sent to a restarted worker, whose clock
+// and fencing token are unknown (rule TWICE).
+TEST_CASE_METHOD(SchedulerFixture,
+                 "A held start is not sent to a restarted worker",
+                 "[scheduler]")
+{
+  m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  m_loop.AdvanceBy(absl::Seconds(2));
+  StartScheduler();
+  WorkerReport report = JobCluster::MakeReport(0);
+  m_scheduler->OnWorkerReport(report);
+  m_scheduler->OnWorkersListed();
+  m_loop.AdvanceBy(kStartup);
+  Submit(JobCluster::MakeJob("job1", 1, 1));
+  Worker* worker = m_scheduler->WorkerOnMachine(report.m_machine);
+  for (int i = 0; i < 2000 && worker->m_tasks.empty(); ++i) {
+    m_loop.AdvanceBy(absl::Milliseconds(1));
+  }
+  REQUIRE((*worker->m_tasks.begin())->m_isStartUnsent);
+  m_workers.Crash(report.m_id);
+  report.m_startTimeMs += 1000;
+  m_workers.Add(report);
+  m_scheduler->OnWorkerReport(report);
+  for (int i = 0; i < 2000 && m_gateway.m_starts.empty(); ++i) {
+    m_loop.AdvanceBy(absl::Milliseconds(1));
+  }
+  REQUIRE(m_gateway.m_starts.front().m_leaseExpiryMs > 0);
+  REQUIRE(worker->m_isLeaseRecorded);
+  REQUIRE(worker->m_clockReadAt != absl::InfinitePast());
+}
