Take a worker's clock from a start only if no restart was seen since

Cause: the response to a start has the worker's clock, but no start time. Read after the worker's restart was seen, as when the daemon stood still, it set the clock of the earlier incarnation, which is ahead. The next orders then gave leases longer (up to hold_max_ms) than this owner counts, and it started the tasks of a silent worker elsewhere while they still ran. Change: the clock is taken only if the worker's start time is the one known when the order was sent. If it restarted unseen, the response has the smaller clock of the new incarnation, or the restart discards the reading. Evidence: the test fails without the change (two runs at once, with a clock 1.2 s ahead).

--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -247,6 +247,12 @@
                  Worker& aWorker,
                  std::int64_t aAttempt,
                  const std::string& aTicket);
+  /** Takes a worker's clock from the response to a start order, unless the
+   * worker restarted after aStartTimeMs, its start time as the order was sent.
+   */
+  void ReadClock(const std::string& aWorkerId,
+                 std::int64_t aStartTimeMs,
+                 const OrderResult& aResult);
   void OnStarted(const std::string& aName,
                  std::int64_t aAttempt,
                  const std::string& aWorkerId,
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -132,24 +132,38 @@
                          name = order.m_task,
                          attempt = aTask.m_attempt,
                          id = aWorker.m_report.m_id,
+                         startTimeMs = aWorker.m_startTimeMs,
                          alive = m_alive](const OrderResult& aResult) {
                           if (*alive) {
+                            ReadClock(id, startTimeMs, aResult);
                             OnStarted(name, attempt, id, aResult);
                           }
                         });
 }
 
 void
-Scheduler::OnStarted(const std::string& aName,
-                     std::int64_t aAttempt,
-                     const std::string& aWorkerId,
+Scheduler::ReadClock(const std::string& aWorkerId,
+                     std::int64_t aStartTimeMs,
                      const OrderResult& aResult)
 {
+  // The response does not tell the incarnation. If a restart was seen since the
+  // order was sent, it may have the clock of the earlier one, whose time would
+  // make the leases longer than this owner counts.
   Worker* worker = FindWorker(aWorkerId);
-  if (worker != nullptr && aResult.m_workerClockMs > 0) {
+  if (worker != nullptr && worker->m_startTimeMs == aStartTimeMs &&
+      aResult.m_workerClockMs > 0) {
     worker->m_clockMs = aResult.m_workerClockMs;
     worker->m_clockReadAt = m_env.m_loop.ReadClock();
   }
+}
+
+void
+Scheduler::OnStarted(const std::string& aName,
+                     std::int64_t aAttempt,
+                     const std::string& aWorkerId,
+                     const OrderResult& aResult)
+{
+  Worker* worker = FindWorker(aWorkerId);
   const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
   m_env.m_metrics.Count("bramleystall_task_starts_total",
                         { { "outcome", outcome } });
--- a/tests/scheduler/test_release_proofs.cpp
+++ b/tests/scheduler/test_release_proofs.cpp
@@ -244,6 +244,42 @@
   CheckRunsOnce(cluster);
 }
 
+// Guards against the clock of an earlier incarnation, which a held response to
+// a start has, that makes the leases of the next one longer than the owner
+// counts (rule TWICE).
+TEST_CASE_METHOD(SchedulerFixture,
+                 "A start's response from before a restart sets no clock",
+                 "[scheduler]")
+{
+  m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  m_loop.AdvanceBy(absl::Milliseconds(800));
+  StartScheduler();
+  WorkerReport report = JobCluster::MakeReport(0);
+  m_scheduler->OnWorkerReport(report);
+  m_scheduler->OnWorkersListed();
+  m_loop.AdvanceBy(kStartup);
+  m_gateway.m_isHoldingStarts = true;
+  Submit(JobCluster::MakeJob("job1", 1, 1));
+  m_loop.AdvanceBy(absl::Milliseconds(100));
+  REQUIRE(m_workers.StartCount(kTask) == 1);
+  m_gateway.m_isHoldingStarts = false;
+  m_workers.Crash(report.m_id);
+  report.m_startTimeMs += 1000;
+  m_workers.Add(report);
+  m_scheduler->OnWorkerReport(report);
+  m_loop.AdvanceBy(absl::Milliseconds(200));
+  m_gateway.DeliverStarts();
+  Submit(JobCluster::MakeJob("job2", 1, 1));
+  m_loop.AdvanceBy(absl::Milliseconds(100));
+  REQUIRE(m_workers.StartCount("job2.0.0.0") == 1);
+  m_client.m_unreachableWorkers = { report.m_id };
+  m_scheduler->OnWorkerRemoved(report.m_id);
+  m_scheduler->OnWorkerReport(JobCluster::MakeReport(1));
+  m_loop.AdvanceBy(absl::Seconds(8));
+  REQUIRE(m_workers.StartCount("job2.0.0.0") == 2);
+  REQUIRE(m_workers.Violations().empty());
+}
+
 // Guards against a held start that is sent to a restarted worker, whose clock
 // and fencing token are unknown (rule TWICE).
 TEST_CASE_METHOD(SchedulerFixture,
