Let a 421 end a worker only at the address where it responds

Cause: a 421 says that another worker answers at an address. The owner took it as proof that the worker it meant had ended, even if the renewal had gone to an address that the worker's entry no longer has, or never had while the worker responded, as when another writer wrote its entry for a while. Change: a 421 ends the worker only at its present address, and only if it responded there last (or has not responded to this owner). Otherwise it counts as no response, and the lease decides. Evidence: both sections of the test fail without the change (the task is started a second time while it runs).

--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -50,6 +50,8 @@
    */
   int m_unansweredRenewals = 0;
   absl::Time m_renewedAt = absl::InfinitePast();
+  /** Address at which the worker responded last. */
+  std::string m_respondedAddress;
   /** No task is placed here before this time. */
   absl::Time m_avoidUntil = absl::InfinitePast();
   /** Number of failed tasks since the last completed one. */
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -283,6 +283,7 @@
   void EnsureRenewal(Worker& aWorker);
   void Renew(Worker& aWorker);
   void OnRenewed(const std::string& aWorkerId,
+                 const std::string& aAddress,
                  absl::Time aSentAt,
                  const LeaseOrderResult& aResult);
   /** A worker has responded, so the earlier ones of its machine have ended. Its
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -91,16 +91,18 @@
     order,
     [this,
      id = aWorker.m_report.m_id,
+     address = aWorker.m_report.m_address,
      sentAt = m_env.m_loop.Now(),
      alive = m_alive](const LeaseOrderResult& aResult) {
       if (*alive) {
-        OnRenewed(id, sentAt, aResult);
+        OnRenewed(id, address, sentAt, aResult);
       }
     });
 }
 
 void
 Scheduler::OnRenewed(const std::string& aWorkerId,
+                     const std::string& aAddress,
                      absl::Time aSentAt,
                      const LeaseOrderResult& aResult)
 {
@@ -111,7 +113,10 @@
   Worker& worker = *found;
   worker.m_isRenewing = false;
   if (aResult.m_outcome != OrderOutcome::Accepted) {
-    if (aResult.m_outcome == OrderOutcome::WrongIncarnation) {
+    const bool isAtItsAddress = aAddress == worker.m_report.m_address &&
+                                (worker.m_respondedAddress.empty() ||
+                                 aAddress == worker.m_respondedAddress);
+    if (aResult.m_outcome == OrderOutcome::WrongIncarnation && isAtItsAddress) {
       // Another worker uses the address, so this one has ended.
       LogInfo(
         LogPart::Workers,
@@ -155,6 +160,7 @@
     StartNewIncarnation(worker, aResult.m_startTimeMs);
   }
   worker.m_startTimeMs = aResult.m_startTimeMs;
+  worker.m_respondedAddress = aAddress;
   if (worker.m_clockReadAt == absl::InfinitePast()) {
     EndEarlierIncarnations(worker);
   }
--- a/tests/scheduler/test_release_proofs.cpp
+++ b/tests/scheduler/test_release_proofs.cpp
@@ -280,6 +280,44 @@
   REQUIRE(m_workers.Violations().empty());
 }
 
+// Guards against a worker that counts as ended because another one responds at
+// an address that is not the worker's any more, or never was (rule TWICE).
+TEST_CASE_METHOD(SchedulerFixture,
+                 "Another worker at an outdated address ends no worker",
+                 "[scheduler]")
+{
+  m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  StartScheduler();
+  WorkerReport report = JobCluster::MakeReport(0);
+  m_scheduler->OnWorkerReport(report);
+  m_scheduler->OnWorkersListed();
+  m_loop.AdvanceBy(kStartup);
+  Submit(JobCluster::MakeJob("job1", 1, 1));
+  m_loop.AdvanceBy(absl::Milliseconds(100));
+  REQUIRE(m_workers.StartCount(kTask) == 1);
+  m_scheduler->OnWorkerReport(JobCluster::MakeReport(1));
+  const std::string address = report.m_address;
+  SECTION("The entry had another address for a while")
+  {
+    report.m_address = "10.0.9.9:80";
+    m_gateway.m_takenAddresses = { report.m_address };
+    m_scheduler->OnWorkerReport(report);
+    m_loop.AdvanceBy(absl::Seconds(1));
+    report.m_address = address;
+    m_scheduler->OnWorkerReport(report);
+  }
+  SECTION("The renewal was sent to the address before")
+  {
+    m_gateway.m_takenAddresses = { address };
+    m_loop.AdvanceBy(absl::Milliseconds(800));
+    report.m_address = "10.0.9.9:80";
+    m_scheduler->OnWorkerReport(report);
+  }
+  m_loop.AdvanceBy(absl::Seconds(3));
+  REQUIRE(m_workers.StartCount(kTask) == 1);
+  REQUIRE(m_workers.Violations().empty());
+}
+
 // Guards against a held start that is sent to a restarted worker, whose clock
 // and fencing token are unknown (rule TWICE).
 TEST_CASE_METHOD(SchedulerFixture,
