Wait for all workers of the jobs if the list of leased ones is unreadable

Cause: a document of leased workers that cannot be decoded was ignored, so the new owner waited for no silent worker and started its tasks again at once. No disruption of the platform is known to damage the document. Change: the workers that the jobs' progress names count as leased then. Evidence: the test fails without the change ("two runs of a task at once: job1.0.0.0").

--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -130,7 +130,9 @@
         const json body = json::parse(item.m_value, nullptr, false);
         if (!body.is_object()) {
           LogError(LogPart::Owner,
-                   "cannot decode the list of leased workers; ignoring it");
+                   "cannot decode the list of leased workers; waiting for all "
+                   "workers of the jobs");
+          m_areLeasedWorkersKnown = false;
           continue;
         }
         for (const auto& [id, row] : body.items()) {
@@ -188,6 +190,11 @@
       }
       m_progress.erase(found);
     }
+    if (!m_areLeasedWorkersKnown) {
+      for (const std::string& worker : job->Workers()) {
+        AddLeasedWorker(worker, {});
+      }
+    }
     if (job->IsFinal()) {
       // The previous owner ended before it could archive the job.
       Store(*job);
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -363,6 +363,7 @@
   std::map<std::string, Advice> m_advice;
   bool m_hasProgress = false;
   bool m_hasLeasedWorkers = false;
+  bool m_areLeasedWorkersKnown = true;
   bool m_hasJobs = false;
   bool m_hasWorkers = false;
   bool m_isRunning = false;
--- a/tests/scheduler/test_release_proofs.cpp
+++ b/tests/scheduler/test_release_proofs.cpp
@@ -348,3 +348,25 @@
   REQUIRE(worker->m_isLeaseRecorded);
   REQUIRE(worker->m_clockReadAt != absl::InfinitePast());
 }
+
+// Guards against a new owner that waits for no silent worker because it cannot
+// read the list of the leased ones (rule TWICE).
+TEST_CASE("A new owner waits for workers of jobs if their list is unreadable",
+          "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  const std::string running = StartTask(cluster);
+  cluster.KillDaemon("one");
+  cluster.m_store.Set(cluster.m_keys.LeasedWorkers(), "[");
+  cluster.m_reports.erase(running);
+  cluster.AddDaemon("two");
+  cluster.At("two").m_workers.m_unreachableWorkers = { running };
+  cluster.Run(absl::Milliseconds(3600));
+  REQUIRE(cluster.Owner() == "two");
+  CheckRunsOnce(cluster);
+  cluster.Run(absl::Seconds(10));
+  REQUIRE(cluster.m_workers.StartCount(kTask) == 2);
+  REQUIRE(cluster.m_workers.Violations().empty());
+}
