Count the lease of a task that was found running

Cause: a new owner counts a worker's lease from its own orders. For a task that it finds running there is none until the next renewal, 50 ms later. If the worker counted as silent by then, as after a refused order for its machine, the lease counted as expired at once and the task was started elsewhere. Change: such a task's lease lasts hold_max_ms from the response, the longest that the protocol allows. Evidence: the test fails without the change ("two runs of a task at once: job1.0.0.0").

--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -231,6 +231,11 @@
         ReportUnexpectedRun(aWorker, *task, running.m_attempt);
       }
       Assign(*task, aWorker);
+      // Its lease is not one of this owner's orders.
+      aWorker.m_leaseExpiry = std::max(
+        aWorker.m_leaseExpiry,
+        m_env.m_loop.ReadClock() +
+          PadForClockDrift(m_settings.m_maxWorkerLease) + kLeaseMargin);
       task->m_attempt = running.m_attempt;
       task->m_isStopOrdered = false;
       task->m_orderedAt = absl::Time();
--- a/tests/scheduler/test_release_proofs.cpp
+++ b/tests/scheduler/test_release_proofs.cpp
@@ -244,6 +244,35 @@
   CheckRunsOnce(cluster);
 }
 
+// Guards against a lease of a previous owner that counts as expired before the
+// new owner has renewed it once (rule TWICE).
+TEST_CASE("A task that was found running keeps its lease", "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  const std::string running = StartTask(cluster);
+  const WorkerReport report = cluster.m_reports.at(running);
+  cluster.KillDaemon("one");
+  cluster.AddDaemon("two");
+  const auto isFound = [&] {
+    const auto& scheduler = cluster.At("two").m_scheduler;
+    return scheduler != nullptr &&
+           !scheduler->WorkerOnMachine(report.m_machine)->m_tasks.empty();
+  };
+  for (int i = 0; i < 2000 && !isFound(); ++i) {
+    cluster.Run(absl::Milliseconds(2));
+  }
+  REQUIRE(isFound());
+  // A refused order for its machine asks for a new look at the worker.
+  JobCluster::Daemon& owner = cluster.At("two");
+  owner.m_scheduler->SetEvacuating(running, false);
+  owner.m_scheduler->OnWorkerRemoved(running);
+  owner.m_workers.m_unreachableWorkers = { running };
+  cluster.Run(absl::Seconds(2));
+  CheckRunsOnce(cluster);
+}
+
 // Guards against the clock of an earlier incarnation, which a held response to
 // a start has, that makes the leases of the next one longer than the owner
 // counts (rule TWICE).
