Discard a list of an incarnation that has ended since it was asked for

Cause: when a worker's entry shows a restart while a renewal is in flight, the response may still be of the earlier incarnation, as when the daemon stood still. It counted as another restart: the ended tasks were taken for running, and the next renewal gave the new incarnation a lease by the clock of the earlier one, longer than this owner counts. Change: a response with the start time that was known when the renewal was sent is discarded if another one is known by now, and the worker is asked again.

--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -282,9 +282,15 @@
   /** Schedules a renewal unless one is in flight. */
   void EnsureRenewal(Worker& aWorker);
   void Renew(Worker& aWorker);
+  /** What was known of a worker when a renewal was sent to it. */
+  struct SentRenewal
+  {
+    absl::Time m_at;
+    std::string m_address;
+    std::int64_t m_startTimeMs = 0;
+  };
   void OnRenewed(const std::string& aWorkerId,
-                 const std::string& aAddress,
-                 absl::Time aSentAt,
+                 const SentRenewal& aSent,
                  const LeaseOrderResult& aResult);
   /** A worker has responded, so the earlier ones of its machine have ended. Its
    * entry alone would not show that: other writers may write entries, too. */
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -91,19 +91,19 @@
     order,
     [this,
      id = aWorker.m_report.m_id,
-     address = aWorker.m_report.m_address,
-     sentAt = m_env.m_loop.Now(),
+     sent = SentRenewal{ .m_at = m_env.m_loop.Now(),
+                         .m_address = aWorker.m_report.m_address,
+                         .m_startTimeMs = aWorker.m_startTimeMs },
      alive = m_alive](const LeaseOrderResult& aResult) {
       if (*alive) {
-        OnRenewed(id, address, sentAt, aResult);
+        OnRenewed(id, sent, aResult);
       }
     });
 }
 
 void
 Scheduler::OnRenewed(const std::string& aWorkerId,
-                     const std::string& aAddress,
-                     absl::Time aSentAt,
+                     const SentRenewal& aSent,
                      const LeaseOrderResult& aResult)
 {
   Worker* found = FindWorker(aWorkerId);
@@ -113,9 +113,9 @@
   Worker& worker = *found;
   worker.m_isRenewing = false;
   if (aResult.m_outcome != OrderOutcome::Accepted) {
-    const bool isAtItsAddress = aAddress == worker.m_report.m_address &&
+    const bool isAtItsAddress = aSent.m_address == worker.m_report.m_address &&
                                 (worker.m_respondedAddress.empty() ||
-                                 aAddress == worker.m_respondedAddress);
+                                 aSent.m_address == worker.m_respondedAddress);
     if (aResult.m_outcome == OrderOutcome::WrongIncarnation && isAtItsAddress) {
       // Another worker uses the address, so this one has ended.
       LogInfo(
@@ -150,6 +150,13 @@
     }
     return;
   }
+  if (aSent.m_startTimeMs != worker.m_startTimeMs &&
+      aSent.m_startTimeMs == aResult.m_startTimeMs) {
+    // The worker's entry has shown a restart since, so this is the list of an
+    // incarnation that has ended.
+    ScheduleRenewal(worker, kRenewalDelay);
+    return;
+  }
   if (worker.m_unansweredRenewals > 0) {
     worker.m_unansweredRenewals = 0;
     RequestPlacement();
@@ -160,7 +167,7 @@
     StartNewIncarnation(worker, aResult.m_startTimeMs);
   }
   worker.m_startTimeMs = aResult.m_startTimeMs;
-  worker.m_respondedAddress = aAddress;
+  worker.m_respondedAddress = aSent.m_address;
   if (worker.m_clockReadAt == absl::InfinitePast()) {
     EndEarlierIncarnations(worker);
   }
@@ -176,9 +183,10 @@
       worker.m_appliedEnd = end.m_number;
     }
   }
-  const std::set<const Task*> listed = ApplyRunning(worker, aResult, aSentAt);
+  const std::set<const Task*> listed =
+    ApplyRunning(worker, aResult, aSent.m_at);
   if (aResult.m_hasAllEnds) {
-    ReleaseUnlisted(worker, listed, aSentAt);
+    ReleaseUnlisted(worker, listed, aSent.m_at);
     ResolveEarlierLease(aWorkerId);
   }
   if (isFirstResponse) {
--- a/tests/fakes/held_worker_gateway.h
+++ b/tests/fakes/held_worker_gateway.h
@@ -21,6 +21,8 @@
 
   /** Holds the responses to coming starts until DeliverStarts. */
   bool m_isHoldingStarts = false;
+  /** Holds the responses to coming renewals until DeliverRenewals. */
+  bool m_isHoldingRenewals = false;
   /** Addresses at which a worker with another id responds. */
   std::set<std::string> m_takenAddresses;
   /** All starts that were sent. */
@@ -33,6 +35,13 @@
     }
   }
 
+  void DeliverRenewals()
+  {
+    for (const auto& deliver : std::exchange(m_heldRenewals, {})) {
+      deliver();
+    }
+  }
+
   void Start(const WorkerAddress& aWorker,
              const StartOrder& aOrder,
              OrderCallback aCallback) override
@@ -73,10 +82,19 @@
     m_workers.RenewLease(
       aWorker,
       aOrder,
-      [isTaken, callback = std::move(aCallback)](LeaseOrderResult aResult) {
-        callback(isTaken ? LeaseOrderResult{ .m_outcome =
-                                               OrderOutcome::WrongIncarnation }
-                         : std::move(aResult));
+      [this,
+       isTaken,
+       isHeld = m_isHoldingRenewals,
+       callback = std::move(aCallback)](const LeaseOrderResult& aResult) {
+        LeaseOrderResult result = aResult;
+        if (isTaken) {
+          result = { .m_outcome = OrderOutcome::WrongIncarnation };
+        }
+        if (isHeld) {
+          m_heldRenewals.push_back([callback, result] { callback(result); });
+        } else {
+          callback(result);
+        }
       });
   }
 
@@ -90,6 +108,7 @@
 private:
   WorkerGateway& m_workers;
   std::vector<std::function<void()>> m_heldStarts;
+  std::vector<std::function<void()>> m_heldRenewals;
 };
 
 }
--- a/tests/scheduler/test_release_proofs.cpp
+++ b/tests/scheduler/test_release_proofs.cpp
@@ -378,6 +378,43 @@
   REQUIRE(worker->m_clockReadAt != absl::InfinitePast());
 }
 
+// Guards against a list of an earlier incarnation, read after the restart was
+// seen, that sets the clock and gives the next one leases that are longer than
+// the owner counts (rule TWICE).
+TEST_CASE_METHOD(SchedulerFixture,
+                 "A list from before a restart is not applied after it",
+                 "[scheduler]")
+{
+  m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  m_loop.AdvanceBy(absl::Milliseconds(800));
+  StartScheduler();
+  WorkerReport report = JobCluster::MakeReport(0);
+  m_scheduler->OnWorkerReport(report);
+  m_scheduler->OnWorkersListed();
+  m_loop.AdvanceBy(kStartup);
+  m_gateway.m_isHoldingRenewals = true;
+  Submit(JobCluster::MakeJob("job1", 1, 1));
+  m_loop.AdvanceBy(absl::Milliseconds(900));
+  REQUIRE(m_workers.StartCount(kTask) == 1);
+  m_gateway.m_isHoldingRenewals = false;
+  m_workers.Crash(report.m_id);
+  report.m_startTimeMs += 1000;
+  m_workers.Add(report);
+  m_scheduler->OnWorkerReport(report);
+  m_loop.AdvanceBy(absl::Milliseconds(10));
+  m_gateway.DeliverRenewals();
+  for (int i = 0; i < 400 && m_workers.StartCount(kTask) < 2; ++i) {
+    m_loop.AdvanceBy(absl::Milliseconds(5));
+  }
+  REQUIRE(m_workers.StartCount(kTask) == 2);
+  m_client.m_unreachableWorkers = { report.m_id };
+  m_scheduler->OnWorkerRemoved(report.m_id);
+  m_scheduler->OnWorkerReport(JobCluster::MakeReport(1));
+  m_loop.AdvanceBy(absl::Seconds(8));
+  REQUIRE(m_workers.StartCount(kTask) == 3);
+  REQUIRE(m_workers.Violations().empty());
+}
+
 // Guards against a new owner that waits for no silent worker because it cannot
 // read the list of the leased ones (rule TWICE).
 TEST_CASE("A new owner waits for workers of jobs if their list is unreadable",
