Refuse orders that reach a restarted worker late

Cause: an order without a response may be carried out seconds later. The owner relied on a stop, on the numbers of ends and on the worker's clock, all of which a worker that restarts under its id has forgotten. A late start ran there beside the next run of its task; a late renewal dropped ends that the owner had not seen; and an order with a deadline of the old clock had the longest lease where the owner counted the usual one. FakeWorkerClient hid this, since its late starts acted only in the same incarnation, which the protocol does not say.

Fix: each worker has a fencing token of its own between those of this owner and the next one. It rises with each incarnation and with each order that got no response. A worker that has accepted one order with the new token refuses all earlier orders. A task whose start got no response is released once a renewal with a higher token lists neither it nor its end; this replaces the stop. The answer "stale token" to a lower token means that the order did nothing, not that there is a later owner. The lease is counted from the clock in the response, and as the longest one at the first contact with an incarnation.

What remains: a late start that a new incarnation carries out before our first order. Its new entry in the store triggers that order at once; besides, the worker is asked each 0.2 s for 10 s after a start without a response.

The fencing tokens of orders are now a million times the revision of the owner key. "An owner steps down at a later fencing token" names a later owner's token accordingly.

--- a/jobs/task.h
+++ b/jobs/task.h
@@ -23,8 +23,8 @@
   Stopping,
   /**
    * A start order got no response, so the task may run on its worker. It goes
-   * on if the worker lists it; else it is stopped, since the order may still
-   * arrive.
+   * on if the worker lists it; else it waits until the order can no longer be
+   * carried out there.
    */
   Unresolved,
   Done,
@@ -73,10 +73,11 @@
    * sent whose response first listed the task.
    */
   absl::Time m_startedAt;
-  /** Time at which the start was found to have no response. */
-  absl::Time m_unresolvedSince;
-  /** A stop was ordered for the current attempt. */
-  bool m_isStopOrdered = false;
+  /** Fencing token of the start order. */
+  std::int64_t m_startFence = 0;
+  /** The worker has responded to the start or listed the task. Before that the
+   * start may still be carried out, by any incarnation of the worker. */
+  bool m_isStartAnswered = false;
   /** Time of the stop's acknowledgement; infinite future before it. */
   absl::Time m_stopAckedAt = absl::InfiniteFuture();
   /** Progress in percent. */
--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -33,8 +33,15 @@
   std::int64_t m_appliedEnd = 0;
   /** Number of the last task end that is stored in its job's progress. */
   std::int64_t m_recordedEnd = 0;
-  /** A lease renewal awaits its response. */
+  /** Fencing token of the orders to this worker; see Scheduler::RaiseFence. */
+  std::int64_t m_fence = 0;
+  /** Until then the worker is asked often, since a start without a response may
+   * be carried out by its next incarnation. */
+  absl::Time m_lateStartsUntil = absl::InfinitePast();
+  /** A lease renewal with the fencing token m_fence awaits its response. */
   bool m_isRenewing = false;
+  /** Time at which the renewal was sent whose response was applied last. */
+  absl::Time m_listedAt = absl::InfinitePast();
   /** Number of the latest scheduled renewal; earlier ones are dropped. */
   int m_renewalNumber = 0;
   /** The store records for the next owner that the worker may hold leases. */
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -39,6 +39,7 @@
   , m_settings(aSettings)
   , m_keys(aKeys)
   , m_grant(aGrant)
+  , m_lastFence(aGrant.m_fencingToken * kFencesPerOwner)
   , m_writer(m_env.m_loop, m_env.m_store, aKeys.Owner(), aGrant.m_fencingToken)
   , m_sweeper(m_env.m_loop,
               m_env.m_store,
@@ -150,6 +151,9 @@
   // Even if its row is malformed, the worker may hold leases until they expire.
   m_unresolvedWorkers.insert(aId);
   Worker& worker = m_workers[aId];
+  if (worker.m_fence == 0) {
+    RaiseFence(worker);
+  }
   if (!worker.m_report.m_address.empty()) {
     return;
   }
@@ -401,7 +405,7 @@
         if (task.m_isStartUnsent) {
           Release(task, ReleaseReason::NotSent);
         } else if (task.IsPlaced() && task.m_phase != TaskPhase::Stopping) {
-          StopTask(task, TaskPhase::Stopping);
+          StopTask(task);
         }
       }
     }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -247,18 +247,11 @@
                  Worker& aWorker,
                  std::int64_t aAttempt,
                  const std::string& aTicket);
-  /** Takes a worker's clock from the response to a start order, unless the
-   * worker restarted after aStartTimeMs, its start time as the order was sent.
-   */
-  void ReadClock(const std::string& aWorkerId,
-                 std::int64_t aStartTimeMs,
-                 const OrderResult& aResult);
-  void OnStarted(const std::string& aName,
-                 std::int64_t aAttempt,
-                 const std::string& aWorkerId,
+  void OnStarted(const std::string& aWorkerId,
+                 const StartOrder& aOrder,
                  const OrderResult& aResult);
   void MarkUnresponsive(Worker& aWorker);
-  void StopTask(Task& aTask, TaskPhase aPhase);
+  void StopTask(Task& aTask);
   void SendStop(const std::string& aName,
                 std::int64_t aAttempt,
                 const std::string& aWorkerId);
@@ -269,6 +262,7 @@
   void OnStopped(const std::string& aName,
                  std::int64_t aAttempt,
                  const std::string& aWorkerId,
+                 std::int64_t aFence,
                  const OrderResult& aResult);
   void Assign(Task& aTask, Worker& aWorker);
   /** Lets the task start elsewhere, as its last attempt has certainly ended. */
@@ -282,16 +276,30 @@
   /** Schedules a renewal unless one is in flight. */
   void EnsureRenewal(Worker& aWorker);
   void Renew(Worker& aWorker);
-  /** What was known of a worker when a renewal was sent to it. */
+  /** A renewal that was sent to a worker. */
   struct SentRenewal
   {
     absl::Time m_at;
     std::string m_address;
-    std::int64_t m_startTimeMs = 0;
+    LeaseOrder m_order;
   };
   void OnRenewed(const std::string& aWorkerId,
                  const SentRenewal& aSent,
                  const LeaseOrderResult& aResult);
+  void OnRenewalFailed(Worker& aWorker,
+                       const SentRenewal& aSent,
+                       const LeaseOrderResult& aResult);
+  /**
+   * Gives the worker a higher fencing token, since earlier orders may still be
+   * carried out by it or by its next incarnation. Once a worker has accepted an
+   * order with the new token, it refuses these. The response to a renewal in
+   * flight is ignored.
+   */
+  void RaiseFence(Worker& aWorker);
+  /** Asks the worker often while it may carry out a start late. */
+  void WatchLateStarts(const std::string& aWorkerId);
+  /** Counts tasks on the worker as running for aLease of its clock from now. */
+  void ExtendLeaseExpiry(Worker& aWorker, absl::Duration aLease);
   /** A worker has responded, so the earlier ones of its machine have ended. Its
    * entry alone would not show that: other writers may write entries, too. */
   void EndEarlierIncarnations(const Worker& aWorker);
@@ -306,7 +314,8 @@
    */
   void ReleaseUnlisted(Worker& aWorker,
                        const std::set<const Task*>& aListed,
-                       absl::Time aSentAt);
+                       absl::Time aSentAt,
+                       std::int64_t aFence);
   void ApplyEnd(Worker& aWorker, const TaskEnd& aEnd);
   void CheckProgress(Worker& aWorker, Task& aTask, const RunningTask& aRunning);
   /** Logs that a worker runs an attempt that is not the task's current one. */
@@ -331,6 +340,8 @@
   SchedulerSettings m_settings;
   keys::ShardKeys m_keys;
   OwnershipGrant m_grant;
+  /** Highest fencing token that a worker has been given. */
+  std::int64_t m_lastFence;
   ProgressWriter m_writer;
   EntrySweeper m_sweeper;
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -35,6 +35,31 @@
   return aWorker.m_clockMs + absl::ToInt64Milliseconds(expiry);
 }
 
+void
+Scheduler::ExtendLeaseExpiry(Worker& aWorker, absl::Duration aLease)
+{
+  aWorker.m_leaseExpiry =
+    std::max(aWorker.m_leaseExpiry,
+             m_env.m_loop.ReadClock() +
+               PadForClockDrift(std::min(aLease, m_settings.m_maxWorkerLease)) +
+               kLeaseMargin);
+}
+
+void
+Scheduler::WatchLateStarts(const std::string& aWorkerId)
+{
+  Worker* worker = FindWorker(aWorkerId);
+  if (worker == nullptr || m_env.m_loop.Now() >= worker->m_lateStartsUntil) {
+    return;
+  }
+  // A renewal that is in flight to an incarnation that has ended gets no
+  // response, or late.
+  worker->m_isRenewing = false;
+  Renew(*worker);
+  After(kLateStartWatchInterval,
+        [this, aWorkerId] { WatchLateStarts(aWorkerId); });
+}
+
 void
 Scheduler::EnsureRenewal(Worker& aWorker)
 {
@@ -67,7 +92,7 @@
   }
   aWorker.m_isRenewing = true;
   LeaseOrder order;
-  order.m_fencingToken = m_grant.m_fencingToken;
+  order.m_fencingToken = aWorker.m_fence;
   // A restarted worker numbers its task ends from the start, so it may drop
   // recorded ones only while its incarnation is known.
   const bool isIncarnationKnown =
@@ -81,7 +106,8 @@
                          !aWorker.m_tasks.empty();
   if (mayExtend) {
     order.m_leaseExpiryMs = NextLeaseExpiryMs(aWorker);
-    if (aWorker.m_appliedEnd == aWorker.m_recordedEnd) {
+    if (aWorker.m_appliedEnd == aWorker.m_recordedEnd &&
+        m_env.m_loop.Now() >= aWorker.m_lateStartsUntil) {
       order.m_wait = kRenewalLongPollTime;
     }
   }
@@ -93,7 +119,7 @@
      id = aWorker.m_report.m_id,
      sent = SentRenewal{ .m_at = m_env.m_loop.Now(),
                          .m_address = aWorker.m_report.m_address,
-                         .m_startTimeMs = aWorker.m_startTimeMs },
+                         .m_order = order },
      alive = m_alive](const LeaseOrderResult& aResult) {
       if (*alive) {
         OnRenewed(id, sent, aResult);
@@ -107,54 +133,15 @@
                      const LeaseOrderResult& aResult)
 {
   Worker* found = FindWorker(aWorkerId);
-  if (found == nullptr) {
+  const std::int64_t fence = aSent.m_order.m_fencingToken;
+  if (found == nullptr || fence != found->m_fence ||
+      aSent.m_at < found->m_listedAt) {
     return;
   }
   Worker& worker = *found;
   worker.m_isRenewing = false;
   if (aResult.m_outcome != OrderOutcome::Accepted) {
-    const bool isAtItsAddress = aSent.m_address == worker.m_report.m_address &&
-                                (worker.m_respondedAddress.empty() ||
-                                 aSent.m_address == worker.m_respondedAddress);
-    if (aResult.m_outcome == OrderOutcome::WrongIncarnation && isAtItsAddress) {
-      // Another worker uses the address, so this one has ended.
-      LogInfo(
-        LogPart::Workers,
-        absl::StrCat("worker replaced by another one at its address; worker=",
-                     aWorkerId,
-                     " tasks=",
-                     worker.m_tasks.size()));
-      OnWorkerEnded(aWorkerId);
-      return;
-    }
-    if (aResult.m_outcome == OrderOutcome::StaleFencingToken) {
-      m_env.m_onSuperseded();
-      return;
-    }
-    ++worker.m_unansweredRenewals;
-    if (worker.m_unansweredRenewals == 1) {
-      const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
-      LogWarning(LogPart::Workers,
-                 absl::StrCat("worker lease not renewed; worker=",
-                              aWorkerId,
-                              " outcome=",
-                              outcome,
-                              " tasks=",
-                              worker.m_tasks.size(),
-                              " error=",
-                              aResult.m_error));
-    }
-    if (worker.m_isListed || !worker.m_tasks.empty() ||
-        m_unresolvedWorkers.contains(aWorkerId)) {
-      ScheduleRenewal(worker, kRenewalRetryDelay);
-    }
-    return;
-  }
-  if (aSent.m_startTimeMs != worker.m_startTimeMs &&
-      aSent.m_startTimeMs == aResult.m_startTimeMs) {
-    // The worker's entry has shown a restart since, so this is the list of an
-    // incarnation that has ended.
-    ScheduleRenewal(worker, kRenewalDelay);
+    OnRenewalFailed(worker, aSent, aResult);
     return;
   }
   if (worker.m_unansweredRenewals > 0) {
@@ -166,16 +153,21 @@
       aResult.m_startTimeMs != worker.m_startTimeMs) {
     StartNewIncarnation(worker, aResult.m_startTimeMs);
   }
-  worker.m_startTimeMs = aResult.m_startTimeMs;
-  worker.m_respondedAddress = aSent.m_address;
   if (worker.m_clockReadAt == absl::InfinitePast()) {
+    // Orders with a deadline of another clock may have extended its lease. The
+    // fence keeps them from doing so again.
+    ExtendLeaseExpiry(worker, m_settings.m_maxWorkerLease);
+    worker.m_startTimeMs = aResult.m_startTimeMs;
     EndEarlierIncarnations(worker);
   }
+  worker.m_startTimeMs = aResult.m_startTimeMs;
+  worker.m_respondedAddress = aSent.m_address;
   worker.m_clockMs = aResult.m_workerClockMs;
   // Now() is the start of the loop's iteration and would be too early when
   // other callbacks have delayed this one.
   worker.m_clockReadAt = m_env.m_loop.ReadClock();
   worker.m_renewedAt = m_env.m_loop.Now();
+  worker.m_listedAt = aSent.m_at;
   const std::int64_t before = worker.m_appliedEnd;
   for (const TaskEnd& end : aResult.m_ends) {
     if (end.m_number > worker.m_appliedEnd) {
@@ -186,7 +178,7 @@
   const std::set<const Task*> listed =
     ApplyRunning(worker, aResult, aSent.m_at);
   if (aResult.m_hasAllEnds) {
-    ReleaseUnlisted(worker, listed, aSent.m_at);
+    ReleaseUnlisted(worker, listed, aSent.m_at, fence);
     ResolveEarlierLease(aWorkerId);
   }
   if (isFirstResponse) {
@@ -205,9 +197,11 @@
       }
     });
   }
-  if (!worker.m_tasks.empty() || !aResult.m_hasAllEnds ||
-      worker.m_appliedEnd > worker.m_recordedEnd ||
-      m_unresolvedWorkers.contains(aWorkerId)) {
+  if (fence != worker.m_fence) {
+    ScheduleRenewal(worker, absl::ZeroDuration());
+  } else if (!worker.m_tasks.empty() || !aResult.m_hasAllEnds ||
+             worker.m_appliedEnd > worker.m_recordedEnd ||
+             m_unresolvedWorkers.contains(aWorkerId)) {
     ScheduleRenewal(worker,
                     worker.m_appliedEnd > worker.m_recordedEnd
                       ? kRenewalRetryDelay
@@ -215,6 +209,54 @@
   }
 }
 
+void
+Scheduler::OnRenewalFailed(Worker& aWorker,
+                           const SentRenewal& aSent,
+                           const LeaseOrderResult& aResult)
+{
+  const std::string& id = aWorker.m_report.m_id;
+  const bool isAtItsAddress = aSent.m_address == aWorker.m_report.m_address &&
+                              (aWorker.m_respondedAddress.empty() ||
+                               aSent.m_address == aWorker.m_respondedAddress);
+  if (aResult.m_outcome == OrderOutcome::WrongIncarnation && isAtItsAddress) {
+    // Another worker uses the address, so this one has ended.
+    LogInfo(
+      LogPart::Workers,
+      absl::StrCat("worker replaced by another one at its address; worker=",
+                   id,
+                   " tasks=",
+                   aWorker.m_tasks.size()));
+    OnWorkerEnded(id);
+    return;
+  }
+  if (aResult.m_outcome == OrderOutcome::StaleFencingToken) {
+    m_env.m_onSuperseded();
+    return;
+  }
+  ++aWorker.m_unansweredRenewals;
+  if (aWorker.m_unansweredRenewals == 1) {
+    const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
+    LogWarning(LogPart::Workers,
+               absl::StrCat("worker lease not renewed; worker=",
+                            id,
+                            " outcome=",
+                            outcome,
+                            " tasks=",
+                            aWorker.m_tasks.size(),
+                            " error=",
+                            aResult.m_error));
+  }
+  if (aSent.m_order.m_lastRecordedEnd > 0 ||
+      aSent.m_order.m_leaseExpiryMs > 0) {
+    // A later incarnation would drop ends or extend its lease.
+    RaiseFence(aWorker);
+  }
+  if (aWorker.m_isListed || !aWorker.m_tasks.empty() ||
+      m_unresolvedWorkers.contains(id)) {
+    ScheduleRenewal(aWorker, kRenewalRetryDelay);
+  }
+}
+
 std::set<const Task*>
 Scheduler::ApplyRunning(Worker& aWorker,
                         const LeaseOrderResult& aResult,
@@ -231,6 +273,7 @@
     if (isHere) {
       listed.insert(task);
       task->m_isLost = false;
+      task->m_isStartAnswered = true;
     }
     if (isWanted && !isHere && task->m_phase == TaskPhase::Waiting &&
         running.m_attempt >= task->m_attempt) {
@@ -240,12 +283,9 @@
       }
       Assign(*task, aWorker);
       // Its lease is not one of this owner's orders.
-      aWorker.m_leaseExpiry = std::max(
-        aWorker.m_leaseExpiry,
-        m_env.m_loop.ReadClock() +
-          PadForClockDrift(m_settings.m_maxWorkerLease) + kLeaseMargin);
+      ExtendLeaseExpiry(aWorker, m_settings.m_maxWorkerLease);
       task->m_attempt = running.m_attempt;
-      task->m_isStopOrdered = false;
+      task->m_isStartAnswered = true;
       task->m_orderedAt = absl::Time();
       task->m_phase = TaskPhase::Running;
       task->m_startedAt = aSentAt;
@@ -260,9 +300,8 @@
       SendStop(running.m_task, running.m_attempt, aWorker.m_report.m_id);
       continue;
     }
-    const bool isStarted =
-      task->m_phase == TaskPhase::Starting ||
-      (task->m_phase == TaskPhase::Unresolved && !task->m_isStopOrdered);
+    const bool isStarted = task->m_phase == TaskPhase::Starting ||
+                           task->m_phase == TaskPhase::Unresolved;
     if (isStarted) {
       task->m_phase = TaskPhase::Running;
       task->m_startedAt = aSentAt;
@@ -279,25 +318,25 @@
 void
 Scheduler::ReleaseUnlisted(Worker& aWorker,
                            const std::set<const Task*>& aListed,
-                           absl::Time aSentAt)
+                           absl::Time aSentAt,
+                           std::int64_t aFence)
 {
   const std::set<Task*> tasks = aWorker.m_tasks;
   for (Task* task : tasks) {
     if (aListed.contains(task) || task->m_isStartUnsent || task->m_isLost) {
       continue;
     }
-    if (task->m_phase == TaskPhase::Unresolved && !task->m_isStopOrdered &&
-        aSentAt >= task->m_unresolvedSince) {
-      // Without the stop, the order could still start the task later.
-      StopTask(*task, TaskPhase::Unresolved);
+    if (!task->m_isStartAnswered) {
+      // The start can be carried out later unless a higher fence was seen.
+      if (task->m_phase != TaskPhase::Starting && aFence > task->m_startFence) {
+        Release(*task, ReleaseReason::NotListed);
+      }
       continue;
     }
     const bool isLost =
       task->m_phase == TaskPhase::Running && aSentAt > task->m_startedAt;
-    const bool isStopped = task->m_isStopOrdered &&
-                           aSentAt >= task->m_stopAckedAt &&
-                           (task->m_phase == TaskPhase::Stopping ||
-                            task->m_phase == TaskPhase::Unresolved);
+    const bool isStopped =
+      task->m_phase == TaskPhase::Stopping && aSentAt >= task->m_stopAckedAt;
     if (isLost) {
       LogWarning(LogPart::Jobs,
                  absl::StrCat("task no longer runs on its worker; task=",
@@ -367,7 +406,7 @@
                         { { "reason", "stalled" } });
   aTask.m_failedOn = aWorker.m_report.m_id;
   aWorker.m_avoidUntil = now + kSuspectAvoidTime;
-  StopTask(aTask, TaskPhase::Stopping);
+  StopTask(aTask);
 }
 
 void
@@ -441,44 +480,4 @@
   RequestPlacement();
 }
 
-void
-Scheduler::ReleaseExpired(Worker& aWorker)
-{
-  if (aWorker.m_unansweredRenewals == 0 || aWorker.m_tasks.empty() ||
-      m_env.m_loop.Now() < aWorker.m_leaseExpiry || !m_env.m_holdsLease()) {
-    // Without the store lease nothing is released: the next owner may already
-    // have recorded how the tasks of an unreachable worker ended.
-    return;
-  }
-  if (aWorker.m_isListed &&
-      m_env.m_loop.Now() < aWorker.m_leaseExpiry + kSilentWorkerGrace) {
-    // A listed worker is alive, and its tasks may have ended as done before the
-    // lease expired. Its next response tells.
-    return;
-  }
-  const std::set<Task*> tasks = aWorker.m_tasks;
-  LogWarning(LogPart::Workers,
-             absl::StrCat("worker lease expired, releasing its tasks; worker=",
-                          aWorker.m_report.m_id,
-                          " tasks=",
-                          tasks.size()));
-  m_env.m_metrics.Count("bramleystall_tasks_lost_total",
-                        { { "reason", "lease_lapsed" } },
-                        tasks.size());
-  for (Task* task : tasks) {
-    Release(*task, ReleaseReason::LeaseExpired);
-  }
-}
-
-void
-Scheduler::ReleaseLostTasks(Worker& aWorker)
-{
-  const std::set<Task*> tasks = aWorker.m_tasks;
-  for (Task* task : tasks) {
-    if (task->m_isLost) {
-      ReleaseLost(*task);
-    }
-  }
-}
-
 }
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -98,7 +98,7 @@
   aTask.m_phase = TaskPhase::Starting;
   aTask.m_attempt = aAttempt;
   aTask.m_percent = 0;
-  aTask.m_isStopOrdered = false;
+  aTask.m_isStartAnswered = false;
   aTask.m_stopAckedAt = absl::InfiniteFuture();
   aTask.m_orderedAt = m_env.m_loop.Now();
   if (job.IsWorkerRecorded(workerId)) {
@@ -123,62 +123,57 @@
   order.m_attempt = aTask.m_attempt;
   order.m_payload = job.Record().m_payload;
   order.m_leaseExpiryMs = NextLeaseExpiryMs(aWorker);
-  order.m_fencingToken = m_grant.m_fencingToken;
+  order.m_fencingToken = aWorker.m_fence;
+  aTask.m_startFence = order.m_fencingToken;
   order.m_checkpoint = aTask.m_checkpoint;
   order.m_ticket = aTicket;
-  m_env.m_workers.Start(AddressOf(aWorker),
-                        order,
-                        [this,
-                         name = order.m_task,
-                         attempt = aTask.m_attempt,
-                         id = aWorker.m_report.m_id,
-                         startTimeMs = aWorker.m_startTimeMs,
-                         alive = m_alive](const OrderResult& aResult) {
-                          if (*alive) {
-                            ReadClock(id, startTimeMs, aResult);
-                            OnStarted(name, attempt, id, aResult);
-                          }
-                        });
+  m_env.m_workers.Start(
+    AddressOf(aWorker),
+    order,
+    [this, order, id = aWorker.m_report.m_id, alive = m_alive](
+      const OrderResult& aResult) {
+      if (*alive) {
+        OnStarted(id, order, aResult);
+      }
+    });
 }
 
 void
-Scheduler::ReadClock(const std::string& aWorkerId,
-                     std::int64_t aStartTimeMs,
+Scheduler::OnStarted(const std::string& aWorkerId,
+                     const StartOrder& aOrder,
                      const OrderResult& aResult)
 {
-  // The response does not tell the incarnation. If a restart was seen since the
-  // order was sent, it may have the clock of the earlier one, whose time would
-  // make the leases longer than this owner counts.
+  const std::string& name = aOrder.m_task;
+  const std::int64_t attempt = aOrder.m_attempt;
   Worker* worker = FindWorker(aWorkerId);
-  if (worker != nullptr && worker->m_startTimeMs == aStartTimeMs &&
-      aResult.m_workerClockMs > 0) {
-    worker->m_clockMs = aResult.m_workerClockMs;
-    worker->m_clockReadAt = m_env.m_loop.ReadClock();
+  const bool isFenceRaised =
+    worker != nullptr && aOrder.m_fencingToken < worker->m_fence;
+  if (worker != nullptr && aResult.m_workerClockMs > 0) {
+    // On the clock of an incarnation that is not known yet, the deadline may
+    // lie far ahead.
+    ExtendLeaseExpiry(
+      *worker,
+      absl::Milliseconds(aOrder.m_leaseExpiryMs - aResult.m_workerClockMs));
+    if (!isFenceRaised) {
+      worker->m_clockMs = aResult.m_workerClockMs;
+      worker->m_clockReadAt = m_env.m_loop.ReadClock();
+    }
   }
-}
-
-void
-Scheduler::OnStarted(const std::string& aName,
-                     std::int64_t aAttempt,
-                     const std::string& aWorkerId,
-                     const OrderResult& aResult)
-{
-  Worker* worker = FindWorker(aWorkerId);
   const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
   m_env.m_metrics.Count("bramleystall_task_starts_total",
                         { { "outcome", outcome } });
-  Task* task = FindTask(aName);
+  Task* task = FindTask(name);
   const bool isCurrent = task != nullptr && task->m_worker == aWorkerId &&
-                         task->m_attempt == aAttempt;
+                         task->m_attempt == attempt;
   if (!isCurrent || worker == nullptr) {
     return;
   }
   if (aResult.m_outcome != OrderOutcome::Accepted) {
     LogInfo(LogPart::Jobs,
             absl::StrCat("task not started; task=",
-                         aName,
+                         name,
                          " attempt=",
-                         aAttempt,
+                         attempt,
                          " worker=",
                          aWorkerId,
                          " outcome=",
@@ -188,6 +183,7 @@
   }
   switch (aResult.m_outcome) {
     case OrderOutcome::Accepted:
+      task->m_isStartAnswered = true;
       if (task->m_phase == TaskPhase::Starting) {
         task->m_phase = TaskPhase::Running;
         task->m_startedAt = m_env.m_loop.Now();
@@ -197,12 +193,18 @@
       EnsureRenewal(*worker);
       return;
     case OrderOutcome::Unknown:
+      if (!isFenceRaised) {
+        RaiseFence(*worker);
+      }
       MarkUnresponsive(*worker);
+      if (m_env.m_loop.Now() >= worker->m_lateStartsUntil) {
+        After(kLateStartWatchInterval,
+              [this, aWorkerId] { WatchLateStarts(aWorkerId); });
+      }
+      worker->m_lateStartsUntil = m_env.m_loop.Now() + kLateOrderTime;
       if (task->m_phase == TaskPhase::Starting) {
         task->m_phase = TaskPhase::Unresolved;
-        task->m_unresolvedSince = m_env.m_loop.Now();
       }
-      EnsureRenewal(*worker);
       return;
     case OrderOutcome::NoRoom:
       worker->m_avoidUntil = m_env.m_loop.Now() + kNoRoomAvoidTime;
@@ -220,8 +222,11 @@
       worker->m_avoidUntil = m_env.m_loop.Now() + kBusyAvoidTime;
       break;
     case OrderOutcome::StaleFencingToken:
-      m_env.m_onSuperseded();
-      return;
+      if (!isFenceRaised) {
+        m_env.m_onSuperseded();
+        return;
+      }
+      break;
     case OrderOutcome::StaleAttempt:
       break;
   }
@@ -240,10 +245,9 @@
 }
 
 void
-Scheduler::StopTask(Task& aTask, TaskPhase aPhase)
+Scheduler::StopTask(Task& aTask)
 {
-  aTask.m_phase = aPhase;
-  aTask.m_isStopOrdered = true;
+  aTask.m_phase = TaskPhase::Stopping;
   aTask.m_stopAckedAt = absl::InfiniteFuture();
   SendStop(aTask.m_job->NameOf(aTask), aTask.m_attempt, aTask.m_worker);
 }
@@ -264,11 +268,16 @@
   m_env.m_workers.Stop(AddressOf(*worker),
                        { .m_task = aName,
                          .m_attempt = aAttempt,
-                         .m_fencingToken = m_grant.m_fencingToken },
-                       [this, aName, aAttempt, aWorkerId, alive = m_alive](
-                         const OrderResult& aResult) {
+                         .m_fencingToken = worker->m_fence },
+                       [this,
+                        aName,
+                        aAttempt,
+                        aWorkerId,
+                        fence = worker->m_fence,
+                        alive = m_alive](const OrderResult& aResult) {
                          if (*alive) {
-                           OnStopped(aName, aAttempt, aWorkerId, aResult);
+                           OnStopped(
+                             aName, aAttempt, aWorkerId, fence, aResult);
                          }
                        });
 }
@@ -277,29 +286,27 @@
 Scheduler::OnStopped(const std::string& aName,
                      std::int64_t aAttempt,
                      const std::string& aWorkerId,
+                     std::int64_t aFence,
                      const OrderResult& aResult)
 {
   Task* task = FindTask(aName);
   const bool isCurrent = task != nullptr && task->m_worker == aWorkerId &&
                          task->m_attempt == aAttempt;
-  if (!isCurrent || (task->m_phase != TaskPhase::Stopping &&
-                     task->m_phase != TaskPhase::Unresolved)) {
+  if (!isCurrent || task->m_phase != TaskPhase::Stopping) {
     return;
   }
-  if (aResult.m_outcome == OrderOutcome::StaleFencingToken) {
+  Worker* worker = FindWorker(aWorkerId);
+  if (aResult.m_outcome == OrderOutcome::StaleFencingToken &&
+      (worker == nullptr || aFence == worker->m_fence)) {
     m_env.m_onSuperseded();
     return;
   }
-  Worker* worker = FindWorker(aWorkerId);
   if (aResult.m_outcome == OrderOutcome::Accepted) {
     // The worker lists the end of a running task within the stop time. If the
     // start has not arrived yet, the worker will refuse it and list no end.
     task->m_stopAckedAt = m_env.m_loop.Now();
     if (worker != nullptr) {
-      ScheduleRenewal(*worker,
-                      task->m_phase == TaskPhase::Unresolved
-                        ? absl::ZeroDuration()
-                        : m_settings.m_stopTime / 2);
+      ScheduleRenewal(*worker, m_settings.m_stopTime / 2);
     }
     return;
   }
@@ -321,8 +328,7 @@
     const Task* stopping = FindTask(aName);
     if (stopping != nullptr && stopping->m_worker == aWorkerId &&
         stopping->m_attempt == aAttempt &&
-        (stopping->m_phase == TaskPhase::Stopping ||
-         stopping->m_phase == TaskPhase::Unresolved)) {
+        stopping->m_phase == TaskPhase::Stopping) {
       SendStop(aName, aAttempt, aWorkerId);
     }
   });
@@ -332,7 +338,7 @@
 Scheduler::Relocate(Task& aTask)
 {
   if (aTask.m_phase == TaskPhase::Running) {
-    StopTask(aTask, TaskPhase::Stopping);
+    StopTask(aTask);
   }
 }
 
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -4,6 +4,7 @@
 #include "scheduler/scheduler.h"
 
 #include "core/log.h"
+#include "core/metrics.h"
 #include "net/event_loop.h"
 #include "scheduler/scheduling_limits.h"
 
@@ -22,6 +23,9 @@
 {
   Worker& worker = m_workers[aReport.m_id];
   const bool isNew = !worker.m_isListed;
+  if (worker.m_fence == 0) {
+    RaiseFence(worker);
+  }
   worker.m_report = aReport;
   worker.m_isListed = true;
   m_typicalWorker = aReport.m_capacity;
@@ -135,6 +139,17 @@
   return { aWorker.m_report.m_id, aWorker.m_report.m_address };
 }
 
+void
+Scheduler::RaiseFence(Worker& aWorker)
+{
+  // Lower than the tokens of the next owner, whose key has a later revision.
+  aWorker.m_fence = ++m_lastFence;
+  aWorker.m_isRenewing = false;
+  if (m_lastFence >= (m_grant.m_fencingToken + 1) * kFencesPerOwner - 1) {
+    m_env.m_onSuperseded();
+  }
+}
+
 void
 Scheduler::StartNewIncarnation(Worker& aWorker, std::int64_t aStartTimeMs)
 {
@@ -149,6 +164,7 @@
   aWorker.m_appliedEnd = 0;
   aWorker.m_recordedEnd = 0;
   aWorker.m_clockReadAt = absl::InfinitePast();
+  aWorker.m_renewedAt = absl::InfinitePast();
   aWorker.m_failuresInARow = 0;
   aWorker.m_isEvacuating = false;
   // It knows no fencing token. No task starts here until the leased workers
@@ -158,17 +174,18 @@
   m_leasedWorkersText.clear();
   const std::set<Task*> tasks = aWorker.m_tasks;
   for (Task* task : tasks) {
-    // A start without a response may still reach the new incarnation.
-    const bool mayArriveLate = task->m_phase == TaskPhase::Starting ||
-                               task->m_phase == TaskPhase::Unresolved;
-    if (!mayArriveLate) {
+    if (task->m_isStartUnsent) {
+      Release(*task, ReleaseReason::NotSent);
+    } else if (task->m_isStartAnswered) {
       ReleaseLost(*task);
     }
+    // A start without a response may still reach the new incarnation.
   }
   ResolveEarlierLease(aWorker.m_report.m_id);
+  RaiseFence(aWorker);
   if (m_isRunning) {
     StoreLeasedWorkers();
-    EnsureRenewal(aWorker);
+    ScheduleRenewal(aWorker, absl::ZeroDuration());
   }
 }
 
@@ -241,6 +258,55 @@
   });
 }
 
+void
+Scheduler::ReleaseExpired(Worker& aWorker)
+{
+  if (aWorker.m_unansweredRenewals == 0 || aWorker.m_tasks.empty() ||
+      m_env.m_loop.Now() < aWorker.m_leaseExpiry || !m_env.m_holdsLease()) {
+    // Without the store lease nothing is released: the next owner may already
+    // have recorded how the tasks of an unreachable worker ended.
+    return;
+  }
+  if (aWorker.m_isListed &&
+      m_env.m_loop.Now() < aWorker.m_leaseExpiry + kSilentWorkerGrace) {
+    // A listed worker is alive, and its tasks may have ended as done before the
+    // lease expired. Its next response tells.
+    return;
+  }
+  std::set<Task*> tasks = aWorker.m_tasks;
+  std::erase_if(tasks, [this](const Task* aTask) {
+    // The next incarnation may carry out a start without a response. Its
+    // deadline is a time on the clock of this one.
+    return !aTask->m_isStartAnswered &&
+           m_env.m_loop.Now() < aTask->m_orderedAt + kLateOrderTime;
+  });
+  if (tasks.empty()) {
+    return;
+  }
+  LogWarning(LogPart::Workers,
+             absl::StrCat("worker lease expired, releasing its tasks; worker=",
+                          aWorker.m_report.m_id,
+                          " tasks=",
+                          tasks.size()));
+  m_env.m_metrics.Count("bramleystall_tasks_lost_total",
+                        { { "reason", "lease_lapsed" } },
+                        tasks.size());
+  for (Task* task : tasks) {
+    Release(*task, ReleaseReason::LeaseExpired);
+  }
+}
+
+void
+Scheduler::ReleaseLostTasks(Worker& aWorker)
+{
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  for (Task* task : tasks) {
+    if (task->m_isLost) {
+      ReleaseLost(*task);
+    }
+  }
+}
+
 void
 Scheduler::ClearExpiredLeases()
 {
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -52,6 +52,16 @@
 inline constexpr absl::Duration kSilentWorkerGrace = absl::Seconds(6);
 /** A worker's clock may be slow by this share. */
 inline constexpr double kClockDrift = 0.02;
+/** An order without a response is not carried out later than this. The
+ * platform states no limit, only that it may happen seconds later. */
+inline constexpr absl::Duration kLateOrderTime = absl::Seconds(10);
+/** Interval at which a worker is asked that may carry out a late start. A start
+ * that its next incarnation carries out before it is asked cannot be refused.
+ */
+inline constexpr absl::Duration kLateStartWatchInterval =
+  absl::Milliseconds(200);
+/** Fencing tokens of one owner; see Scheduler::RaiseFence. */
+inline constexpr std::int64_t kFencesPerOwner = 1'000'000;
 /** Margin for timers and the network before a lease counts as expired. */
 inline constexpr absl::Duration kLeaseMargin = absl::Milliseconds(150);
 /**
--- a/tests/fakes/fake_workers.cpp
+++ b/tests/fakes/fake_workers.cpp
@@ -40,6 +40,15 @@
                   (m_loop.ReadClock() - aWorker.m_startTime) * m_clockRate);
 }
 
+void
+FakeWorkers::ExtendLease(WorkerState& aWorker, std::int64_t aExpiryMs) const
+{
+  const absl::Duration lease =
+    std::min(absl::Milliseconds(aExpiryMs - ClockMs(aWorker)), m_maxLease);
+  aWorker.m_leaseExpiry =
+    std::max(aWorker.m_leaseExpiry, m_loop.ReadClock() + lease / m_clockRate);
+}
+
 void
 FakeWorkers::EndRun(WorkerState& aWorker,
                     const std::string& aTask,
@@ -95,15 +104,11 @@
     return result;
   }
   worker.m_fencingToken = aOrder.m_fencingToken;
-  const absl::Time leaseExpiry =
-    m_loop.ReadClock() +
-    absl::Milliseconds(aOrder.m_leaseExpiryMs - result.m_workerClockMs) /
-      m_clockRate;
-  if (leaseExpiry <= m_loop.ReadClock()) {
+  if (aOrder.m_leaseExpiryMs <= result.m_workerClockMs) {
     result.m_outcome = OrderOutcome::LeaseExpired;
     return result;
   }
-  worker.m_leaseExpiry = std::max(worker.m_leaseExpiry, leaseExpiry);
+  ExtendLease(worker, aOrder.m_leaseExpiryMs);
   const auto running = worker.m_runs.find(aOrder.m_task);
   if (running != worker.m_runs.end() &&
       running->second.m_attempt == aOrder.m_attempt) {
@@ -171,11 +176,7 @@
   }
   worker.m_fencingToken = aOrder.m_fencingToken;
   if (aOrder.m_leaseExpiryMs > 0) {
-    worker.m_leaseExpiry =
-      std::max(worker.m_leaseExpiry,
-               m_loop.ReadClock() + absl::Milliseconds(aOrder.m_leaseExpiryMs -
-                                                       result.m_workerClockMs) /
-                                      m_clockRate);
+    ExtendLease(worker, aOrder.m_leaseExpiryMs);
   }
   std::erase_if(worker.m_ends, [&](const TaskEnd& aEnd) {
     const bool isRecorded = aEnd.m_number <= aOrder.m_lastRecordedEnd;
@@ -246,6 +247,18 @@
   });
 }
 
+void
+FakeWorkerClient::SendLate(const std::string& aWorkerId,
+                           std::function<void()> aOrder)
+{
+  m_loop.After(m_orderDelay,
+               [&workers = m_workers, aWorkerId, order = std::move(aOrder)] {
+                 if (workers.IsUp(aWorkerId)) {
+                   order();
+                 }
+               });
+}
+
 void
 FakeWorkerClient::Start(const WorkerAddress& aWorker,
                         const StartOrder& aOrder,
@@ -254,18 +267,8 @@
   const std::string id = aWorker.m_workerId;
   if (m_delayedStarts > 0) {
     --m_delayedStarts;
-    // The order is on its way to the worker: it takes effect even if this
-    // daemon ends, but only in the current incarnation of the worker.
-    m_loop.After(m_startDelay,
-                 [&workers = m_workers,
-                  id,
-                  aOrder,
-                  startTimeMs = m_workers.StartTimeMs(id)] {
-                   if (workers.IsUp(id) &&
-                       workers.StartTimeMs(id) == startTimeMs) {
-                     workers.Start(id, aOrder);
-                   }
-                 });
+    SendLate(id,
+             [&workers = m_workers, id, aOrder] { workers.Start(id, aOrder); });
     CallAfter(kTimeout, [callback = std::move(aCallback)] {
       callback({ .m_outcome = OrderOutcome::Unknown });
     });
@@ -295,6 +298,13 @@
                        OrderCallback aCallback)
 {
   const std::string id = aWorker.m_workerId;
+  if (m_delayedStops > 0) {
+    --m_delayedStops;
+    SendLate(id,
+             [&workers = m_workers, id, aOrder] { workers.Stop(id, aOrder); });
+    CallAfter(kTimeout, [callback = std::move(aCallback)] { callback({}); });
+    return;
+  }
   CallAfter(kLatency, [this, id, aOrder, callback = std::move(aCallback)] {
     if (m_unreachableWorkers.contains(id) || !m_workers.IsUp(id)) {
       CallAfter(kTimeout, [callback] { callback({}); });
@@ -320,6 +330,16 @@
                              const LeaseOrder& aOrder,
                              LeaseCallback aCallback)
 {
+  if (m_delayedRenewals > 0) {
+    --m_delayedRenewals;
+    SendLate(aWorker.m_workerId,
+             [&workers = m_workers, id = aWorker.m_workerId, aOrder] {
+               workers.RenewLease(id, aOrder);
+             });
+    CallAfter(aOrder.m_wait + kTimeout,
+              [callback = std::move(aCallback)] { callback({}); });
+    return;
+  }
   CallAfter(kLatency,
             [this,
              aWorker,
--- a/tests/fakes/fake_workers.h
+++ b/tests/fakes/fake_workers.h
@@ -57,6 +57,8 @@
   void SetClockRate(double aRate) { m_clockRate = aRate; }
   /** Sets how many ends a response lists at most; 500 unless it is set. */
   void SetMaxListedEnds(std::size_t aCount) { m_maxListedEnds = aCount; }
+  /** Sets the longest lease that a worker grants; 6 s unless it is set. */
+  void SetMaxLease(absl::Duration aLease) { m_maxLease = aLease; }
 
   OrderResult Start(const std::string& aWorkerId, const StartOrder& aOrder);
   OrderResult Stop(const std::string& aWorkerId, const StopOrder& aOrder);
@@ -118,6 +120,8 @@
               const std::string& aTask,
               TaskEndKind aKind);
   std::int64_t ClockMs(const WorkerState& aWorker) const;
+  /** Extends the lease up to a time on the worker's clock. */
+  void ExtendLease(WorkerState& aWorker, std::int64_t aExpiryMs) const;
   void UpdateAll();
 
   EventLoop& m_loop;
@@ -126,6 +130,7 @@
   };
   std::size_t m_maxListedEnds = 500;
   double m_clockRate = 1;
+  absl::Duration m_maxLease = absl::Seconds(6);
   std::map<std::string, WorkerState> m_workers;
   std::map<std::string, int> m_startCounts;
   int m_startCount = 0;
@@ -150,10 +155,15 @@
   std::set<std::string> m_unreachableWorkers;
   /** Number of coming starts that take effect, but whose response is lost. */
   int m_lostStartResponses = 0;
-  /** Number of coming starts that time out and take effect late. */
+  /**
+   * Numbers of coming orders that time out and take effect late, at whichever
+   * incarnation of the worker is up then.
+   */
   int m_delayedStarts = 0;
-  /** Time until such a start takes effect. */
-  absl::Duration m_startDelay = absl::Seconds(3);
+  int m_delayedStops = 0;
+  int m_delayedRenewals = 0;
+  /** Time until such an order takes effect. */
+  absl::Duration m_orderDelay = absl::Seconds(3);
   /**
    * Time that the iteration of the daemon's event loop has taken when the
    * daemon reads the response to a lease renewal.
@@ -179,6 +189,8 @@
 private:
   /** Runs the callback after the delay, unless this client is gone by then. */
   void CallAfter(absl::Duration aDelay, std::function<void()> aCallback);
+  /** Lets an order take effect late, even if this daemon has ended by then. */
+  void SendLate(const std::string& aWorkerId, std::function<void()> aOrder);
   void PollLease(const WorkerAddress& aWorker,
                  const LeaseOrder& aOrder,
                  absl::Time aUntil,
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -15,6 +15,9 @@
 
 /** Time after which the store drops the entry of a silent worker. */
 constexpr absl::Duration kEntryTimeout = absl::Milliseconds(4500);
+constexpr absl::Duration kRestartTime = absl::Milliseconds(300);
+/** Time from the write of a worker's entry until the daemons have it. */
+constexpr absl::Duration kEntryLatency = absl::Milliseconds(20);
 
 }
 
@@ -192,13 +195,57 @@
     return;
   }
   m_workers.Crash(aWorkerId);
-  m_loop.After(absl::Milliseconds(300), [this, aWorkerId] {
-    WorkerReport& report = m_reports.at(aWorkerId);
+  m_loop.After(kRestartTime, [this, aWorkerId] {
+    const auto listed = m_reports.find(aWorkerId);
+    WorkerReport& report =
+      listed == m_reports.end() ? m_unlisted.at(aWorkerId) : listed->second;
     report.m_startTimeMs += 1000;
     m_workers.Add(report);
   });
 }
 
+void
+JobCluster::RestartListedWorker(const std::string& aWorkerId)
+{
+  RestartWorker(aWorkerId);
+  m_loop.After(kRestartTime + kEntryLatency, [this, aWorkerId] {
+    if (m_workers.IsUp(aWorkerId)) {
+      ListWorker(aWorkerId);
+    }
+  });
+}
+
+void
+JobCluster::UnlistWorker(const std::string& aWorkerId)
+{
+  const auto listed = m_reports.find(aWorkerId);
+  if (listed == m_reports.end()) {
+    return;
+  }
+  m_unlisted[aWorkerId] = listed->second;
+  m_reports.erase(listed);
+  for (const auto& [name, daemon] : m_daemons) {
+    if (daemon->m_scheduler != nullptr && !daemon->m_store.m_isPartitioned) {
+      daemon->m_scheduler->OnWorkerRemoved(aWorkerId);
+    }
+  }
+}
+
+void
+JobCluster::ListWorker(const std::string& aWorkerId)
+{
+  const auto unlisted = m_unlisted.find(aWorkerId);
+  if (unlisted != m_unlisted.end()) {
+    m_reports[aWorkerId] = unlisted->second;
+    m_unlisted.erase(unlisted);
+  }
+  for (const auto& [name, daemon] : m_daemons) {
+    if (daemon->m_scheduler != nullptr && !daemon->m_store.m_isPartitioned) {
+      daemon->m_scheduler->OnWorkerReport(m_reports.at(aWorkerId));
+    }
+  }
+}
+
 void
 JobCluster::Submit(const JobRecord& aRecord)
 {
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -70,9 +70,15 @@
   void Unlist(const std::string& aWorkerId);
   /**
    * Crashes a worker that is up and starts it again under the same id after
-   * 300 ms.
+   * 300 ms. No daemon learns of it from the store.
    */
   void RestartWorker(const std::string& aWorkerId);
+  /** Like RestartWorker, but the worker writes its new entry when it is up. */
+  void RestartListedWorker(const std::string& aWorkerId);
+  /** The store's entry of a worker expires although the worker is up. */
+  void UnlistWorker(const std::string& aWorkerId);
+  /** The worker writes its entry again. */
+  void ListWorker(const std::string& aWorkerId);
 
   static WorkerReport MakeReport(int aIndex);
   static JobRecord MakeJob(const std::string& aId, int aTasks, int aSteps);
@@ -85,6 +91,8 @@
   Metrics m_metrics;
   JobConfiguration m_configuration;
   std::map<std::string, WorkerReport> m_reports;
+  /** Reports of workers whose entries have expired. */
+  std::map<std::string, WorkerReport> m_unlisted;
   std::map<std::string, std::unique_ptr<Daemon>> m_daemons;
 };
 
--- /dev/null
+++ b/tests/scheduler/test_late_orders.cpp
@@ -0,0 +1,137 @@
+#include "tests/fakes/job_cluster.h"
+#include "tests/fakes/quiet_log.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace bramleystall;
+
+namespace {
+
+constexpr absl::Duration kStartup = absl::Milliseconds(300);
+
+/** Worker of a job's task as the daemon "one" has placed it. */
+Worker*
+FindPlaced(JobCluster& aCluster, const std::string& aJob)
+{
+  Scheduler& scheduler = *aCluster.At("one").m_scheduler;
+  for (const auto& [id, report] : aCluster.m_reports) {
+    Worker* worker = scheduler.WorkerOnMachine(report.m_machine);
+    for (const Task* task : worker->m_tasks) {
+      if (task->m_job->Id() == aJob) {
+        return worker;
+      }
+    }
+  }
+  return nullptr;
+}
+
+void
+CheckInvariants(JobCluster& aCluster)
+{
+  for (const std::string& broken : aCluster.m_workers.Violations()) {
+    FAIL_CHECK(broken);
+  }
+}
+
+}
+
+// Guards against a start that is carried out late by a restarted worker, which
+// knows neither fences nor stops, beside the next run (rule TWICE, issue 31).
+TEST_CASE("A late start at a restarted worker runs alone", "[scheduler]")
+{
+  const QuietLog quiet;
+  const int restartMs = GENERATE(range(0, 4600, 100));
+  INFO("restart after " << restartMs << " ms");
+  JobCluster cluster(3);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  JobCluster::Daemon& owner = cluster.At("one");
+  owner.m_workers.m_delayedStarts = 1;
+  owner.m_workers.m_orderDelay = absl::Seconds(5);
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
+  while (owner.m_workers.m_delayedStarts > 0) {
+    cluster.Run(absl::Milliseconds(5));
+  }
+  Worker* worker = FindPlaced(cluster, "job1");
+  REQUIRE(worker != nullptr);
+  // The next attempt runs on another worker.
+  worker->m_avoidUntil = absl::InfiniteFuture();
+  cluster.Run(absl::Milliseconds(restartMs));
+  cluster.RestartListedWorker(worker->m_report.m_id);
+  cluster.Run(absl::Seconds(5));
+  CHECK(cluster.m_workers.RunningOn("job1.0.0.0").size() == 1);
+  cluster.Run(absl::Seconds(30));
+  CHECK(cluster.State("job1") == "completed");
+  CheckInvariants(cluster);
+}
+
+// Guards against a renewal that is carried out late by a restarted worker and
+// drops ends that the owner has not seen (rule TWICE).
+TEST_CASE("A late renewal loses no end of a restarted worker", "[scheduler]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(1);
+  cluster.m_workers.SetPlanner([](const std::string& aTask, std::int64_t) {
+    return FakeRunPlan{ .m_time = aTask.starts_with("short")
+                                    ? absl::Milliseconds(100)
+                                    : absl::Milliseconds(1000) };
+  });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("short", 3, 1));
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
+  JobCluster::Daemon& owner = cluster.At("one");
+  cluster.Run(absl::Milliseconds(50));
+  Worker* worker = FindPlaced(cluster, "job1");
+  REQUIRE(worker != nullptr);
+  while (worker->m_recordedEnd < 3) {
+    cluster.Run(absl::Milliseconds(1));
+  }
+  owner.m_workers.m_delayedRenewals = 1;
+  while (owner.m_workers.m_delayedRenewals > 0) {
+    cluster.Run(absl::Milliseconds(1));
+  }
+  cluster.RestartListedWorker("worker-0");
+  while (cluster.m_workers.StartCount("job1.0.0.0") < 2) {
+    cluster.Run(absl::Milliseconds(5));
+  }
+  owner.m_workers.m_unreachableWorkers = { "worker-0" };
+  cluster.Run(absl::Seconds(3));
+  owner.m_workers.m_unreachableWorkers.clear();
+  cluster.Run(absl::Seconds(4));
+  CHECK(cluster.State("job1") == "completed");
+  CHECK(cluster.m_workers.StartCount("job1.0.0.0") == 2);
+  CheckInvariants(cluster);
+}
+
+// Guards against counting the usual lease for a start that a restarted worker
+// has accepted, since its deadline on the new clock lies far ahead (rule
+// TWICE).
+TEST_CASE("A start at a worker that restarted unnoticed has the longest lease",
+          "[scheduler]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(20) });
+  cluster.AddDaemon("one");
+  cluster.Run(absl::Seconds(30));
+  JobCluster::Daemon& owner = cluster.At("one");
+  Worker* other = owner.m_scheduler->WorkerOnMachine("machine-1");
+  other->m_avoidUntil = absl::InfiniteFuture();
+  cluster.RestartWorker("worker-0");
+  cluster.Run(absl::Milliseconds(400));
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
+  while (cluster.m_workers.StartCount() == 0) {
+    cluster.Run(absl::Milliseconds(1));
+  }
+  cluster.Run(absl::Milliseconds(2));
+  owner.m_workers.m_unreachableWorkers = { "worker-0" };
+  cluster.UnlistWorker("worker-0");
+  other->m_avoidUntil = absl::InfinitePast();
+  cluster.Run(absl::Seconds(12));
+  CHECK(cluster.m_workers.StartCount() == 2);
+  CheckInvariants(cluster);
+}
--- a/tests/scheduler/test_scheduler.cpp
+++ b/tests/scheduler/test_scheduler.cpp
@@ -398,7 +398,7 @@
   JobCluster cluster(1);
   cluster.AddDaemon("one");
   cluster.Run(kStartup);
-  cluster.m_workers.RenewLease("worker-0", { .m_fencingToken = 1000000 });
+  cluster.m_workers.RenewLease("worker-0", { .m_fencingToken = 1000000000000 });
   cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
   cluster.At("one").m_store.m_isRefusing = false;
   cluster.Run(absl::Milliseconds(100));
--- a/tests/scheduler/test_silent_workers.cpp
+++ b/tests/scheduler/test_silent_workers.cpp
@@ -70,7 +70,7 @@
   cluster.Run(absl::Milliseconds(500));
   JobCluster::Daemon& owner = cluster.At("one");
   owner.m_workers.m_delayedStarts = 1;
-  owner.m_workers.m_startDelay = absl::Milliseconds(2500);
+  owner.m_workers.m_orderDelay = absl::Milliseconds(2500);
   while (owner.m_workers.m_delayedStarts > 0) {
     cluster.Run(absl::Milliseconds(20));
   }
