Wait for the list of a restarted worker before tasks start again

Cause: an idle worker restarts, and its new entry in the store comes a little later. A start that is sent in between is accepted by the new incarnation. When the entry arrived, the owner took all tasks of the worker as ended with the old incarnation and started them elsewhere within 10 ms, although they ran.

Evidence: "A start at a worker whose restart is reported later runs once" fails on the code before for all six delays of the entry, 0 to 200 ms after the response to the start; each of the two tasks has two runs at once.

Fix: at a restart only tasks that the earlier incarnation has listed are released at once. The others wait for the list of the new incarnation, which is asked at once. A task that is not listed then may have run on the earlier incarnation, so it is released only while the owner holds the store's lease.

--- a/jobs/task.h
+++ b/jobs/task.h
@@ -78,6 +78,9 @@
   /** The worker has responded to the start or listed the task. Before that the
    * start may still be carried out, by any incarnation of the worker. */
   bool m_isStartAnswered = false;
+  /** The worker has listed the attempt, so the incarnation that runs it is
+   * known. */
+  bool m_isListed = false;
   /** Time of the stop's acknowledgement; infinite future before it. */
   absl::Time m_stopAckedAt = absl::InfiniteFuture();
   /** Progress in percent. */
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -269,7 +269,8 @@
   void Release(Task& aTask, ReleaseReason aReason);
   /** Releases a task whose worker has ended, now or once the owner holds the
    * store's lease again. */
-  void ReleaseLost(Task& aTask);
+  void ReleaseLost(Task& aTask,
+                   ReleaseReason aReason = ReleaseReason::WorkerEnded);
   std::int64_t NextAttempt(const Task& aTask) const;
 
   // Workers.
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -274,6 +274,7 @@
       listed.insert(task);
       task->m_isLost = false;
       task->m_isStartAnswered = true;
+      task->m_isListed = true;
     }
     if (isWanted && !isHere && task->m_phase == TaskPhase::Waiting &&
         running.m_attempt >= task->m_attempt) {
@@ -286,6 +287,7 @@
       ExtendLeaseExpiry(aWorker, m_settings.m_maxWorkerLease);
       task->m_attempt = running.m_attempt;
       task->m_isStartAnswered = true;
+      task->m_isListed = true;
       task->m_orderedAt = absl::Time();
       task->m_phase = TaskPhase::Running;
       task->m_startedAt = aSentAt;
@@ -346,7 +348,10 @@
       m_env.m_metrics.Count("bramleystall_tasks_lost_total",
                             { { "reason", "not_listed" } });
     }
-    if (isLost || isStopped || task->m_phase == TaskPhase::Done) {
+    if (isLost) {
+      // It may have run on an earlier incarnation.
+      ReleaseLost(*task, ReleaseReason::NotListed);
+    } else if (isStopped || task->m_phase == TaskPhase::Done) {
       Release(*task,
               isStopped ? ReleaseReason::Stopped : ReleaseReason::NotListed);
     }
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -77,10 +77,10 @@
 }
 
 void
-Scheduler::ReleaseLost(Task& aTask)
+Scheduler::ReleaseLost(Task& aTask, ReleaseReason aReason)
 {
   if (m_env.m_holdsLease()) {
-    Release(aTask, ReleaseReason::WorkerEnded);
+    Release(aTask, aReason);
   } else {
     aTask.m_isLost = true;
   }
@@ -99,6 +99,7 @@
   aTask.m_attempt = aAttempt;
   aTask.m_percent = 0;
   aTask.m_isStartAnswered = false;
+  aTask.m_isListed = false;
   aTask.m_stopAckedAt = absl::InfiniteFuture();
   aTask.m_orderedAt = m_env.m_loop.Now();
   if (job.IsWorkerRecorded(workerId)) {
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -176,10 +176,11 @@
   for (Task* task : tasks) {
     if (task->m_isStartUnsent) {
       Release(*task, ReleaseReason::NotSent);
-    } else if (task->m_isStartAnswered) {
+    } else if (task->m_isListed) {
       ReleaseLost(*task);
     }
-    // A start without a response may still reach the new incarnation.
+    // Others wait for the list of the new incarnation: it may have accepted
+    // their starts, or a start without a response may still reach it.
   }
   ResolveEarlierLease(aWorker.m_report.m_id);
   RaiseFence(aWorker);
--- a/tests/scheduler/test_late_orders.cpp
+++ b/tests/scheduler/test_late_orders.cpp
@@ -135,3 +135,37 @@
   CHECK(cluster.m_workers.StartCount() == 2);
   CheckInvariants(cluster);
 }
+
+// Guards against a restart that the store reports after the new incarnation has
+// accepted a start: the task was placed again, although it runs there (rule
+// TWICE).
+TEST_CASE("A start at a worker whose restart is reported later runs once",
+          "[scheduler]")
+{
+  const QuietLog quiet;
+  const int reportMs = GENERATE(0, 2, 10, 30, 60, 200);
+  INFO("reported after " << reportMs << " ms");
+  JobCluster cluster(2);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(2) });
+  cluster.AddDaemon("one");
+  cluster.Run(absl::Seconds(1));
+  cluster.At("one").m_scheduler->WorkerOnMachine("machine-1")->m_avoidUntil =
+    cluster.m_loop.Now() + absl::Milliseconds(420);
+  cluster.RestartWorker("worker-0");
+  cluster.Run(absl::Milliseconds(400));
+  cluster.Submit(JobCluster::MakeJob("job1", 2, 1));
+  while (cluster.m_workers.StartCount() < 2) {
+    cluster.Run(absl::Milliseconds(1));
+  }
+  cluster.Run(absl::Milliseconds(2 + reportMs));
+  // The next attempt, if there is one, runs on the other worker.
+  cluster.At("one").m_scheduler->WorkerOnMachine("machine-0")->m_avoidUntil =
+    absl::InfiniteFuture();
+  cluster.At("one").m_scheduler->WorkerOnMachine("machine-1")->m_avoidUntil =
+    absl::InfinitePast();
+  cluster.ListWorker("worker-0");
+  cluster.Run(absl::Seconds(4));
+  CHECK(cluster.m_workers.StartCount() == 2);
+  CHECK(cluster.State("job1") == "completed");
+  CheckInvariants(cluster);
+}
