Ask a worker before an owner cut off from the store starts tasks there

Cause: an owner that is cut off from the store gives orders for some seconds more and relies on the fencing token of the next owner. A worker that restarts has forgotten that token. The earlier owner noticed the restart only if it had asked the worker, so on an idle worker it started tasks that the next owner ran elsewhere.

Evidence: "An owner cut off from the store asks a worker before it starts there" fails on the code before with two runs of a task at once.

Fix: without the store's lease a task starts only on a worker that has responded to a renewal within the time that a restart takes. The others are asked first; a refusal or a new incarnation then shows that the task must not start. So that busy workers are not asked too seldom, they hold their responses for 0.1 s instead of 0.7 s meanwhile.

--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -230,6 +230,9 @@
   double LoadOf(const Resources& aNeed) const;
   bool MayDisrupt(const Task& aTask) const;
   void Relocate(Task& aTask);
+  /** Whether an owner without the store's lease knows the incarnation of the
+   * worker and that it has not seen a later fence. */
+  bool MayStartOn(const Worker& aWorker) const;
   void PlaceStep(const ActiveJob& aActive,
                  int aOccurrence,
                  int aStep,
@@ -395,6 +398,8 @@
     std::string m_ticket;
   };
   std::vector<PlacedStart> m_placedStarts;
+  /** Workers that have to respond before a task can start there. */
+  std::set<std::string> m_workersToAsk;
   /** ProgressWriter::IsBehind at the last placement. */
   bool m_isStoreBehind = false;
   absl::Time m_beganAt;
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -108,7 +108,8 @@
     order.m_leaseExpiryMs = NextLeaseExpiryMs(aWorker);
     if (aWorker.m_appliedEnd == aWorker.m_recordedEnd &&
         m_env.m_loop.Now() >= aWorker.m_lateStartsUntil) {
-      order.m_wait = kRenewalLongPollTime;
+      order.m_wait =
+        m_env.m_holdsLease() ? kRenewalLongPollTime : kCutOffLongPollTime;
     }
   }
   m_env.m_metrics.Count("bramleystall_worker_looks_total");
@@ -181,7 +182,7 @@
     ReleaseUnlisted(worker, listed, aSent.m_at, fence);
     ResolveEarlierLease(aWorkerId);
   }
-  if (isFirstResponse) {
+  if (isFirstResponse || !m_env.m_holdsLease()) {
     RequestPlacement();
   }
   if (worker.m_appliedEnd > before) {
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -109,6 +109,9 @@
     PlacePool(pool, jobs, placement);
   }
   SendPlacedStarts();
+  for (const std::string& id : std::exchange(m_workersToAsk, {})) {
+    EnsureRenewal(*FindWorker(id));
+  }
   m_placementTime = m_env.m_loop.ReadClock() - begin;
 }
 
@@ -130,9 +133,7 @@
         continue;
       }
       task->m_job->MarkWorkerRecorded(start.m_worker);
-      // Not so if the worker has restarted since the placement.
-      const bool isCurrent = worker != nullptr && worker->m_isLeaseRecorded &&
-                             task->m_isStartUnsent &&
+      const bool isCurrent = worker != nullptr && task->m_isStartUnsent &&
                              task->m_worker == start.m_worker &&
                              task->m_attempt == start.m_attempt;
       if (!isCurrent) {
@@ -141,7 +142,8 @@
       // Meanwhile another worker may have listed the task as done, or this one
       // may have restarted, so that its clock and fencing token are unknown.
       if (task->m_phase == TaskPhase::Starting && worker->m_isLeaseRecorded &&
-          worker->m_clockReadAt != absl::InfinitePast()) {
+          worker->m_clockReadAt != absl::InfinitePast() &&
+          MayStartOn(*worker)) {
         SendStart(*task, *worker, start.m_ticket);
       } else {
         Release(*task, ReleaseReason::NotSent);
@@ -294,9 +296,15 @@
   // workers that are already stored with it.
   const WorkerFilter filter =
     [this, tickets, &job, aIsWithheld](const Worker& aWorker) {
-      return (!aIsWithheld || HasLongRunning(aWorker)) &&
-             (tickets == nullptr || tickets->contains(aWorker.m_report.m_id)) &&
-             (!m_isStoreBehind || job.IsWorkerRecorded(aWorker.m_report.m_id));
+      const std::string& id = aWorker.m_report.m_id;
+      const bool isAllowed = (!aIsWithheld || HasLongRunning(aWorker)) &&
+                             (tickets == nullptr || tickets->contains(id)) &&
+                             (!m_isStoreBehind || job.IsWorkerRecorded(id));
+      const bool isKnown = MayStartOn(aWorker);
+      if (isAllowed && !isKnown) {
+        m_workersToAsk.insert(id);
+      }
+      return isAllowed && isKnown;
     };
   const auto ticketOf = [tickets](const Worker& aWorker) {
     return tickets == nullptr ? "" : tickets->at(aWorker.m_report.m_id);
@@ -343,6 +351,14 @@
   }
 }
 
+bool
+Scheduler::MayStartOn(const Worker& aWorker) const
+{
+  // A next owner may have given the worker its fence before a restart.
+  return m_env.m_holdsLease() ||
+         m_env.m_loop.ReadClock() < aWorker.m_renewedAt + kIncarnationKnownTime;
+}
+
 const std::map<std::string, std::string>*
 Scheduler::TicketsFor(const Job& aJob, int aOccurrence, int aStep)
 {
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -31,6 +31,9 @@
  * at most.
  */
 inline constexpr absl::Duration kRenewalLongPollTime = absl::Milliseconds(700);
+/** The same without the store's lease, when tasks start only on workers that
+ * have responded within kIncarnationKnownTime. */
+inline constexpr absl::Duration kCutOffLongPollTime = absl::Milliseconds(100);
 /** Delay before a renewal, so that tasks that end together share one. */
 inline constexpr absl::Duration kRenewalDelay = absl::Milliseconds(50);
 /**
--- a/tests/scheduler/test_late_orders.cpp
+++ b/tests/scheduler/test_late_orders.cpp
@@ -169,3 +169,45 @@
   CHECK(cluster.State("job1") == "completed");
   CheckInvariants(cluster);
 }
+
+// Guards against an owner that is cut off from the store and starts a task on a
+// worker that has restarted and forgotten the next owner's fence (rule TWICE).
+TEST_CASE(
+  "An owner cut off from the store asks a worker before it starts there",
+  "[scheduler]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(1);
+  cluster.m_workers.SetPlanner([](const std::string& aTask, std::int64_t) {
+    return FakeRunPlan{ .m_time = aTask.starts_with("job1.0.0")
+                                    ? absl::Milliseconds(100)
+                                    : absl::Seconds(20) };
+  });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 2));
+  JobCluster::Daemon& first = cluster.At("one");
+  while (!cluster.m_workers.HasEverRun("job1.0.0.0")) {
+    cluster.Run(absl::Milliseconds(1));
+  }
+  first.m_scheduler->WorkerOnMachine("machine-0")->m_avoidUntil =
+    cluster.m_loop.Now() + absl::Seconds(5);
+  cluster.Run(absl::Milliseconds(600));
+  REQUIRE(cluster.m_workers.StartCount() == 1);
+  first.m_store.m_isPartitioned = true;
+  const WorkerReport spare = JobCluster::MakeReport(7);
+  cluster.m_workers.Add(spare);
+  cluster.m_reports[spare.m_id] = spare;
+  cluster.AddDaemon("two");
+  while (cluster.At("two").m_scheduler == nullptr) {
+    cluster.Run(absl::Milliseconds(1));
+  }
+  cluster.At("two").m_scheduler->WorkerOnMachine("machine-0")->m_avoidUntil =
+    absl::InfiniteFuture();
+  cluster.Run(absl::Milliseconds(300));
+  REQUIRE(cluster.m_workers.RunningOn("job1.0.1.0").size() == 1);
+  cluster.RestartWorker("worker-0");
+  cluster.Run(absl::Seconds(5));
+  CHECK(cluster.m_workers.StartCount() == 2);
+  CheckInvariants(cluster);
+}
