Test invariants with late orders and restarts at random

The random failures had no tasks that run for long, no workers whose entries expire and return, and no late stops and renewals. The new histories have these beside late starts, restarts and losses of the owner. Late orders act at whichever incarnation is up.

--- a/tests/fakes/fake_workers.h
+++ b/tests/fakes/fake_workers.h
@@ -57,9 +57,21 @@
   void SetClockRate(double aRate) { m_clockRate = aRate; }
   /** Sets how many ends a response lists at most; 500 unless it is set. */
   void SetMaxListedEnds(std::size_t aCount) { m_maxListedEnds = aCount; }
+  /**
+   * Counts no violation by a late start at an incarnation that has had late
+   * orders only, since nothing can let the worker refuse it.
+   */
+  void IgnoreUnrefusableStarts() { m_ignoresUnrefusable = true; }
   /** Sets the longest lease that a worker grants; 6 s unless it is set. */
   void SetMaxLease(absl::Duration aLease) { m_maxLease = aLease; }
 
+  /** Carries out an order that is late. */
+  void RunLate(const std::function<void()>& aOrder)
+  {
+    m_isLateOrder = true;
+    aOrder();
+    m_isLateOrder = false;
+  }
   OrderResult Start(const std::string& aWorkerId, const StartOrder& aOrder);
   OrderResult Stop(const std::string& aWorkerId, const StopOrder& aOrder);
   LeaseOrderResult RenewLease(const std::string& aWorkerId,
@@ -99,6 +111,7 @@
     absl::Time m_startedAt;
     FakeRunPlan m_plan;
     bool m_isStopping = false;
+    bool m_isUnrefusable = false;
     absl::Time m_stopsAt = absl::InfiniteFuture();
   };
   struct WorkerState
@@ -107,6 +120,8 @@
     std::int64_t m_startTimeMs = 0;
     absl::Time m_startTime;
     std::int64_t m_fencingToken = 0;
+    /** An order that was not late has set the fencing token. */
+    bool m_hasPromptOrder = false;
     absl::Time m_leaseExpiry;
     std::map<std::string, Run> m_runs;
     std::map<std::string, std::int64_t> m_lastAttempt;
@@ -123,6 +138,8 @@
   /** Extends the lease up to a time on the worker's clock. */
   void ExtendLease(WorkerState& aWorker, std::int64_t aExpiryMs) const;
   void UpdateAll();
+  /** Whether a run counts that starts now beside others of its task. */
+  bool HasOtherRun(const std::string& aTask);
 
   EventLoop& m_loop;
   Planner m_planner = [](const std::string&, std::int64_t) {
@@ -131,6 +148,8 @@
   std::size_t m_maxListedEnds = 500;
   double m_clockRate = 1;
   absl::Duration m_maxLease = absl::Seconds(6);
+  bool m_ignoresUnrefusable = false;
+  bool m_isLateOrder = false;
   std::map<std::string, WorkerState> m_workers;
   std::map<std::string, int> m_startCounts;
   int m_startCount = 0;
