--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -167,27 +167,17 @@
 }
 
 void
-JobCluster::List(const WorkerReport& aReport)
+JobCluster::ListWorker(const WorkerReport& aReport)
 {
+  m_unlisted.erase(aReport.m_id);
   m_reports[aReport.m_id] = aReport;
   for (const auto& [name, daemon] : m_daemons) {
-    if (daemon->m_scheduler != nullptr) {
+    if (daemon->m_scheduler != nullptr && !daemon->m_store.m_isPartitioned) {
       daemon->m_scheduler->OnWorkerReport(aReport);
     }
   }
 }
 
-void
-JobCluster::Unlist(const std::string& aWorkerId)
-{
-  m_reports.erase(aWorkerId);
-  for (const auto& [name, daemon] : m_daemons) {
-    if (daemon->m_scheduler != nullptr) {
-      daemon->m_scheduler->OnWorkerRemoved(aWorkerId);
-    }
-  }
-}
-
 void
 JobCluster::RestartWorker(const std::string& aWorkerId)
 {
@@ -235,15 +225,9 @@
 JobCluster::ListWorker(const std::string& aWorkerId)
 {
   const auto unlisted = m_unlisted.find(aWorkerId);
-  if (unlisted != m_unlisted.end()) {
-    m_reports[aWorkerId] = unlisted->second;
-    m_unlisted.erase(unlisted);
-  }
-  for (const auto& [name, daemon] : m_daemons) {
-    if (daemon->m_scheduler != nullptr && !daemon->m_store.m_isPartitioned) {
-      daemon->m_scheduler->OnWorkerReport(m_reports.at(aWorkerId));
-    }
-  }
+  const WorkerReport report =
+    unlisted == m_unlisted.end() ? m_reports.at(aWorkerId) : unlisted->second;
+  ListWorker(report);
 }
 
 void
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -64,10 +64,6 @@
    * heartbeats.
    */
   void CrashWorker(const std::string& aWorkerId);
-  /** Lists a worker, or takes its entry out of the store although the worker is
-   * alive. */
-  void List(const WorkerReport& aReport);
-  void Unlist(const std::string& aWorkerId);
   /**
    * Crashes a worker that is up and starts it again under the same id after
    * 300 ms. No daemon learns of it from the store.
@@ -77,7 +73,8 @@
   void RestartListedWorker(const std::string& aWorkerId);
   /** The store's entry of a worker expires although the worker is up. */
   void UnlistWorker(const std::string& aWorkerId);
-  /** The worker writes its entry again. */
+  /** The worker writes its entry, with a new report or with the last one. */
+  void ListWorker(const WorkerReport& aReport);
   void ListWorker(const std::string& aWorkerId);
 
   static WorkerReport MakeReport(int aIndex);
--- a/tests/scheduler/test_revoked_keys.cpp
+++ b/tests/scheduler/test_revoked_keys.cpp
@@ -42,7 +42,7 @@
                  "[silent]")
 {
   const bool doesLeaseGoOn = GENERATE(false, true);
-  m_cluster.Unlist("worker-0");
+  m_cluster.UnlistWorker("worker-0");
   m_cluster.At("one").m_store.m_isRefusing = true;
   m_cluster.m_store.Revoke(m_cluster.m_keys.Owner(), doesLeaseGoOn);
   m_cluster.Run(absl::Seconds(20));
@@ -74,7 +74,7 @@
   }
   REQUIRE(first.m_scheduler != nullptr);
   REQUIRE(worker.m_isRenewing);
-  m_cluster.Unlist("worker-0");
+  m_cluster.UnlistWorker("worker-0");
   m_cluster.Run(absl::Seconds(15));
   REQUIRE(m_cluster.Owner() == "two");
   REQUIRE(m_cluster.m_workers.StartCount("job1.0.0.0") == 2);
@@ -106,7 +106,7 @@
   cluster.At("two").m_workers.m_unreachableWorkers = { lost == "worker-0"
                                                          ? "worker-1"
                                                          : "worker-0" };
-  cluster.Unlist(lost);
+  cluster.UnlistWorker(lost);
   cluster.Run(absl::Milliseconds(3900));
   first.m_store.m_isRefusing = true;
   cluster.m_store.Revoke(cluster.m_keys.Owner(), false);
--- a/tests/scheduler/test_silent_workers.cpp
+++ b/tests/scheduler/test_silent_workers.cpp
@@ -189,7 +189,7 @@
   // Nothing starts on a draining worker.
   WorkerReport report = cluster.m_reports.at("worker-0");
   report.m_isDraining = true;
-  cluster.List(report);
+  cluster.ListWorker(report);
   cluster.Run(absl::Seconds(120));
   const WorkerReport other = JobCluster::MakeReport(1);
   cluster.m_workers.Add(other);
@@ -201,12 +201,12 @@
   cluster.m_store.Revoke(cluster.m_keys.Owner(), false);
   cluster.Run(absl::Milliseconds(5700));
   report.m_isDraining = false;
-  cluster.List(report);
+  cluster.ListWorker(report);
   cluster.Run(absl::Milliseconds(100));
   REQUIRE(cluster.m_workers.RunningOn("job1.0.1.0").front() == "worker-0");
   // Its lease is not renewed.
   cluster.At("one").m_workers.m_unreachableWorkers = { report.m_id };
-  cluster.Unlist(report.m_id);
+  cluster.UnlistWorker(report.m_id);
   cluster.Run(absl::Seconds(25));
   REQUIRE(cluster.Owner() == "two");
   REQUIRE(cluster.State("job1") == "completed");
--- a/tests/scheduler/test_takeover.cpp
+++ b/tests/scheduler/test_takeover.cpp
@@ -203,11 +203,11 @@
   cluster.Submit(JobCluster::MakeJob("job1", 1, 2));
   cluster.Run(absl::Milliseconds(200));
   const WorkerReport report = cluster.m_reports.at("worker-0");
-  cluster.Unlist(report.m_id);
+  cluster.UnlistWorker(report.m_id);
   cluster.Run(absl::Seconds(1));
   REQUIRE(cluster.m_workers.DoneTasks().contains("job1.0.0.0"));
   REQUIRE(cluster.m_store.Value(cluster.m_keys.LeasedWorkers()) == "{}");
-  cluster.List(report);
+  cluster.ListWorker(report);
   cluster.At("one").m_store.m_isRefusing = true;
   cluster.Run(absl::Milliseconds(500));
   const WorkerReport other = JobCluster::MakeReport(1);
