Keep a worker in the stored list until its ends are recorded

Cause: once the store no longer lists a worker and its last task has ended, the list of leased workers leaves it out. The end itself may still wait for the store in another transaction. If the owner goes before that is stored, the next owner knows neither the end nor the worker, and starts the task again.

Evidence: the new test, in which only the write of the job's progress stalls, fails without the change (2 starts of one task) and passes with it.

Fix: a worker with ends that are not recorded stays in the list, and in the scheduler's memory, until they are.

--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -66,6 +66,10 @@
   /** The worker is being evacuated for a move or maintenance. */
   bool m_isEvacuating = false;
 
+  /** Whether a next owner would not know of an end that the worker has listed.
+   */
+  bool HasUnrecordedEnd() const { return m_appliedEnd > m_recordedEnd; }
+
   /** Rack of the worker, which is its second label; empty if unknown. */
   std::string Rack() const
   {
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -220,6 +220,7 @@
 {
   const auto mayHoldLeases = [this](const Worker& aWorker) {
     return aWorker.m_isListed || !aWorker.m_tasks.empty() ||
+           aWorker.HasUnrecordedEnd() ||
            m_unresolvedWorkers.contains(aWorker.m_report.m_id);
   };
   json addresses = json::object();
@@ -349,7 +350,8 @@
     ReleaseExpired(worker);
     ReleaseLostTasks(worker);
     const bool isGone = !worker.m_isListed && worker.m_tasks.empty() &&
-                        !worker.m_isRenewing && now >= worker.m_leaseExpiry &&
+                        !worker.HasUnrecordedEnd() && !worker.m_isRenewing &&
+                        now >= worker.m_leaseExpiry &&
                         !m_unresolvedWorkers.contains(it->first);
     if (isGone) {
       it = m_workers.erase(it);
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -291,6 +291,9 @@
                         CommitCallback aCallback)
 {
   ++m_commitCount;
+  if (m_isCommitStalled && m_isCommitStalled(aTransaction)) {
+    return;
+  }
   CallAfter(kLatency, [this, aTransaction, callback = std::move(aCallback)] {
     if (!IsReachable()) {
       const CommitStatus status =
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -86,6 +86,9 @@
   bool m_isRefusing = false;
   /** Number of coming commits that are applied, but whose response is lost. */
   int m_lostCommitResponses = 0;
+  /** If set, commits for which it returns true have no effect and no response.
+   */
+  std::function<bool(const StoreTransaction&)> m_isCommitStalled;
   int m_commitCount = 0;
   /** Number of items that List has returned, and their bytes on the wire. */
   std::size_t m_listedItems = 0;
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -163,7 +163,7 @@
 JobCluster::CrashWorker(const std::string& aWorkerId)
 {
   m_workers.Crash(aWorkerId);
-  m_loop.After(kEntryTimeout, [this, aWorkerId] { Unlist(aWorkerId); });
+  m_loop.After(kEntryTimeout, [this, aWorkerId] { UnlistWorker(aWorkerId); });
 }
 
 void
--- a/tests/scheduler/test_takeover.cpp
+++ b/tests/scheduler/test_takeover.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace bramleystall;
 
 namespace {
@@ -220,3 +222,42 @@
   REQUIRE(cluster.State("job1") == "completed");
   REQUIRE(cluster.m_workers.Violations().empty());
 }
+
+// Guards against a new owner that does not wait for a worker whose tasks have
+// ended, although these ends are not stored yet (rule TWICE, issue 31).
+TEST_CASE("A worker with unrecorded ends stays in the stored list",
+          "[takeover]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(1);
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
+  cluster.Run(absl::Milliseconds(200));
+  REQUIRE(cluster.m_workers.RunningOn("job1.0.0.0").size() == 1);
+  const std::string progress = cluster.m_keys.Progress("job1");
+  cluster.At("one").m_store.m_isCommitStalled =
+    [&progress](const StoreTransaction& aTransaction) {
+      return std::ranges::any_of(aTransaction.m_puts,
+                                 [&progress](const StorePut& aPut) {
+                                   return aPut.m_key == progress;
+                                 }) ||
+             std::ranges::find(aTransaction.m_removals, progress) !=
+               aTransaction.m_removals.end();
+    };
+  cluster.UnlistWorker("worker-0");
+  cluster.Run(absl::Seconds(2));
+  REQUIRE(cluster.m_workers.DoneTasks().contains("job1.0.0.0"));
+  cluster.KillDaemon("one");
+  cluster.AddDaemon("two");
+  cluster.ListWorker(JobCluster::MakeReport(1));
+  cluster.m_workers.Add(JobCluster::MakeReport(1));
+  cluster.At("two").m_workers.m_unreachableWorkers = { "worker-0" };
+  cluster.Run(absl::Seconds(6));
+  REQUIRE(cluster.Owner() == "two");
+  cluster.At("two").m_workers.m_unreachableWorkers.clear();
+  cluster.ListWorker("worker-0");
+  cluster.Run(absl::Seconds(3));
+  REQUIRE(cluster.State("job1") == "completed");
+  REQUIRE(cluster.m_workers.StartCount() == 1);
+}
