Release a task that is done when its worker refuses the start

What callers saw: nothing yet; found by the review. A task was found done on an earlier worker while the start on the next one waited for its response. If that was a refusal, the task stayed on the next worker: its room was taken and its job was not archived. Before, a renewal that did not list it released it; since late starts are refused by a higher fencing token, only one with such a token does.

The refusal itself shows that nothing runs there, so it releases the task. The new test fails without this.

--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -232,7 +232,8 @@
       break;
   }
   if (task->m_phase == TaskPhase::Starting ||
-      task->m_phase == TaskPhase::Stopping) {
+      task->m_phase == TaskPhase::Stopping ||
+      task->m_phase == TaskPhase::Done) {
     Release(*task, ReleaseReason::NotStarted);
   }
 }
--- a/tests/fakes/held_worker_gateway.h
+++ b/tests/fakes/held_worker_gateway.h
@@ -21,6 +21,8 @@
 
   /** Holds the responses to coming starts until DeliverStarts. */
   bool m_isHoldingStarts = false;
+  /** Refuses coming starts as busy, once DeliverStarts is called. */
+  bool m_isRefusingStarts = false;
   /** Holds the responses to coming renewals until DeliverRenewals. */
   bool m_isHoldingRenewals = false;
   /** Addresses at which a worker with another id responds. */
@@ -47,6 +49,12 @@
              OrderCallback aCallback) override
   {
     m_starts.push_back(aOrder);
+    if (m_isRefusingStarts) {
+      m_heldStarts.push_back([callback = std::move(aCallback)] {
+        callback({ .m_outcome = OrderOutcome::Busy });
+      });
+      return;
+    }
     m_workers.Start(
       aWorker,
       aOrder,
--- a/tests/scheduler/test_release_proofs.cpp
+++ b/tests/scheduler/test_release_proofs.cpp
@@ -256,6 +256,38 @@
   REQUIRE(wasHeld);
 }
 
+// Guards against a task that keeps its room on a worker for ever, because it
+// was found done elsewhere before that worker refused its start.
+TEST_CASE_METHOD(SchedulerFixture,
+                 "A refused start of a task that is done leaves its worker",
+                 "[scheduler]")
+{
+  m_workers.SetPlan({ .m_time = absl::Seconds(2) });
+  StartScheduler();
+  const WorkerReport silent = JobCluster::MakeReport(0);
+  m_scheduler->OnWorkerReport(silent);
+  m_scheduler->OnWorkersListed();
+  m_loop.AdvanceBy(absl::Milliseconds(300));
+  Submit(JobCluster::MakeJob("job1", 1, 2));
+  m_loop.AdvanceBy(absl::Seconds(1));
+  REQUIRE(m_workers.RunningOn(kTask).size() == 1);
+  m_scheduler->OnWorkerReport(JobCluster::MakeReport(1));
+  m_client.m_unreachableWorkers = { silent.m_id };
+  m_scheduler->OnWorkerRemoved(silent.m_id);
+  m_gateway.m_isRefusingStarts = true;
+  m_loop.AdvanceBy(absl::Seconds(6));
+  REQUIRE(m_gateway.m_starts.size() == 2);
+  m_client.m_unreachableWorkers.clear();
+  m_scheduler->OnWorkerReport(silent);
+  m_loop.AdvanceBy(absl::Seconds(1));
+  m_gateway.m_isRefusingStarts = false;
+  m_gateway.DeliverStarts();
+  m_loop.AdvanceBy(absl::Seconds(5));
+  REQUIRE(m_workers.DoneTasks().contains("job1.0.1.0"));
+  REQUIRE(m_scheduler->WorkerOnMachine("machine-1")->m_tasks.empty());
+  REQUIRE_FALSE(m_store.Has(m_keys.Job("job1")));
+}
+
 // Guards against a lease of a previous owner that counts as expired before the
 // new owner has renewed it once (rule TWICE).
 TEST_CASE("A task that was found running keeps its lease", "[takeover]")
