--- a/jobs/job.h
+++ b/jobs/job.h
@@ -106,7 +106,14 @@
     m_recordedWorkers.insert(aWorkerId);
   }
   /** Lets each next start wait for a further write of the job. */
-  void ForgetRecordedWorkers() { m_recordedWorkers.clear(); }
+  void ForgetRecordedWorkers()
+  {
+    m_recordedWorkers.clear();
+    ++m_forgetCount;
+  }
+  /** Number of calls of ForgetRecordedWorkers; writes from before the last one
+   * record nothing. */
+  int ForgetCount() const { return m_forgetCount; }
 
   /** Approximate number of unfinished steps in the current occurrence. */
   int RemainingStepCount() const;
@@ -142,6 +149,7 @@
   std::uint64_t m_order = 0;
   std::set<std::string> m_workers;
   std::set<std::string> m_recordedWorkers;
+  int m_forgetCount = 0;
   std::vector<Occurrence> m_occurrences;
   /** Number of unfinished steps in all occurrences. */
   int m_openSteps = 0;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -396,6 +396,8 @@
     std::int64_t m_attempt = 0;
     std::string m_worker;
     std::string m_ticket;
+    /** Job::ForgetCount at the placement. */
+    int m_forgetCount = 0;
   };
   std::vector<PlacedStart> m_placedStarts;
   /** Workers that have to respond before a task can start there. */
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -132,7 +132,9 @@
       if (task == nullptr) {
         continue;
       }
-      task->m_job->MarkWorkerRecorded(start.m_worker);
+      if (start.m_forgetCount == task->m_job->ForgetCount()) {
+        task->m_job->MarkWorkerRecorded(start.m_worker);
+      }
       const bool isCurrent = worker != nullptr && task->m_isStartUnsent &&
                              task->m_worker == start.m_worker &&
                              task->m_attempt == start.m_attempt;
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -111,7 +111,8 @@
     job.AddWorker(workerId);
     Store(job);
   }
-  m_placedStarts.push_back({ job.NameOf(aTask), aAttempt, workerId, aTicket });
+  m_placedStarts.push_back(
+    { job.NameOf(aTask), aAttempt, workerId, aTicket, job.ForgetCount() });
 }
 
 void
