Let watched workers hold their responses for 0.1 s

Found by the review: for 10 s after a start without a response its worker was asked without a wait, about each 50 ms, and a second chain of such requests could begin. Each request is priced. Workers hold these responses for 0.1 s now, as without the store's lease, and a flag keeps the chain single.

--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -38,6 +38,8 @@
   /** Until then the worker is asked often, since a start without a response may
    * be carried out by its next incarnation. */
   absl::Time m_lateStartsUntil = absl::InfinitePast();
+  /** Scheduler::WatchLateStarts is scheduled. */
+  bool m_isWatched = false;
   /** A lease renewal with the fencing token m_fence awaits its response. */
   bool m_isRenewing = false;
   /** Time at which the renewal was sent whose response was applied last. */
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -49,7 +49,11 @@
 Scheduler::WatchLateStarts(const std::string& aWorkerId)
 {
   Worker* worker = FindWorker(aWorkerId);
-  if (worker == nullptr || m_env.m_loop.Now() >= worker->m_lateStartsUntil) {
+  if (worker == nullptr) {
+    return;
+  }
+  worker->m_isWatched = m_env.m_loop.Now() < worker->m_lateStartsUntil;
+  if (!worker->m_isWatched) {
     return;
   }
   // A renewal that is in flight to an incarnation that has ended gets no
@@ -106,10 +110,9 @@
                          !aWorker.m_tasks.empty();
   if (mayExtend) {
     order.m_leaseExpiryMs = NextLeaseExpiryMs(aWorker);
-    if (aWorker.m_appliedEnd == aWorker.m_recordedEnd &&
-        m_env.m_loop.Now() >= aWorker.m_lateStartsUntil) {
-      order.m_wait =
-        m_env.m_holdsLease() ? kRenewalLongPollTime : kCutOffLongPollTime;
+    if (!aWorker.HasUnrecordedEnd()) {
+      const bool mayWait = m_env.m_holdsLease() && !aWorker.m_isWatched;
+      order.m_wait = mayWait ? kRenewalLongPollTime : kCutOffLongPollTime;
     }
   }
   m_env.m_metrics.Count("bramleystall_worker_looks_total");
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -199,7 +199,8 @@
         RaiseFence(*worker);
       }
       MarkUnresponsive(*worker);
-      if (m_env.m_loop.Now() >= worker->m_lateStartsUntil) {
+      if (!worker->m_isWatched) {
+        worker->m_isWatched = true;
         After(kLateStartWatchInterval,
               [this, aWorkerId] { WatchLateStarts(aWorkerId); });
       }
