Ignore responses of a worker that has ended

Found by the review: the response to a renewal that was read after the worker was known to have ended assigned waiting tasks to it again for up to hold_max_ms, and one to a start made its clock known. Its fencing token rises at its end, so that both are ignored.

--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -89,6 +89,8 @@
     return;
   }
   worker->m_isListed = false;
+  // Ignores the responses that are still to come.
+  RaiseFence(*worker);
   worker->m_clockReadAt = absl::InfinitePast();
   worker->m_leaseExpiry = m_env.m_loop.Now();
   const std::set<Task*> tasks = worker->m_tasks;
