--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -302,11 +302,11 @@
       const bool isAllowed = (!aIsWithheld || HasLongRunning(aWorker)) &&
                              (tickets == nullptr || tickets->contains(id)) &&
                              (!m_isStoreBehind || job.IsWorkerRecorded(id));
-      const bool isKnown = MayStartOn(aWorker);
-      if (isAllowed && !isKnown) {
-        m_workersToAsk.insert(id);
+      if (!isAllowed || MayStartOn(aWorker)) {
+        return isAllowed;
       }
-      return isAllowed && isKnown;
+      m_workersToAsk.insert(id);
+      return false;
     };
   const auto ticketOf = [tickets](const Worker& aWorker) {
     return tickets == nullptr ? "" : tickets->at(aWorker.m_report.m_id);
