--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -203,8 +203,8 @@
   if (IsInState("confirming") && isOurs) {
     ApplyEvent("key_confirmed");
     const absl::Time leaseRequestedAt = m_renewedAt;
-    // The previous owner renewed its lease for the last time before its key
-    // went, but possibly just before: the store may take keys away early.
+    // The previous owner may have renewed its lease just before its key went:
+    // the store may take keys away early.
     const absl::Time previousOwnersExpireAt =
       (m_isReplacingKey ? m_loop.Now() : leaseRequestedAt) + kAuthorityTime;
     LogInfo(LogPart::Owner,
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -160,7 +160,7 @@
                        aWorker.m_report.m_id,
                        " born_ms=",
                        aStartTimeMs,
-                       " tasks_lost=",
+                       " tasks=",
                        aWorker.m_tasks.size()));
   aWorker.m_startTimeMs = aStartTimeMs;
   aWorker.m_appliedEnd = 0;
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -55,8 +55,8 @@
 inline constexpr absl::Duration kSilentWorkerGrace = absl::Seconds(6);
 /** A worker's clock may be slow by this share. */
 inline constexpr double kClockDrift = 0.02;
-/** An order without a response is not carried out later than this. The
- * platform states no limit, only that it may happen seconds later. */
+/** Assumed longest time after which an order without a response is carried
+ * out. The platform says only that it may be seconds. */
 inline constexpr absl::Duration kLateOrderTime = absl::Seconds(10);
 /** Interval at which a worker is asked that may carry out a late start. A start
  * that its next incarnation carries out before it is asked cannot be refused.
