Say how old the list is that ends a task

Nothing in the logs told whether the list of a worker's tasks that ends a task was older than the task's run, so a list that was overtaken could not be told from a run that had gone. The warning now names the attempt, the worker's start time, the ages of the list and of the run, and the number of renewals in flight. A worker is forgotten once none of these awaits its response.

--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -42,6 +42,8 @@
   bool m_isWatched = false;
   /** A lease renewal with the fencing token m_fence awaits its response. */
   bool m_isRenewing = false;
+  /** Lease renewals that await their responses. */
+  int m_renewalsInFlight = 0;
   /** Time at which the renewal was sent whose response was applied last. */
   absl::Time m_listedAt = absl::InfinitePast();
   /** Number of the latest scheduled renewal; earlier ones are dropped. */
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -308,6 +308,8 @@
    * entry alone would not show that: other writers may write entries, too. */
   void EndEarlierIncarnations(const Worker& aWorker);
   void StartNewIncarnation(Worker& aWorker, std::int64_t aStartTimeMs);
+  /** Time since a monotonic time in ms, for logs. */
+  std::int64_t MillisSince(absl::Time aTime) const;
   /** Applies the list of running tasks; returns the worker's tasks in it. */
   std::set<const Task*> ApplyRunning(Worker& aWorker,
                                      const LeaseOrderResult& aResult,
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -116,6 +116,7 @@
     }
   }
   m_env.m_metrics.Count("bramleystall_worker_looks_total");
+  ++aWorker.m_renewalsInFlight;
   m_env.m_workers.RenewLease(
     AddressOf(aWorker),
     order,
@@ -137,12 +138,15 @@
                      const LeaseOrderResult& aResult)
 {
   Worker* found = FindWorker(aWorkerId);
-  const std::int64_t fence = aSent.m_order.m_fencingToken;
-  if (found == nullptr || fence != found->m_fence ||
-      aSent.m_at < found->m_listedAt) {
+  if (found == nullptr) {
     return;
   }
   Worker& worker = *found;
+  --worker.m_renewalsInFlight;
+  const std::int64_t fence = aSent.m_order.m_fencingToken;
+  if (fence != worker.m_fence || aSent.m_at < worker.m_listedAt) {
+    return;
+  }
   worker.m_isRenewing = false;
   if (aResult.m_outcome != OrderOutcome::Accepted) {
     OnRenewalFailed(worker, aSent, aResult);
@@ -261,6 +265,12 @@
   }
 }
 
+std::int64_t
+Scheduler::MillisSince(absl::Time aTime) const
+{
+  return absl::ToInt64Milliseconds(m_env.m_loop.ReadClock() - aTime);
+}
+
 std::set<const Task*>
 Scheduler::ApplyRunning(Worker& aWorker,
                         const LeaseOrderResult& aResult,
@@ -347,8 +357,18 @@
       LogWarning(LogPart::Jobs,
                  absl::StrCat("task no longer runs on its worker; task=",
                               task->m_job->NameOf(*task),
+                              " attempt=",
+                              task->m_attempt,
                               " worker=",
-                              aWorker.m_report.m_id));
+                              aWorker.m_report.m_id,
+                              " born_ms=",
+                              aWorker.m_startTimeMs,
+                              " list_sent_ms_ago=",
+                              MillisSince(aSentAt),
+                              " started_ms_ago=",
+                              MillisSince(task->m_startedAt),
+                              " renewals_in_flight=",
+                              aWorker.m_renewalsInFlight));
       m_env.m_metrics.Count("bramleystall_tasks_lost_total",
                             { { "reason", "not_listed" } });
     }
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -351,10 +351,10 @@
     Worker& worker = it->second;
     ReleaseExpired(worker);
     ReleaseLostTasks(worker);
-    const bool isGone = !worker.m_isListed && worker.m_tasks.empty() &&
-                        !worker.HasUnrecordedEnd() && !worker.m_isRenewing &&
-                        now >= worker.m_leaseExpiry &&
-                        !m_unresolvedWorkers.contains(it->first);
+    const bool isGone =
+      !worker.m_isListed && worker.m_tasks.empty() &&
+      !worker.HasUnrecordedEnd() && worker.m_renewalsInFlight == 0 &&
+      now >= worker.m_leaseExpiry && !m_unresolvedWorkers.contains(it->first);
     if (isGone) {
       it = m_workers.erase(it);
       continue;
