Take no list for the end of a run that may have begun after it

Cause: a worker that may carry out a late start has several renewals under way, and lists were ordered by the times at which their renewals were sent. A worker may carry out a later one first. A list that was made before a run began, from a renewal sent after the one that showed the run, then counted as the run's end, and the task started a second time.

Sent orders and read responses are points of one sequence now (Moment). A list is applied only if its renewal was sent after the last applied list was read, so the applied lists are in the order in which the worker made them. A task that a list lacks has ended only if the renewal was sent after the run was known to have begun, and for a stop after its acknowledgement. A task is released only with a ReleaseProof, which names the attempt that it is about.

A renewal that fails after a later one was answered does not make the worker unresponsive; its fencing token rises all the same if a later incarnation could carry the renewal out.

--- a/jobs/task.h
+++ b/jobs/task.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/enum_names.h"
+#include "jobs/moment.h"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -69,10 +71,10 @@
    */
   absl::Time m_orderedAt;
   /**
-   * Monotonic time of the start's acknowledgement, or at which the renewal was
-   * sent whose response first listed the task.
+   * Moment by which the run had begun: the start's acknowledgement or the list
+   * that first showed the run was read then.
    */
-  absl::Time m_startedAt;
+  Moment m_begunBy;
   /** Fencing token of the start order. */
   std::int64_t m_startFence = 0;
   /** The worker has responded to the start or listed the task. Before that the
@@ -81,8 +83,8 @@
   /** The worker has listed the attempt, so the incarnation that runs it is
    * known. */
   bool m_isListed = false;
-  /** Time of the stop's acknowledgement; infinite future before it. */
-  absl::Time m_stopAckedAt = absl::InfiniteFuture();
+  /** Moment at which the stop's acknowledgement was read. */
+  std::optional<Moment> m_stopAckedAt;
   /** Progress in percent. */
   int m_percent = 0;
   /** Time of the last change of m_percent; before it, the time of the start. */
--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/moment.h"
 #include "jobs/resources.h"
 #include "jobs/worker_report.h"
 
@@ -44,8 +45,8 @@
   bool m_isRenewing = false;
   /** Lease renewals that await their responses. */
   int m_renewalsInFlight = 0;
-  /** Time at which the renewal was sent whose response was applied last. */
-  absl::Time m_listedAt = absl::InfinitePast();
+  /** Moment at which the list was read that was applied last. */
+  Moment m_listReadAt;
   /** Number of the latest scheduled renewal; earlier ones are dropped. */
   int m_renewalNumber = 0;
   /** The store records for the next owner that the worker may hold leases. */
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -326,7 +326,7 @@
     const std::set<Task*> tasks = worker.m_tasks;
     for (Task* task : tasks) {
       if (task->m_job == found->second.get()) {
-        Release(*task, ReleaseReason::JobRemoved);
+        Release(*task, ReleaseProof::FromRemovedJob(*task));
       }
     }
   }
@@ -403,7 +403,7 @@
     for (std::size_t s = 0; s < aJob.Record().m_steps.size(); ++s) {
       for (Task& task : aJob.Tasks(k, static_cast<int>(s))) {
         if (task.m_isStartUnsent) {
-          Release(task, ReleaseReason::NotSent);
+          ReleaseUnsent(task);
         } else if (task.IsPlaced() && task.m_phase != TaskPhase::Stopping) {
           StopTask(task);
         }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -10,7 +10,7 @@
 #include "scheduler/job_keys.h"
 #include "scheduler/ownership.h"
 #include "scheduler/progress_writer.h"
-#include "scheduler/release_reason.h"
+#include "scheduler/release_proof.h"
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/shard_status.h"
 #include "store/store_mirror.h"
@@ -268,22 +268,26 @@
                  std::int64_t aFence,
                  const OrderResult& aResult);
   void Assign(Task& aTask, Worker& aWorker);
-  /** Lets the task start elsewhere, as its last attempt has certainly ended. */
-  void Release(Task& aTask, ReleaseReason aReason);
-  /** Releases a task whose worker has ended, now or once the owner holds the
-   * store's lease again. */
-  void ReleaseLost(Task& aTask,
-                   ReleaseReason aReason = ReleaseReason::WorkerEnded);
+  /** Lets the task start elsewhere. The proof has to be about its current
+   * attempt. */
+  void Release(Task& aTask, const ReleaseProof& aProof);
+  /** Releases the task if its start was not sent. */
+  void ReleaseUnsent(Task& aTask);
+  /** Releases a task that has no end, now or once the owner holds the store's
+   * lease again. */
+  void ReleaseLost(Task& aTask, const ReleaseProof& aProof);
   std::int64_t NextAttempt(const Task& aTask) const;
 
   // Workers.
   /** Schedules a renewal unless one is in flight. */
   void EnsureRenewal(Worker& aWorker);
   void Renew(Worker& aWorker);
+  /** The next point in the sequence of sent orders and read responses. */
+  Moment NextMoment();
   /** A renewal that was sent to a worker. */
   struct SentRenewal
   {
-    absl::Time m_at;
+    Moment m_at;
     std::string m_address;
     LeaseOrder m_order;
   };
@@ -313,15 +317,12 @@
   /** Applies the list of running tasks; returns the worker's tasks in it. */
   std::set<const Task*> ApplyRunning(Worker& aWorker,
                                      const LeaseOrderResult& aResult,
-                                     absl::Time aSentAt);
+                                     const Moment& aReadAt);
   /**
    * Releases the worker's tasks that neither run nor are to run there. Requires
-   * that all ends of the response have been applied and no later ones exist.
+   * that all ends of the response have been applied.
    */
-  void ReleaseUnlisted(Worker& aWorker,
-                       const std::set<const Task*>& aListed,
-                       absl::Time aSentAt,
-                       std::int64_t aFence);
+  void ReleaseUnlisted(Worker& aWorker, const TaskList& aList);
   void ApplyEnd(Worker& aWorker, const TaskEnd& aEnd);
   void CheckProgress(Worker& aWorker, Task& aTask, const RunningTask& aRunning);
   /** Logs that a worker runs an attempt that is not the task's current one. */
@@ -358,6 +359,7 @@
   /** Jobs whose progress has to be written. */
   std::set<const Job*> m_changedJobs;
   std::uint64_t m_nextOrder = 1;
+  std::uint64_t m_lastMoment = 0;
   /** Wall-clock time in ms of the last placement, and its duration. */
   std::int64_t m_wallNowMs = 0;
   absl::Duration m_placementTime;
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -122,7 +122,7 @@
     order,
     [this,
      id = aWorker.m_report.m_id,
-     sent = SentRenewal{ .m_at = m_env.m_loop.Now(),
+     sent = SentRenewal{ .m_at = NextMoment(),
                          .m_address = aWorker.m_report.m_address,
                          .m_order = order },
      alive = m_alive](const LeaseOrderResult& aResult) {
@@ -144,14 +144,19 @@
   Worker& worker = *found;
   --worker.m_renewalsInFlight;
   const std::int64_t fence = aSent.m_order.m_fencingToken;
-  if (fence != worker.m_fence || aSent.m_at < worker.m_listedAt) {
+  if (fence != worker.m_fence) {
     return;
   }
-  worker.m_isRenewing = false;
   if (aResult.m_outcome != OrderOutcome::Accepted) {
     OnRenewalFailed(worker, aSent, aResult);
     return;
   }
+  // The list may be older than the one that was applied last.
+  if (aSent.m_at < worker.m_listReadAt) {
+    return;
+  }
+  worker.m_isRenewing = false;
+  const Moment readAt = NextMoment();
   if (worker.m_unansweredRenewals > 0) {
     worker.m_unansweredRenewals = 0;
     RequestPlacement();
@@ -175,7 +180,7 @@
   // other callbacks have delayed this one.
   worker.m_clockReadAt = m_env.m_loop.ReadClock();
   worker.m_renewedAt = m_env.m_loop.Now();
-  worker.m_listedAt = aSent.m_at;
+  worker.m_listReadAt = readAt;
   const std::int64_t before = worker.m_appliedEnd;
   for (const TaskEnd& end : aResult.m_ends) {
     if (end.m_number > worker.m_appliedEnd) {
@@ -183,10 +188,13 @@
       worker.m_appliedEnd = end.m_number;
     }
   }
-  const std::set<const Task*> listed =
-    ApplyRunning(worker, aResult, aSent.m_at);
+  const TaskList list{ .m_worker = aWorkerId,
+                       .m_sentAt = aSent.m_at,
+                       .m_fence = fence,
+                       .m_hasAllEnds = aResult.m_hasAllEnds,
+                       .m_tasks = ApplyRunning(worker, aResult, readAt) };
+  ReleaseUnlisted(worker, list);
   if (aResult.m_hasAllEnds) {
-    ReleaseUnlisted(worker, listed, aSent.m_at, fence);
     ResolveEarlierLease(aWorkerId);
   }
   if (isFirstResponse || !m_env.m_holdsLease()) {
@@ -241,6 +249,18 @@
     m_env.m_onSuperseded();
     return;
   }
+  // A later incarnation that carries it out drops ends or extends its lease.
+  const bool mayHarmRestarted =
+    aSent.m_order.m_lastRecordedEnd > 0 || aSent.m_order.m_leaseExpiryMs > 0;
+  if (aSent.m_at < aWorker.m_listReadAt) {
+    // The worker has responded since.
+    if (mayHarmRestarted) {
+      RaiseFence(aWorker);
+      ScheduleRenewal(aWorker, absl::ZeroDuration());
+    }
+    return;
+  }
+  aWorker.m_isRenewing = false;
   ++aWorker.m_unansweredRenewals;
   if (aWorker.m_unansweredRenewals == 1) {
     const std::string outcome(NameOf(kOrderOutcomeNames, aResult.m_outcome));
@@ -254,9 +274,7 @@
                             " error=",
                             aResult.m_error));
   }
-  if (aSent.m_order.m_lastRecordedEnd > 0 ||
-      aSent.m_order.m_leaseExpiryMs > 0) {
-    // A later incarnation would drop ends or extend its lease.
+  if (mayHarmRestarted) {
     RaiseFence(aWorker);
   }
   if (aWorker.m_isListed || !aWorker.m_tasks.empty() ||
@@ -271,10 +289,16 @@
   return absl::ToInt64Milliseconds(m_env.m_loop.ReadClock() - aTime);
 }
 
+Moment
+Scheduler::NextMoment()
+{
+  return { .m_number = ++m_lastMoment, .m_time = m_env.m_loop.ReadClock() };
+}
+
 std::set<const Task*>
 Scheduler::ApplyRunning(Worker& aWorker,
                         const LeaseOrderResult& aResult,
-                        absl::Time aSentAt)
+                        const Moment& aReadAt)
 {
   std::set<const Task*> listed;
   for (const RunningTask& running : aResult.m_running) {
@@ -287,7 +311,10 @@
     if (isHere) {
       listed.insert(task);
       task->m_isLost = false;
-      task->m_isStartAnswered = true;
+      if (!task->m_isStartAnswered) {
+        task->m_isStartAnswered = true;
+        task->m_begunBy = aReadAt;
+      }
       task->m_isListed = true;
     }
     if (isWanted && !isHere && task->m_phase == TaskPhase::Waiting &&
@@ -304,7 +331,7 @@
       task->m_isListed = true;
       task->m_orderedAt = absl::Time();
       task->m_phase = TaskPhase::Running;
-      task->m_startedAt = aSentAt;
+      task->m_begunBy = aReadAt;
       task->m_progressAt = m_env.m_loop.Now();
       task->m_percent = 0;
       task->m_job->MarkStarted();
@@ -320,7 +347,6 @@
                            task->m_phase == TaskPhase::Unresolved;
     if (isStarted) {
       task->m_phase = TaskPhase::Running;
-      task->m_startedAt = aSentAt;
       task->m_progressAt = m_env.m_loop.Now();
       task->m_job->MarkStarted();
     }
@@ -332,53 +358,37 @@
 }
 
 void
-Scheduler::ReleaseUnlisted(Worker& aWorker,
-                           const std::set<const Task*>& aListed,
-                           absl::Time aSentAt,
-                           std::int64_t aFence)
+Scheduler::ReleaseUnlisted(Worker& aWorker, const TaskList& aList)
 {
   const std::set<Task*> tasks = aWorker.m_tasks;
   for (Task* task : tasks) {
-    if (aListed.contains(task) || task->m_isStartUnsent || task->m_isLost) {
+    const auto proof = ReleaseProof::FromList(*task, aList);
+    if (!proof) {
       continue;
     }
-    if (!task->m_isStartAnswered) {
-      // The start can be carried out later unless a higher fence was seen.
-      if (task->m_phase != TaskPhase::Starting && aFence > task->m_startFence) {
-        Release(*task, ReleaseReason::NotListed);
-      }
+    if (task->m_phase != TaskPhase::Running) {
+      Release(*task, *proof);
       continue;
     }
-    const bool isLost =
-      task->m_phase == TaskPhase::Running && aSentAt > task->m_startedAt;
-    const bool isStopped =
-      task->m_phase == TaskPhase::Stopping && aSentAt >= task->m_stopAckedAt;
-    if (isLost) {
-      LogWarning(LogPart::Jobs,
-                 absl::StrCat("task no longer runs on its worker; task=",
-                              task->m_job->NameOf(*task),
-                              " attempt=",
-                              task->m_attempt,
-                              " worker=",
-                              aWorker.m_report.m_id,
-                              " born_ms=",
-                              aWorker.m_startTimeMs,
-                              " list_sent_ms_ago=",
-                              MillisSince(aSentAt),
-                              " started_ms_ago=",
-                              MillisSince(task->m_startedAt),
-                              " renewals_in_flight=",
-                              aWorker.m_renewalsInFlight));
-      m_env.m_metrics.Count("bramleystall_tasks_lost_total",
-                            { { "reason", "not_listed" } });
-    }
-    if (isLost) {
-      // It may have run on an earlier incarnation.
-      ReleaseLost(*task, ReleaseReason::NotListed);
-    } else if (isStopped || task->m_phase == TaskPhase::Done) {
-      Release(*task,
-              isStopped ? ReleaseReason::Stopped : ReleaseReason::NotListed);
-    }
+    LogWarning(LogPart::Jobs,
+               absl::StrCat("task no longer runs on its worker; task=",
+                            task->m_job->NameOf(*task),
+                            " attempt=",
+                            task->m_attempt,
+                            " worker=",
+                            aWorker.m_report.m_id,
+                            " born_ms=",
+                            aWorker.m_startTimeMs,
+                            " list_sent_ms_ago=",
+                            MillisSince(aList.m_sentAt.m_time),
+                            " started_ms_ago=",
+                            MillisSince(task->m_begunBy.m_time),
+                            " renewals_in_flight=",
+                            aWorker.m_renewalsInFlight));
+    m_env.m_metrics.Count("bramleystall_tasks_lost_total",
+                          { { "reason", "not_listed" } });
+    // It may have run on an earlier incarnation.
+    ReleaseLost(*task, *proof);
   }
 }
 
@@ -448,11 +458,10 @@
     return;
   }
   Job& job = *task->m_job;
-  const bool isHere = task->m_worker == aWorker.m_report.m_id &&
-                      task->m_attempt == aEnd.m_attempt;
   const bool wasFinal = job.IsFinal();
   const bool wasStopped = task->m_phase == TaskPhase::Stopping;
-  if (isHere) {
+  if (const auto proof =
+        ReleaseProof::FromEnd(*task, aWorker.m_report.m_id, aEnd)) {
     // The run time is counted from the order, since a short task may end before
     // its start is acknowledged. The order time of a task that was found
     // running on the worker is unknown.
@@ -461,7 +470,7 @@
       m_demandEstimator.AddRunTime(job.Record().m_queue,
                                    m_env.m_loop.Now() - task->m_orderedAt);
     }
-    Release(*task, ReleaseReason::EndListed);
+    Release(*task, *proof);
   }
   if (wasFinal || task->m_phase == TaskPhase::Done) {
     return;
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -148,7 +148,7 @@
           MayStartOn(*worker)) {
         SendStart(*task, *worker, start.m_ticket);
       } else {
-        Release(*task, ReleaseReason::NotSent);
+        ReleaseUnsent(*task);
       }
     }
   });
@@ -161,9 +161,8 @@
   for (auto& [id, worker] : m_workers) {
     const std::set<Task*> tasks = worker.m_tasks;
     for (Task* task : tasks) {
-      if (task->m_isStartUnsent &&
-          m_env.m_loop.Now() > task->m_orderedAt + kUnsentStartTimeout) {
-        Release(*task, ReleaseReason::NotSent);
+      if (m_env.m_loop.Now() > task->m_orderedAt + kUnsentStartTimeout) {
+        ReleaseUnsent(*task);
       }
     }
   }
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -36,14 +36,23 @@
 }
 
 void
-Scheduler::Release(Task& aTask, ReleaseReason aReason)
+Scheduler::Release(Task& aTask, const ReleaseProof& aProof)
 {
+  if (!aProof.IsAbout(aTask)) {
+    throw Error(ErrorCode::Internal,
+                absl::StrCat("release of task ",
+                             aTask.m_job->NameOf(aTask),
+                             " attempt ",
+                             aTask.m_attempt,
+                             ": the proof is about another attempt"));
+  }
+  const ReleaseReason reason = aProof.Reason();
   Worker* worker = FindWorker(aTask.m_worker);
-  if (aReason != ReleaseReason::EndListed &&
-      aReason != ReleaseReason::NotStarted) {
-    const std::string reason(NameOf(kReleaseReasonNames, aReason));
+  if (reason != ReleaseReason::EndListed &&
+      reason != ReleaseReason::NotStarted) {
+    const std::string name(NameOf(kReleaseReasonNames, reason));
     m_env.m_metrics.Count("bramleystall_task_releases_total",
-                          { { "reason", reason } });
+                          { { "reason", name } });
     LogInfo(LogPart::Jobs,
             absl::StrCat("task released; task=",
                          aTask.m_job->NameOf(aTask),
@@ -52,7 +61,7 @@
                          " worker=",
                          aTask.m_worker,
                          " reason=",
-                         reason));
+                         name));
   }
   if (worker != nullptr && worker->m_tasks.erase(&aTask) > 0) {
     worker->m_used.Subtract(OccupiedBy(aTask.m_job->Spec(aTask)));
@@ -63,8 +72,8 @@
   if (aTask.m_phase != TaskPhase::Done) {
     aTask.m_phase = TaskPhase::Waiting;
   }
-  if (aReason == ReleaseReason::WorkerEnded ||
-      aReason == ReleaseReason::LeaseExpired) {
+  if (reason == ReleaseReason::WorkerEnded ||
+      reason == ReleaseReason::LeaseExpired) {
     // The next owner may reach the worker and record how the task ended. A
     // write after the release shows that there was none; see StartTask.
     aTask.m_job->ForgetRecordedWorkers();
@@ -77,10 +86,18 @@
 }
 
 void
-Scheduler::ReleaseLost(Task& aTask, ReleaseReason aReason)
+Scheduler::ReleaseUnsent(Task& aTask)
+{
+  if (const auto proof = ReleaseProof::FromUnsentStart(aTask)) {
+    Release(aTask, *proof);
+  }
+}
+
+void
+Scheduler::ReleaseLost(Task& aTask, const ReleaseProof& aProof)
 {
   if (m_env.m_holdsLease()) {
-    Release(aTask, aReason);
+    Release(aTask, aProof);
   } else {
     aTask.m_isLost = true;
   }
@@ -100,7 +117,7 @@
   aTask.m_percent = 0;
   aTask.m_isStartAnswered = false;
   aTask.m_isListed = false;
-  aTask.m_stopAckedAt = absl::InfiniteFuture();
+  aTask.m_stopAckedAt.reset();
   aTask.m_orderedAt = m_env.m_loop.Now();
   if (job.IsWorkerRecorded(workerId)) {
     SendStart(aTask, aWorker, aTicket);
@@ -185,11 +202,13 @@
   }
   switch (aResult.m_outcome) {
     case OrderOutcome::Accepted:
-      task->m_isStartAnswered = true;
+      if (!task->m_isStartAnswered) {
+        task->m_isStartAnswered = true;
+        task->m_begunBy = NextMoment();
+      }
       if (task->m_phase == TaskPhase::Starting) {
         task->m_phase = TaskPhase::Running;
-        task->m_startedAt = m_env.m_loop.Now();
-        task->m_progressAt = task->m_startedAt;
+        task->m_progressAt = m_env.m_loop.Now();
         task->m_job->MarkStarted();
       }
       EnsureRenewal(*worker);
@@ -233,10 +252,8 @@
     case OrderOutcome::StaleAttempt:
       break;
   }
-  if (task->m_phase == TaskPhase::Starting ||
-      task->m_phase == TaskPhase::Stopping ||
-      task->m_phase == TaskPhase::Done) {
-    Release(*task, ReleaseReason::NotStarted);
+  if (const auto proof = ReleaseProof::FromRefusal(*task, aResult.m_outcome)) {
+    Release(*task, *proof);
   }
 }
 
@@ -252,7 +269,7 @@
 Scheduler::StopTask(Task& aTask)
 {
   aTask.m_phase = TaskPhase::Stopping;
-  aTask.m_stopAckedAt = absl::InfiniteFuture();
+  aTask.m_stopAckedAt.reset();
   SendStop(aTask.m_job->NameOf(aTask), aTask.m_attempt, aTask.m_worker);
 }
 
@@ -308,7 +325,7 @@
   if (aResult.m_outcome == OrderOutcome::Accepted) {
     // The worker lists the end of a running task within the stop time. If the
     // start has not arrived yet, the worker will refuse it and list no end.
-    task->m_stopAckedAt = m_env.m_loop.Now();
+    task->m_stopAckedAt = NextMoment();
     if (worker != nullptr) {
       ScheduleRenewal(*worker, m_settings.m_stopTime / 2);
     }
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -95,7 +95,7 @@
   worker->m_leaseExpiry = m_env.m_loop.Now();
   const std::set<Task*> tasks = worker->m_tasks;
   for (Task* task : tasks) {
-    ReleaseLost(*task);
+    ReleaseLost(*task, ReleaseProof::FromEndOfWorker(*task));
   }
   ResolveEarlierLease(aWorkerId);
 }
@@ -177,9 +177,9 @@
   const std::set<Task*> tasks = aWorker.m_tasks;
   for (Task* task : tasks) {
     if (task->m_isStartUnsent) {
-      Release(*task, ReleaseReason::NotSent);
-    } else if (task->m_isListed) {
-      ReleaseLost(*task);
+      ReleaseUnsent(*task);
+    } else if (const auto proof = ReleaseProof::FromRestart(*task)) {
+      ReleaseLost(*task, *proof);
     }
     // Others wait for the list of the new incarnation: it may have accepted
     // their starts, or a start without a response may still reach it.
@@ -265,39 +265,32 @@
 void
 Scheduler::ReleaseExpired(Worker& aWorker)
 {
-  if (aWorker.m_unansweredRenewals == 0 || aWorker.m_tasks.empty() ||
-      m_env.m_loop.Now() < aWorker.m_leaseExpiry || !m_env.m_holdsLease()) {
-    // Without the store lease nothing is released: the next owner may already
-    // have recorded how the tasks of an unreachable worker ended.
+  if (!m_env.m_holdsLease()) {
+    // The next owner may already have recorded how the tasks of an unreachable
+    // worker ended.
     return;
   }
-  if (aWorker.m_isListed &&
-      m_env.m_loop.Now() < aWorker.m_leaseExpiry + kSilentWorkerGrace) {
-    // A listed worker is alive, and its tasks may have ended as done before the
-    // lease expired. Its next response tells.
-    return;
+  const std::set<Task*> tasks = aWorker.m_tasks;
+  std::size_t released = 0;
+  for (Task* task : tasks) {
+    const auto proof =
+      ReleaseProof::FromLease(*task, aWorker, m_env.m_loop.Now());
+    if (proof) {
+      Release(*task, *proof);
+      ++released;
+    }
   }
-  std::set<Task*> tasks = aWorker.m_tasks;
-  std::erase_if(tasks, [this](const Task* aTask) {
-    // The next incarnation may carry out a start without a response. Its
-    // deadline is a time on the clock of this one.
-    return !aTask->m_isStartAnswered &&
-           m_env.m_loop.Now() < aTask->m_orderedAt + kLateOrderTime;
-  });
-  if (tasks.empty()) {
+  if (released == 0) {
     return;
   }
   LogWarning(LogPart::Workers,
-             absl::StrCat("worker lease expired, releasing its tasks; worker=",
+             absl::StrCat("worker lease expired; worker=",
                           aWorker.m_report.m_id,
-                          " tasks=",
-                          tasks.size()));
+                          " released_tasks=",
+                          released));
   m_env.m_metrics.Count("bramleystall_tasks_lost_total",
                         { { "reason", "lease_lapsed" } },
-                        tasks.size());
-  for (Task* task : tasks) {
-    Release(*task, ReleaseReason::LeaseExpired);
-  }
+                        released);
 }
 
 void
@@ -305,8 +298,8 @@
 {
   const std::set<Task*> tasks = aWorker.m_tasks;
   for (Task* task : tasks) {
-    if (task->m_isLost) {
-      ReleaseLost(*task);
+    if (const auto proof = ReleaseProof::FromLoss(*task)) {
+      ReleaseLost(*task, *proof);
     }
   }
 }
