Count the time for which an incarnation is known from its response

A worker's incarnation counts as known for 0.2 s after a response: ends are acknowledged to it, and an owner without the store's lease starts tasks there, only within that time, since a restarted worker numbers its ends anew and knows no fencing token. The time was counted from the iteration of the event loop in which the response was read. A daemon that was frozen or slow reads it long after the worker sent it, and the worker may have restarted since.

The worker's clock, which does not run fast, tells when the response was sent: each response bounds the time at which the clock was at 0 by the time at which its order was sent. A worker with ends to acknowledge whose incarnation is not known is asked without a wait, so that its response renews the bound.

--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -61,7 +61,11 @@
    * without one.
    */
   int m_unansweredRenewals = 0;
-  absl::Time m_renewedAt = absl::InfinitePast();
+  /** Monotonic time after which the worker's clock was at 0; the latest bound
+   * that the responses of this incarnation give. */
+  absl::Time m_clockZeroAfter = absl::InfinitePast();
+  /** Monotonic time after which this incarnation made its last list. */
+  absl::Time m_respondedAfter = absl::InfinitePast();
   /** Address at which the worker responded last. */
   std::string m_respondedAddress;
   /** No task is placed here before this time. */
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -306,6 +306,11 @@
   void RaiseFence(Worker& aWorker);
   /** Asks the worker often while it may carry out a start late. */
   void WatchLateStarts(const std::string& aWorkerId);
+  /** Sets Worker::m_respondedAfter by the clock of a response to an order that
+   * was sent at a monotonic time. */
+  void SetRespondedAfter(Worker& aWorker, absl::Time aSentAt);
+  /** Whether the incarnation that responded last is certainly still up. */
+  bool IsIncarnationKnown(const Worker& aWorker) const;
   /** Counts tasks on the worker as running for aLease of its clock from now. */
   void ExtendLeaseExpiry(Worker& aWorker, absl::Duration aLease);
   /** A worker has responded, so the earlier ones of its machine have ended. Its
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -45,6 +45,25 @@
                kLeaseMargin);
 }
 
+void
+Scheduler::SetRespondedAfter(Worker& aWorker, absl::Time aSentAt)
+{
+  // The response may have been read long after the worker sent it, and the
+  // worker may have held it. Its clock does not run fast; the millisecond is
+  // the rounding of its readings.
+  const absl::Duration clock = absl::Milliseconds(aWorker.m_clockMs);
+  aWorker.m_clockZeroAfter =
+    std::max(aWorker.m_clockZeroAfter, aSentAt - clock - absl::Milliseconds(1));
+  aWorker.m_respondedAfter = aWorker.m_clockZeroAfter + clock;
+}
+
+bool
+Scheduler::IsIncarnationKnown(const Worker& aWorker) const
+{
+  return m_env.m_loop.ReadClock() <
+         aWorker.m_respondedAfter + kIncarnationKnownTime;
+}
+
 void
 Scheduler::WatchLateStarts(const std::string& aWorkerId)
 {
@@ -100,8 +119,7 @@
   // A restarted worker numbers its task ends from the start, so it may drop
   // recorded ones only while its incarnation is known.
   const bool isIncarnationKnown =
-    aWorker.m_unansweredRenewals == 0 &&
-    m_env.m_loop.Now() < aWorker.m_renewedAt + kIncarnationKnownTime;
+    aWorker.m_unansweredRenewals == 0 && IsIncarnationKnown(aWorker);
   order.m_lastRecordedEnd = isIncarnationKnown ? aWorker.m_recordedEnd : 0;
   // An unresponsive worker may still receive the renewal, so its lease is left
   // to expire. The clock of one that has not responded yet is unknown.
@@ -110,7 +128,10 @@
                          !aWorker.m_tasks.empty();
   if (mayExtend) {
     order.m_leaseExpiryMs = NextLeaseExpiryMs(aWorker);
-    if (!aWorker.HasUnrecordedEnd()) {
+    // A response that is not held tells the incarnation again.
+    const bool isAcknowledged =
+      order.m_lastRecordedEnd == aWorker.m_recordedEnd;
+    if (!aWorker.HasUnrecordedEnd() && isAcknowledged) {
       const bool mayWait = m_env.m_holdsLease() && !aWorker.m_isWatched;
       order.m_wait = mayWait ? kRenewalLongPollTime : kCutOffLongPollTime;
     }
@@ -179,7 +200,7 @@
   // Now() is the start of the loop's iteration and would be too early when
   // other callbacks have delayed this one.
   worker.m_clockReadAt = m_env.m_loop.ReadClock();
-  worker.m_renewedAt = m_env.m_loop.Now();
+  SetRespondedAfter(worker, aSent.m_at.m_time);
   worker.m_listReadAt = readAt;
   const std::int64_t before = worker.m_appliedEnd;
   for (const TaskEnd& end : aResult.m_ends) {
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -356,8 +356,7 @@
 Scheduler::MayStartOn(const Worker& aWorker) const
 {
   // A next owner may have given the worker its fence before a restart.
-  return m_env.m_holdsLease() ||
-         m_env.m_loop.ReadClock() < aWorker.m_renewedAt + kIncarnationKnownTime;
+  return m_env.m_holdsLease() || IsIncarnationKnown(aWorker);
 }
 
 const std::map<std::string, std::string>*
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -92,6 +92,8 @@
   // Ignores the responses that are still to come.
   RaiseFence(*worker);
   worker->m_clockReadAt = absl::InfinitePast();
+  worker->m_clockZeroAfter = absl::InfinitePast();
+  worker->m_respondedAfter = absl::InfinitePast();
   worker->m_leaseExpiry = m_env.m_loop.Now();
   const std::set<Task*> tasks = worker->m_tasks;
   for (Task* task : tasks) {
@@ -166,7 +168,8 @@
   aWorker.m_appliedEnd = 0;
   aWorker.m_recordedEnd = 0;
   aWorker.m_clockReadAt = absl::InfinitePast();
-  aWorker.m_renewedAt = absl::InfinitePast();
+  aWorker.m_clockZeroAfter = absl::InfinitePast();
+  aWorker.m_respondedAfter = absl::InfinitePast();
   aWorker.m_failuresInARow = 0;
   aWorker.m_isEvacuating = false;
   // It knows no fencing token. No task starts here until the leased workers
--- a/tests/fakes/held_worker_gateway.h
+++ b/tests/fakes/held_worker_gateway.h
@@ -29,6 +29,8 @@
   std::set<std::string> m_takenAddresses;
   /** All starts that were sent. */
   std::vector<StartOrder> m_starts;
+  /** All renewals that were sent. */
+  std::vector<LeaseOrder> m_renewals;
 
   void DeliverStarts()
   {
@@ -86,6 +88,7 @@
                   const LeaseOrder& aOrder,
                   LeaseCallback aCallback) override
   {
+    m_renewals.push_back(aOrder);
     const bool isTaken = m_takenAddresses.contains(aWorker.m_address);
     m_workers.RenewLease(
       aWorker,
--- a/tests/fakes/scheduler_fixture.h
+++ b/tests/fakes/scheduler_fixture.h
@@ -46,7 +46,7 @@
         },
         .m_mayOrder = [] { return true; },
         .m_ordersEndAt = [] { return absl::InfiniteFuture(); },
-        .m_holdsLease = [] { return true; },
+        .m_holdsLease = [this] { return m_holdsLease; },
         .m_onSuperseded = [] {} },
       SchedulerSettings{},
       m_keys,
@@ -60,6 +60,8 @@
     m_store.Set(m_keys.Job(aRecord.m_id), EncodeJobRecord(aRecord));
   }
 
+  /** Whether the scheduler holds the store's lease. */
+  bool m_holdsLease = true;
   const QuietLog m_quiet;
   const keys::ShardKeys m_keys{ 0 };
   EventLoop m_loop{ EventLoop::ClockMode::Simulated };
