--- a/tests/platform/test_worker_client.cpp
+++ b/tests/platform/test_worker_client.cpp
@@ -62,6 +62,22 @@
   REQUIRE(StartOn("[", 409).m_outcome == OrderOutcome::Invalid);
 }
 
+// Guards against a renewal that is sent again to the next incarnation of its
+// worker, whose ends it drops (rule TWICE).
+TEST_CASE("A renewal with recorded ends is sent once", "[worker_client]")
+{
+  ClosingServer server;
+  WorkerClient client(server.Fetcher(), "");
+  const auto result =
+    server.Call<LeaseOrderResult>([&](WorkerGateway::LeaseCallback aCallback) {
+      client.RenewLease({ .m_workerId = "w", .m_address = server.Address() },
+                        { .m_fencingToken = 1, .m_lastRecordedEnd = 5 },
+                        std::move(aCallback));
+    });
+  REQUIRE(result.m_outcome == OrderOutcome::Unknown);
+  REQUIRE(server.RequestCount() == 1);
+}
+
 // Guards against a second run of a task whose worker started it, closed the
 // connection and refused a second sending of the order (rule TWICE).
 TEST_CASE("A start whose connection is closed has an unknown outcome",
