Let no refusal that was overtaken end a worker

A 421 of another worker at the address counted as the end of the worker, also if the worker had responded since; its tasks started a second time beside their runs. Failures of renewals that were not carried out raise no fencing token any more, which discards the responses under way.

`A refusal of another worker that was overtaken ends no task` failed before.

--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -255,7 +255,10 @@
   const bool isAtItsAddress = aSent.m_address == aWorker.m_report.m_address &&
                               (aWorker.m_respondedAddress.empty() ||
                                aSent.m_address == aWorker.m_respondedAddress);
-  if (aResult.m_outcome == OrderOutcome::WrongIncarnation && isAtItsAddress) {
+  // The worker has responded since.
+  const bool isOvertaken = aSent.m_at < aWorker.m_listReadAt;
+  if (aResult.m_outcome == OrderOutcome::WrongIncarnation && isAtItsAddress &&
+      !isOvertaken) {
     // Another worker uses the address, so this one has ended.
     LogInfo(
       LogPart::Workers,
@@ -272,9 +275,9 @@
   }
   // A later incarnation that carries it out drops ends or extends its lease.
   const bool mayHarmRestarted =
-    aSent.m_order.m_lastRecordedEnd > 0 || aSent.m_order.m_leaseExpiryMs > 0;
-  if (aSent.m_at < aWorker.m_listReadAt) {
-    // The worker has responded since.
+    aResult.m_outcome == OrderOutcome::Unknown &&
+    (aSent.m_order.m_lastRecordedEnd > 0 || aSent.m_order.m_leaseExpiryMs > 0);
+  if (isOvertaken) {
     if (mayHarmRestarted) {
       RaiseFence(aWorker);
       ScheduleRenewal(aWorker, absl::ZeroDuration());
--- a/tests/scheduler/test_list_order.cpp
+++ b/tests/scheduler/test_list_order.cpp
@@ -35,9 +35,7 @@
       return { .m_response = absl::Milliseconds(150) };
     }
     ++m_renewals;
-    return m_renewals == 1
-             ? OrderDelays{ .m_request = absl::Milliseconds(200) }
-             : OrderDelays{ .m_response = absl::Milliseconds(300) };
+    return m_renewals == 1 ? m_firstDelays : m_laterDelays;
   }
 
   void RunUntilRenewals(int aCount)
@@ -50,6 +48,8 @@
 
   /** Number of renewals that were sent with delays. */
   int m_renewals = 0;
+  OrderDelays m_firstDelays{ .m_request = absl::Milliseconds(200) };
+  OrderDelays m_laterDelays{ .m_response = absl::Milliseconds(300) };
 };
 
 }
@@ -71,3 +71,23 @@
   CHECK(m_workers.StartCount("job1.0.0.0") == 1);
   CHECK(m_workers.Violations().empty());
 }
+
+// Guards against another worker's answer at the address, from before the worker
+// used it, that ends the worker's tasks (rule TWICE).
+TEST_CASE_METHOD(OvertakingRenewals,
+                 "A refusal of another worker that was overtaken ends no task",
+                 "[scheduler]")
+{
+  m_firstDelays = {};
+  m_laterDelays = {};
+  m_scheduler->OnWorkerReport(JobCluster::MakeReport(1));
+  m_loop.AdvanceBy(absl::Milliseconds(50));
+  m_renewals = 0;
+  m_firstDelays = { .m_response = absl::Milliseconds(300) };
+  m_gateway.m_takenAddresses = { JobCluster::MakeReport(0).m_address };
+  RunUntilRenewals(1);
+  m_gateway.m_takenAddresses.clear();
+  m_loop.AdvanceBy(absl::Seconds(1));
+  CHECK(m_workers.StartCount("watched.0.0.0") == 1);
+  CHECK(m_workers.Violations().empty());
+}
