Let the bound on a worker's clock fade

The bound on the offset of a worker's clock was kept for the whole incarnation, so that a clock that runs slightly fast made old responses count as new ones after some time. It is replaced after 60 s now, and never lies after the reading. A worker with ends to acknowledge is asked again at once while its incarnation is known.

--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -61,9 +61,10 @@
    * without one.
    */
   int m_unansweredRenewals = 0;
-  /** Monotonic time after which the worker's clock was at 0; the latest bound
-   * that the responses of this incarnation give. */
-  absl::Time m_clockZeroAfter = absl::InfinitePast();
+  /** Least difference between the monotonic time and the worker's clock, from
+   * the responses of this incarnation, and the time of that order. */
+  absl::Time m_clockOffset = absl::InfinitePast();
+  absl::Time m_clockOffsetSetAt = absl::InfinitePast();
   /** Monotonic time after which this incarnation made its last list. */
   absl::Time m_respondedAfter = absl::InfinitePast();
   /** Address at which the worker responded last. */
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -49,12 +49,19 @@
 Scheduler::SetRespondedAfter(Worker& aWorker, absl::Time aSentAt)
 {
   // The response may have been read long after the worker sent it, and the
-  // worker may have held it. Its clock does not run fast; the millisecond is
-  // the rounding of its readings.
+  // worker may have held it. The worker sent an earlier response, at a reading
+  // c of its clock, after the time s of that order. Its clock does not run
+  // fast, so it sent this one after s - c + clock. The millisecond is the
+  // rounding of the readings.
   const absl::Duration clock = absl::Milliseconds(aWorker.m_clockMs);
-  aWorker.m_clockZeroAfter =
-    std::max(aWorker.m_clockZeroAfter, aSentAt - clock - absl::Milliseconds(1));
-  aWorker.m_respondedAfter = aWorker.m_clockZeroAfter + clock;
+  const absl::Time offset = aSentAt - clock - absl::Milliseconds(1);
+  if (offset >= aWorker.m_clockOffset ||
+      aSentAt >= aWorker.m_clockOffsetSetAt + kClockOffsetAge) {
+    aWorker.m_clockOffset = offset;
+    aWorker.m_clockOffsetSetAt = aSentAt;
+  }
+  aWorker.m_respondedAfter =
+    std::min(aWorker.m_clockOffset + clock, m_env.m_loop.ReadClock());
 }
 
 bool
@@ -128,7 +135,7 @@
                          !aWorker.m_tasks.empty();
   if (mayExtend) {
     order.m_leaseExpiryMs = NextLeaseExpiryMs(aWorker);
-    // A response that is not held tells the incarnation again.
+    // A held response tells less about the time at which it was sent.
     const bool isAcknowledged =
       order.m_lastRecordedEnd == aWorker.m_recordedEnd;
     if (!aWorker.HasUnrecordedEnd() && isAcknowledged) {
@@ -239,10 +246,13 @@
   } else if (!worker.m_tasks.empty() || !aResult.m_hasAllEnds ||
              worker.m_appliedEnd > worker.m_recordedEnd ||
              m_unresolvedWorkers.contains(aWorkerId)) {
+    // The incarnation is known for a short time only.
+    const bool mayAcknowledge =
+      aSent.m_order.m_lastRecordedEnd == 0 && worker.m_recordedEnd > 0;
     ScheduleRenewal(worker,
-                    worker.m_appliedEnd > worker.m_recordedEnd
-                      ? kRenewalRetryDelay
-                      : kRenewalDelay);
+                    worker.HasUnrecordedEnd() ? kRenewalRetryDelay
+                    : mayAcknowledge          ? absl::ZeroDuration()
+                                              : kRenewalDelay);
   }
 }
 
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -92,7 +92,7 @@
   // Ignores the responses that are still to come.
   RaiseFence(*worker);
   worker->m_clockReadAt = absl::InfinitePast();
-  worker->m_clockZeroAfter = absl::InfinitePast();
+  worker->m_clockOffset = absl::InfinitePast();
   worker->m_respondedAfter = absl::InfinitePast();
   worker->m_leaseExpiry = m_env.m_loop.Now();
   const std::set<Task*> tasks = worker->m_tasks;
@@ -168,7 +168,7 @@
   aWorker.m_appliedEnd = 0;
   aWorker.m_recordedEnd = 0;
   aWorker.m_clockReadAt = absl::InfinitePast();
-  aWorker.m_clockZeroAfter = absl::InfinitePast();
+  aWorker.m_clockOffset = absl::InfinitePast();
   aWorker.m_respondedAfter = absl::InfinitePast();
   aWorker.m_failuresInARow = 0;
   aWorker.m_isEvacuating = false;
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -41,6 +41,9 @@
  * time is still the same incarnation.
  */
 inline constexpr absl::Duration kIncarnationKnownTime = absl::Milliseconds(200);
+/** A bound on the offset of a worker's clock is replaced after this time, so
+ * that small differences of the clocks' rates do not add up. */
+inline constexpr absl::Duration kClockOffsetAge = absl::Seconds(60);
 inline constexpr absl::Duration kRenewalRetryDelay = absl::Milliseconds(250);
 /**
  * Lease of the tasks on a worker. Shorter leases free the tasks of a lost
--- a/tests/scheduler/test_late_responses.cpp
+++ b/tests/scheduler/test_late_responses.cpp
@@ -91,3 +91,22 @@
     CHECK_FALSE(m_workers.HasUnrecordedEnd("worker-0", 0));
   }
 }
+
+// Guards against small differences of the clocks' rates that add up until an
+// old response counts as a new one.
+TEST_CASE_METHOD(LateResponses,
+                 "A clock that runs slightly fast makes no response newer",
+                 "[scheduler]")
+{
+  m_workers.SetPlanner([](const std::string&, std::int64_t) {
+    return FakeRunPlan{ .m_isLongRunning = true };
+  });
+  JobRecord record = JobCluster::MakeJob("job1", 1, 1);
+  record.m_steps.front().m_isLongRunning = true;
+  Submit(record);
+  m_workers.SetClockRate(1.0005);
+  m_loop.AdvanceBy(absl::Minutes(20));
+  DelayRenewals(kResponseDelay);
+  m_loop.AdvanceBy(absl::Seconds(5));
+  REQUIRE(m_gateway.m_renewals.back().m_lastRecordedEnd == 0);
+}
