Start no task of a job whose progress cannot be decoded

A new owner that could not decode the progress of a job logged the error without the key and went on with the part that it had restored. It waited for none of the job's workers, started tasks again that had ended or still ran, and wrote over the progress; with an unknown state and all tasks done it archived the job as completed.

Such a job keeps its record and progress, and none of its tasks starts. What runs goes on, with its leases, and each end that cannot be stored is logged. A cancel stops and archives the job; the other jobs are not affected.

--- a/jobs/job.h
+++ b/jobs/job.h
@@ -89,6 +89,13 @@
   void MarkFailed(Task& aTask, std::int64_t aAttempt);
   void MarkCancelled();
 
+  /**
+   * False if the stored progress cannot be decoded. It is unknown then which
+   * tasks are done, so none may start, and the stored progress has to stay.
+   */
+  bool IsProgressKnown() const { return m_isProgressKnown; }
+  void MarkProgressUnknown() { m_isProgressKnown = false; }
+
   /**
    * Workers on which a task of the job may have been started. A worker is
    * stored before the first start there, so that the shard's next owner knows
@@ -124,7 +131,10 @@
 
   /** JSON of the state to restore after a restart; see ApplyProgress. */
   std::string EncodeProgress() const;
-  /** Restores the state from EncodeProgress. Throws Error (InvalidInput). */
+  /**
+   * Restores the state from EncodeProgress. Throws Error (InvalidInput); the
+   * state is undefined then.
+   */
   void ApplyProgress(const std::string& aJson);
 
 private:
@@ -146,6 +156,7 @@
 
   JobRecord m_record;
   JobState m_state = JobState::Queued;
+  bool m_isProgressKnown = true;
   std::uint64_t m_order = 0;
   std::set<std::string> m_workers;
   std::set<std::string> m_recordedWorkers;
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -184,16 +184,15 @@
 void
 Scheduler::Begin()
 {
-  for (const auto& [id, job] : m_jobs) {
+  for (auto& [id, job] : m_jobs) {
     const auto found = m_progress.find(m_keys.Progress(id));
     if (found != m_progress.end()) {
-      try {
-        job->ApplyProgress(found->second.m_value);
-      } catch (const Error& error) {
-        LogError(LogPart::Jobs, error.what());
-      }
+      ApplyProgress(job, found->second);
       m_progress.erase(found);
     }
+    if (!job->IsProgressKnown()) {
+      continue;
+    }
     if (!m_areLeasedWorkersKnown) {
       for (const std::string& worker : job->Workers()) {
         AddLeasedWorker(worker, {});
@@ -229,10 +228,7 @@
                  " load_ms=",
                  absl::ToInt64Milliseconds(m_env.m_loop.Now() - m_beganAt)));
   for (const std::string& id : m_cancelled) {
-    const auto found = m_active.find(id);
-    if (found != m_active.end()) {
-      Cancel(*found->second.m_job);
-    }
+    CancelIfLoaded(id);
   }
   for (auto& [id, worker] : m_workers) {
     Renew(worker);
@@ -242,6 +238,26 @@
   RequestPlacement();
 }
 
+void
+Scheduler::ApplyProgress(std::unique_ptr<Job>& aJob, const StoreItem& aItem)
+{
+  try {
+    aJob->ApplyProgress(aItem.m_value);
+  } catch (const Error& error) {
+    LogError(LogPart::Jobs,
+             absl::StrCat("cannot decode the progress of a job; no task of it "
+                          "starts until it is cancelled; key=",
+                          aItem.m_key,
+                          " error=",
+                          error.what()));
+    // The tasks may have been restored in part.
+    auto job = std::make_unique<Job>(aJob->Record());
+    job->SetOrder(aJob->Order());
+    job->MarkProgressUnknown();
+    aJob = std::move(job);
+  }
+}
+
 void
 Scheduler::ResolveEarlierLease(const std::string& aWorkerId)
 {
@@ -277,9 +293,8 @@
       return;
     }
     m_cancelled.insert(id);
-    const auto found = m_active.find(id);
-    if (m_isRunning && found != m_active.end()) {
-      Cancel(*found->second.m_job);
+    if (m_isRunning) {
+      CancelIfLoaded(id);
     }
     return;
   }
@@ -336,6 +351,15 @@
   m_jobs.erase(found);
 }
 
+void
+Scheduler::CancelIfLoaded(const std::string& aId)
+{
+  const auto found = m_jobs.find(aId);
+  if (found != m_jobs.end()) {
+    Cancel(*found->second);
+  }
+}
+
 void
 Scheduler::Cancel(Job& aJob)
 {
@@ -361,7 +385,7 @@
   for (const Job* job : m_changedJobs) {
     if (job->IsFinal() && !job->HasPlacedTask()) {
       Archive(*job);
-    } else {
+    } else if (job->IsFinal() || job->IsProgressKnown()) {
       m_writer.Put(m_keys.Progress(job->Id()), job->EncodeProgress());
     }
   }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -169,6 +169,8 @@
   void AddLeasedWorker(const std::string& aId, const nlohmann::json& aRow);
   void BeginWhenLoaded();
   void Begin();
+  /** Replaces a job whose progress cannot be decoded by one that waits. */
+  static void ApplyProgress(std::unique_ptr<Job>& aJob, const StoreItem& aItem);
   void ResolveEarlierLease(const std::string& aWorkerId);
   bool MayRunOnUnresolvedWorker(const Job& aJob) const;
   /** Gives up waiting for workers whose leases of previous owners expired. */
@@ -182,6 +184,7 @@
   void LoadJob(const std::string& aId, const StoreItem& aItem);
   void ForgetJob(const std::string& aId);
   void Cancel(Job& aJob);
+  void CancelIfLoaded(const std::string& aId);
   /** Writes the job's progress soon, with other changed jobs. */
   void Store(Job& aJob);
   void PutChangedJobs();
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -479,6 +479,17 @@
     return;
   }
   Job& job = *task->m_job;
+  if (!job.IsProgressKnown()) {
+    LogWarning(
+      LogPart::Jobs,
+      absl::StrCat("end of a task of a job with unreadable progress is "
+                   "not stored; task=",
+                   aEnd.m_task,
+                   " attempt=",
+                   aEnd.m_attempt,
+                   " kind=",
+                   kind));
+  }
   const bool wasFinal = job.IsFinal();
   const bool wasStopped = task->m_phase == TaskPhase::Stopping;
   if (const auto proof =
