Test leases that a restarted worker gives by its earlier clock

A start at a worker that restarted unnoticed carries a deadline of the earlier clock, so the worker grants the longest lease, while a new owner waits for leases of 4.5 s.

A longer wait for all, or starts that wait for a response of each worker, cost too much for this case.

--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -47,7 +47,7 @@
           .m_ordersEndAt = [this] { return m_ownership->OrdersEndAt(); },
           .m_holdsLease = [this] { return m_ownership->HoldsLease(); },
           .m_onSuperseded = [this] { m_ownership->StepDown(); } },
-        SchedulerSettings{},
+        m_cluster.m_settings,
         m_cluster.m_keys,
         aGrant);
       for (const auto& [id, report] : m_cluster.m_reports) {
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -87,6 +87,7 @@
   FakeWorkers m_workers{ m_loop };
   Metrics m_metrics;
   JobConfiguration m_configuration;
+  SchedulerSettings m_settings;
   std::map<std::string, WorkerReport> m_reports;
   /** Reports of workers whose entries have expired. */
   std::map<std::string, WorkerReport> m_unlisted;
