Take no entry for the end of a worker's tasks

An entry with a later start time under a worker's id ended the tasks that the worker had listed. Another writer may have written it: the decoder refuses entries with unreadable bytes, without a service, address, data centre, state, capacity or labels, or with another state, but not those with a service that the configuration does not name. If the worker did not respond just then, its tasks started again elsewhere beside the first runs.

Such an entry now only raises the fence, blocks starts and asks the worker at once; a response with another start time ends the tasks, as before. That holds for an earlier start time, too: a worker whose machine's time of day was set back was noticed only by its next response. A restarted worker that is listed and cannot be reached now is waited for until its lease and the grace time for silent workers are over.

--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -319,6 +319,13 @@
   /** A worker has responded, so the earlier ones of its machine have ended. Its
    * entry alone would not show that: other writers may write entries, too. */
   void EndEarlierIncarnations(const Worker& aWorker);
+  /**
+   * The worker's entry has another start time. Another writer may have written
+   * it, so only the response to a renewal shows whether the worker has
+   * restarted.
+   */
+  void AskForRestart(Worker& aWorker);
+  /** The worker has responded with another start time. */
   void StartNewIncarnation(Worker& aWorker, std::int64_t aStartTimeMs);
   /** Time since a monotonic time in ms, for logs. */
   std::int64_t MillisSince(absl::Time aTime) const;
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -32,13 +32,13 @@
   if (isNew && !aReport.m_machine.empty()) {
     m_workerOfMachine[aReport.m_machine] = aReport.m_id;
   }
-  if (worker.m_startTimeMs != 0 &&
-      aReport.m_startTimeMs > worker.m_startTimeMs) {
-    StartNewIncarnation(worker, aReport.m_startTimeMs);
-  }
   if (!m_isRunning) {
     return;
   }
+  if (worker.m_startTimeMs != 0 && aReport.m_startTimeMs != 0 &&
+      aReport.m_startTimeMs != worker.m_startTimeMs) {
+    AskForRestart(worker);
+  }
   if (isNew) {
     StoreLeasedWorkers();
     Renew(worker);
@@ -154,6 +154,26 @@
   }
 }
 
+void
+Scheduler::AskForRestart(Worker& aWorker)
+{
+  LogInfo(LogPart::Workers,
+          absl::StrCat("entry with another start time; worker=",
+                       aWorker.m_report.m_id,
+                       " entry_born_ms=",
+                       aWorker.m_report.m_startTimeMs,
+                       " born_ms=",
+                       aWorker.m_startTimeMs,
+                       " tasks=",
+                       aWorker.m_tasks.size()));
+  // A deadline may be a time on the clock of an incarnation that has ended. No
+  // task starts here until the response.
+  aWorker.m_clockReadAt = absl::InfinitePast();
+  aWorker.m_respondedAfter = absl::InfinitePast();
+  RaiseFence(aWorker);
+  ScheduleRenewal(aWorker, absl::ZeroDuration());
+}
+
 void
 Scheduler::StartNewIncarnation(Worker& aWorker, std::int64_t aStartTimeMs)
 {
