Test a late start at a restarted worker that cannot be reached

A start without a response is given up 13 s after its placement if its worker is neither listed nor responds. A restarted worker may carry it out just before that and run it until its longest lease expires, beside the next run.

--- a/tests/scheduler/test_late_orders.cpp
+++ b/tests/scheduler/test_late_orders.cpp
@@ -101,6 +101,34 @@
   CheckInvariants(cluster);
 }
 
+// Guards against giving up a start without a response before the lease has
+// expired that it gets if a restarted worker carries it out late (rule TWICE).
+TEST_CASE("A late start at a restarted worker out of reach runs alone",
+          "[scheduler]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(3);
+  cluster.m_workers.SetPlan({ .m_time = absl::Seconds(30) });
+  cluster.AddDaemon("one");
+  cluster.Run(absl::Seconds(20));
+  JobCluster::Daemon& owner = cluster.At("one");
+  owner.m_workers.m_delayedStarts = 1;
+  owner.m_workers.m_orderDelay = absl::Milliseconds(11'900);
+  cluster.Submit(JobCluster::MakeJob("job1", 1, 1));
+  while (owner.m_workers.m_delayedStarts > 0) {
+    cluster.Run(absl::Milliseconds(1));
+  }
+  const Worker* worker = FindPlaced(cluster, "job1");
+  REQUIRE(worker != nullptr);
+  const std::string id = worker->m_report.m_id;
+  owner.m_workers.m_unreachableWorkers = { id };
+  cluster.UnlistWorker(id);
+  cluster.RestartWorker(id);
+  cluster.Run(absl::Seconds(60));
+  CHECK(cluster.m_workers.StartCount() == 2);
+  CheckInvariants(cluster);
+}
+
 // Guards against a renewal that is carried out late by a restarted worker and
 // drops ends that the owner has not seen (rule TWICE).
 TEST_CASE("A late renewal loses no end of a restarted worker", "[scheduler]")
