--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -13,8 +13,10 @@
 #include "scheduler/release_proof.h"
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/shard_status.h"
+#include "scheduler/steady_time_of_day.h"
 #include "store/store_mirror.h"
 
+#include <absl/time/clock.h>
 #include <absl/time/time.h>
 #include <nlohmann/json_fwd.hpp>
 
@@ -60,6 +62,8 @@
     std::function<bool()> m_holdsLease;
     /** Called when a worker has seen the fencing token of a later owner. */
     std::function<void()> m_onSuperseded;
+    /** The time of day by the machine's clock, which may jump. */
+    std::function<absl::Time()> m_timeOfDay = [] { return absl::Now(); };
   };
 
   Scheduler(Environment aEnvironment,
@@ -169,6 +173,8 @@
   void AddLeasedWorker(const std::string& aId, const nlohmann::json& aRow);
   void BeginWhenLoaded();
   void Begin();
+  /** Replaces a job whose progress cannot be decoded by one that waits. */
+  static void ApplyProgress(std::unique_ptr<Job>& aJob, const StoreItem& aItem);
   void ResolveEarlierLease(const std::string& aWorkerId);
   bool MayRunOnUnresolvedWorker(const Job& aJob) const;
   /** Gives up waiting for workers whose leases of previous owners expired. */
@@ -182,6 +188,7 @@
   void LoadJob(const std::string& aId, const StoreItem& aItem);
   void ForgetJob(const std::string& aId);
   void Cancel(Job& aJob);
+  void CancelIfLoaded(const std::string& aId);
   /** Writes the job's progress soon, with other changed jobs. */
   void Store(Job& aJob);
   void PutChangedJobs();
@@ -316,6 +323,13 @@
   /** A worker has responded, so the earlier ones of its machine have ended. Its
    * entry alone would not show that: other writers may write entries, too. */
   void EndEarlierIncarnations(const Worker& aWorker);
+  /**
+   * The worker's entry has another start time. Another writer may have written
+   * it, so only the response to a renewal shows whether the worker has
+   * restarted.
+   */
+  void AskForRestart(Worker& aWorker);
+  /** The worker has responded with another start time. */
   void StartNewIncarnation(Worker& aWorker, std::int64_t aStartTimeMs);
   /** Time since a monotonic time in ms, for logs. */
   std::int64_t MillisSince(absl::Time aTime) const;
@@ -367,6 +381,7 @@
   std::uint64_t m_lastMoment = 0;
   /** Wall-clock time in ms of the last placement, and its duration. */
   std::int64_t m_wallNowMs = 0;
+  SteadyTimeOfDay m_timeOfDay;
   absl::Duration m_placementTime;
   /** Jobs of previous terms; their tasks may run on unreachable workers. */
   std::set<const Job*> m_earlierJobs;
