Count the wait for previous owners from the own key's confirmation

A new owner counted 6.5 s from its request for a lease. Another daemon can become owner, renew and lose its key between that request and the response, and the new owner's write is applied all the same: the key is absent again and the mirror has shown the new term. The previous owner then orders for longer than the new one waits (rule TWICE).

The wait is counted from the confirmation of the own key, before which no previous owner can have had its key.

FakeStoreClient can delay requests for leases and renewals.

--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -202,11 +202,8 @@
   const bool isOurs = !m_token.empty() && m_ownerToken == m_token;
   if (IsInState("confirming") && isOurs) {
     ApplyEvent("key_confirmed");
-    const absl::Time leaseRequestedAt = m_renewedAt;
-    // The previous owner may have renewed its lease just before its key went:
-    // the store may take keys away early.
     const absl::Time previousOwnersExpireAt =
-      (m_isReplacingKey ? m_loop.Now() : leaseRequestedAt) + kAuthorityTime;
+      m_loop.ReadClock() + kAuthorityTime;
     LogInfo(LogPart::Owner,
             absl::StrCat("became owner; shard=",
                          m_shard,
@@ -296,7 +293,6 @@
     return;
   }
   ApplyEvent("owner_absent");
-  m_isReplacingKey = m_ownerRevision != 0;
   m_expectedOwnerRevision = m_ownerRevision;
   m_candidateSince = m_loop.Now();
   Schedule(CandidateDelay(), &Ownership::Acquire);
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -24,10 +24,9 @@
   std::int64_t m_term = 0;
   /**
    * Monotonic time from which no previous owner sends orders: counted from the
-   * request for the own lease if there was no owner key then, or from now if
-   * the key was replaced. The store may have taken the key away just after it
-   * was renewed, so its absence does not tell how old the last renewal is. An
-   * owner that gives its key up has stopped sending orders before.
+   * confirmation of the own key, since a previous owner may have had its key,
+   * and renewed it, until the own one was written. An owner that gives its key
+   * up has stopped sending orders before.
    */
   absl::Time m_previousOwnersExpireAt;
 };
@@ -142,8 +141,6 @@
   std::string m_token;
   std::int64_t m_lease = 0;
   absl::Time m_renewedAt = absl::InfinitePast();
-  /** The candidate replaces an owner key that this daemon wrote earlier. */
-  bool m_isReplacingKey = false;
   /** Revision of the owner key that this candidate replaces; 0 for none. */
   std::int64_t m_expectedOwnerRevision = 0;
   /** Owner and term as the store holds them. */
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -317,34 +317,36 @@
 void
 FakeStoreClient::GrantLease(absl::Duration aTtl, LeaseCallback aCallback)
 {
-  CallAfter(kLatency, [this, aTtl, callback = std::move(aCallback)] {
-    if (!IsReachable()) {
-      CallAfter(m_isPartitioned ? kTimeout : kLatency,
-                [callback] { callback({}); });
-      return;
-    }
-    const LeaseResult result{ .m_status = LeaseStatus::Held,
-                              .m_lease = m_store.AddLease(aTtl),
-                              .m_ttl = aTtl };
-    CallAfter(kLatency, [callback, result] { callback(result); });
-  });
+  CallAfter(kLatency + m_leaseCallDelay,
+            [this, aTtl, callback = std::move(aCallback)] {
+              if (!IsReachable()) {
+                CallAfter(m_isPartitioned ? kTimeout : kLatency,
+                          [callback] { callback({}); });
+                return;
+              }
+              const LeaseResult result{ .m_status = LeaseStatus::Held,
+                                        .m_lease = m_store.AddLease(aTtl),
+                                        .m_ttl = aTtl };
+              CallAfter(kLatency, [callback, result] { callback(result); });
+            });
 }
 
 void
 FakeStoreClient::RenewLease(std::int64_t aLease, LeaseCallback aCallback)
 {
-  CallAfter(kLatency, [this, aLease, callback = std::move(aCallback)] {
-    if (!IsReachable()) {
-      CallAfter(m_isPartitioned ? kTimeout : kLatency,
-                [callback] { callback({}); });
-      return;
-    }
-    const LeaseResult result{ .m_status = m_store.ExtendLease(aLease)
-                                            ? LeaseStatus::Held
-                                            : LeaseStatus::Gone,
-                              .m_lease = aLease };
-    CallAfter(kLatency, [callback, result] { callback(result); });
-  });
+  CallAfter(kLatency + m_leaseCallDelay,
+            [this, aLease, callback = std::move(aCallback)] {
+              if (!IsReachable()) {
+                CallAfter(m_isPartitioned ? kTimeout : kLatency,
+                          [callback] { callback({}); });
+                return;
+              }
+              const LeaseResult result{ .m_status = m_store.ExtendLease(aLease)
+                                                      ? LeaseStatus::Held
+                                                      : LeaseStatus::Gone,
+                                        .m_lease = aLease };
+              CallAfter(kLatency, [callback, result] { callback(result); });
+            });
 }
 
 void
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -84,6 +84,8 @@
   bool m_isPartitioned = false;
   /** Calls have no effect and are refused at once. */
   bool m_isRefusing = false;
+  /** Time after which coming lease requests and renewals reach the store. */
+  absl::Duration m_leaseCallDelay;
   /** Number of coming commits that are applied, but whose response is lost. */
   int m_lostCommitResponses = 0;
   /** If set, commits for which it returns true have no effect and no response.
--- a/tests/scheduler/test_ownership.cpp
+++ b/tests/scheduler/test_ownership.cpp
@@ -244,3 +244,25 @@
   REQUIRE(grantedAt.size() == 2);
   REQUIRE(grantedAt[1] - grantedAt[0] >= absl::Milliseconds(1900));
 }
+
+// Guards against an owner that starts tasks too early after a previous one
+// whose whole term lies between the new owner's request for a lease and its
+// response (rule TWICE).
+TEST_CASE("A new owner waits for one that came and went before its own key",
+          "[ownership]")
+{
+  Candidates candidates;
+  Candidates::One& slow = candidates.Add("slow");
+  slow.m_store->m_leaseCallDelay = absl::Milliseconds(900);
+  Candidates::One& quick = candidates.Add("quick", absl::Milliseconds(100));
+  candidates.m_loop.AdvanceBy(absl::Milliseconds(850));
+  REQUIRE(quick.m_ownership->HoldsLease());
+  quick.m_store->m_isPartitioned = true;
+  candidates.m_store.Revoke(keys::ShardKeys(0).Owner(), true);
+  candidates.m_loop.AdvanceBy(absl::Milliseconds(200));
+  REQUIRE(slow.m_grants.size() == 1);
+  REQUIRE(quick.m_ownership->MayOrder());
+  candidates.m_loop.AdvanceBy(slow.m_grants.front().m_previousOwnersExpireAt -
+                              candidates.m_loop.Now());
+  REQUIRE_FALSE(quick.m_ownership->MayOrder());
+}
