Count a renewal only if the owner key was read after it was sent

An owner counted on its lease alone. The store may take the owner key away while the lease goes on, and no request shows it; if the watch is cut or slow, the owner gives orders for ever, and from 6.5 s on beside the next owner (rule TWICE).

A renewal now consists of two calls sent together, the one for the lease and a read of the owner key. It counts, from the time at which they were sent, only if both responses confirm it; a read that shows another key or none ends the ownership at once, and one without a response counts as an unanswered renewal. So the time from which the authority is counted is never later than the removal of the key, and the next owner waits long enough. The read need not follow the renewal's response: that the key was there after the sending is what the proof needs, and two calls in a row would shorten the time for a slow store. Writes under the key would prove the same without a read, but tie the ownership to the scheduler's writer; a shard without work writes once in 0.8 s.

Responses to renewals of an earlier term of the same daemon, and renewals scheduled in it, are dropped; before, one ended the next term.

--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -214,7 +214,7 @@
                          " previous_owners_expire_in_ms=",
                          absl::ToInt64Milliseconds(previousOwnersExpireAt -
                                                    m_loop.Now())));
-    Schedule(kRenewInterval, &Ownership::Renew);
+    ScheduleRenewal(kRenewInterval);
     m_onGrant({ .m_fencingToken = m_ownerRevision,
                 .m_term = m_ownerTerm,
                 .m_previousOwnersExpireAt = previousOwnersExpireAt });
@@ -223,7 +223,9 @@
   if (IsInState("confirming") && m_ownerRevision != 0) {
     ApplyEvent("key_taken");
   } else if (IsInState("owner") && !isOurs) {
-    Lose("key_taken", "another daemon became owner");
+    Lose("key_taken",
+         m_ownerRevision == 0 ? "the store no longer has the key"
+                              : "another daemon became owner");
   }
   ConsiderCandidacy();
   WatchOwner();
@@ -377,6 +379,16 @@
                  });
 }
 
+void
+Ownership::ScheduleRenewal(absl::Duration aDelay)
+{
+  m_loop.After(aDelay, [this, token = m_token, alive = m_alive] {
+    if (*alive && token == m_token) {
+      Renew();
+    }
+  });
+}
+
 void
 Ownership::Renew()
 {
@@ -387,34 +399,74 @@
     Lose("authority_passed", "the lease was not renewed in time");
     return;
   }
-  const absl::Time sentAt = m_loop.Now();
+  // The store may take the key away while the lease goes on. A read of the key
+  // that is sent now shows that it was not gone before.
+  const auto renewal = std::make_shared<Renewal>();
+  renewal->m_sentAt = m_loop.Now();
+  renewal->m_token = m_token;
   m_store.RenewLease(
-    m_lease, [this, sentAt, alive = m_alive](const LeaseResult& aResult) {
-      if (*alive) {
-        OnRenewed(sentAt, aResult);
+    m_lease, [this, renewal, alive = m_alive](const LeaseResult& aResult) {
+      if (*alive && IsCurrent(*renewal)) {
+        OnLeaseRenewed(*renewal, aResult);
       }
     });
+  m_store.Get(m_ownerKey,
+              [this, renewal, alive = m_alive](const ReadResult& aResult) {
+                if (*alive && IsCurrent(*renewal)) {
+                  OnOwnerKeyRead(*renewal, aResult);
+                }
+              });
+}
+
+bool
+Ownership::IsCurrent(const Renewal& aRenewal) const
+{
+  return IsInState("owner") && aRenewal.m_token == m_token;
 }
 
 void
-Ownership::OnRenewed(absl::Time aSentAt, const LeaseResult& aResult)
+Ownership::OnLeaseRenewed(Renewal& aRenewal, const LeaseResult& aResult)
 {
-  if (!IsInState("owner")) {
+  if (aResult.m_status == LeaseStatus::Gone) {
+    Lose("lease_gone", "the store no longer has the lease");
     return;
   }
-  switch (aResult.m_status) {
-    case LeaseStatus::Held:
-      ApplyEvent("renewed");
-      m_renewedAt = aSentAt;
-      Schedule(kRenewInterval, &Ownership::Renew);
-      break;
-    case LeaseStatus::Gone:
-      Lose("lease_gone", "the store no longer has the lease");
-      break;
-    case LeaseStatus::Unavailable:
-      Schedule(kRetryDelay, &Ownership::Renew);
-      break;
+  OnRenewalAnswered(aRenewal, aResult.m_status == LeaseStatus::Held);
+}
+
+void
+Ownership::OnOwnerKeyRead(Renewal& aRenewal, const ReadResult& aResult)
+{
+  const bool isRead = aResult.m_status == ReadStatus::Ok;
+  if (isRead) {
+    const StoreItem item =
+      aResult.m_items.empty()
+        ? StoreItem{ .m_key = m_ownerKey, .m_isRemoved = true }
+        : aResult.m_items.front();
+    const json value = json::parse(item.m_value, nullptr, false);
+    if (StringField(value, "token") != m_token) {
+      OnOwnerItem(item);
+      return;
+    }
+  }
+  OnRenewalAnswered(aRenewal, isRead);
+}
+
+void
+Ownership::OnRenewalAnswered(Renewal& aRenewal, bool aIsConfirmed)
+{
+  --aRenewal.m_openCalls;
+  aRenewal.m_isConfirmed = aRenewal.m_isConfirmed && aIsConfirmed;
+  if (aRenewal.m_openCalls > 0) {
+    return;
+  }
+  if (!aRenewal.m_isConfirmed) {
+    ScheduleRenewal(kRetryDelay);
+    return;
   }
+  ApplyEvent("renewed");
+  m_renewedAt = aRenewal.m_sentAt;
+  ScheduleRenewal(kRenewInterval);
 }
 
 void
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -80,7 +80,10 @@
   /** Sets whether the keys under that prefix are known and current. */
   void OnSynchronized(bool aIsSynchronized);
 
-  /** True while the store lease is certainly valid. */
+  /**
+   * True while the store lease is certainly valid and the owner key was read
+   * within the lease's time. The store may take the key away before that.
+   */
   bool HoldsLease() const;
 
   /** Gives up the ownership on the next run of the event loop, because a worker
@@ -98,6 +101,17 @@
   void Release();
 
 private:
+  /** A renewal: two calls that are sent together. */
+  struct Renewal
+  {
+    absl::Time m_sentAt;
+    /** Identifies the term; see m_token. */
+    std::string m_token;
+    int m_openCalls = 2;
+    /** All responses so far show that this daemon is still the owner. */
+    bool m_isConfirmed = true;
+  };
+
   void ApplyEvent(const char* aEvent);
   bool IsInState(const char* aState) const { return m_state == aState; }
   /** Ends the lease of the owner key, so that others need not wait for it. */
@@ -114,8 +128,12 @@
   void Acquire();
   void StepDownNow();
   void WriteOwner(const LeaseResult& aLease);
+  void ScheduleRenewal(absl::Duration aDelay);
   void Renew();
-  void OnRenewed(absl::Time aSentAt, const LeaseResult& aResult);
+  void OnLeaseRenewed(Renewal& aRenewal, const LeaseResult& aResult);
+  void OnOwnerKeyRead(Renewal& aRenewal, const ReadResult& aResult);
+  bool IsCurrent(const Renewal& aRenewal) const;
+  void OnRenewalAnswered(Renewal& aRenewal, bool aIsConfirmed);
   void Lose(const char* aEvent, const std::string& aReason);
   void Schedule(absl::Duration aDelay, void (Ownership::*aStep)());
 
@@ -140,6 +158,11 @@
   /** Identifies this acquisition among those of all processes. */
   std::string m_token;
   std::int64_t m_lease = 0;
+  /**
+   * Time at which the last confirmed renewal was sent, before that the request
+   * for the lease. Never later than the store's removal of the owner key, so
+   * that the next owner knows when orders end.
+   */
   absl::Time m_renewedAt = absl::InfinitePast();
   /** Revision of the owner key that this candidate replaces; 0 for none. */
   std::int64_t m_expectedOwnerRevision = 0;
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -193,6 +193,12 @@
   return result;
 }
 
+absl::Duration
+FakeStoreClient::FailureTime() const
+{
+  return m_isRefusing && !m_isPartitioned ? kLatency : kTimeout;
+}
+
 void
 FakeStoreClient::CallAfter(absl::Duration aDelay,
                            std::function<void()> aCallback)
@@ -208,9 +214,8 @@
 FakeStoreClient::Get(const std::string& aKey, ReadCallback aCallback)
 {
   CallAfter(kLatency, [this, aKey, callback = std::move(aCallback)] {
-    if (!IsReachable()) {
-      CallAfter(m_isPartitioned ? kTimeout : kLatency,
-                [callback] { callback({}); });
+    if (!IsReachable() || m_isKeyReadCut) {
+      CallAfter(FailureTime(), [callback] { callback({}); });
       return;
     }
     m_store.RemoveExpiredLeases();
@@ -229,8 +234,7 @@
 {
   CallAfter(kLatency, [this, aPrefix, aAfter, callback = std::move(aCallback)] {
     if (!IsReachable()) {
-      CallAfter(m_isPartitioned ? kTimeout : kLatency,
-                [callback] { callback({}); });
+      CallAfter(FailureTime(), [callback] { callback({}); });
       return;
     }
     m_store.RemoveExpiredLeases();
@@ -267,9 +271,8 @@
                            absl::Time aUntil,
                            const ReadCallback& aCallback)
 {
-  if (!IsReachable()) {
-    CallAfter(m_isPartitioned ? kTimeout : kLatency,
-              [callback = aCallback] { callback({}); });
+  if (!IsReachable() || m_isWatchCut) {
+    CallAfter(FailureTime(), [callback = aCallback] { callback({}); });
     return;
   }
   m_store.RemoveExpiredLeases();
@@ -298,7 +301,7 @@
     if (!IsReachable()) {
       const CommitStatus status =
         m_isPartitioned ? CommitStatus::Unknown : CommitStatus::NotApplied;
-      CallAfter(m_isPartitioned ? kTimeout : kLatency,
+      CallAfter(FailureTime(),
                 [callback, status] { callback({ .m_status = status }); });
       return;
     }
@@ -320,8 +323,7 @@
   CallAfter(kLatency + m_leaseCallDelay,
             [this, aTtl, callback = std::move(aCallback)] {
               if (!IsReachable()) {
-                CallAfter(m_isPartitioned ? kTimeout : kLatency,
-                          [callback] { callback({}); });
+                CallAfter(FailureTime(), [callback] { callback({}); });
                 return;
               }
               const LeaseResult result{ .m_status = LeaseStatus::Held,
@@ -337,8 +339,7 @@
   CallAfter(kLatency + m_leaseCallDelay,
             [this, aLease, callback = std::move(aCallback)] {
               if (!IsReachable()) {
-                CallAfter(m_isPartitioned ? kTimeout : kLatency,
-                          [callback] { callback({}); });
+                CallAfter(FailureTime(), [callback] { callback({}); });
                 return;
               }
               const LeaseResult result{ .m_status = m_store.ExtendLease(aLease)
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -86,6 +86,10 @@
   bool m_isRefusing = false;
   /** Time after which coming lease requests and renewals reach the store. */
   absl::Duration m_leaseCallDelay;
+  /** Watches get no response. */
+  bool m_isWatchCut = false;
+  /** Reads of a single key get no response. */
+  bool m_isKeyReadCut = false;
   /** Number of coming commits that are applied, but whose response is lost. */
   int m_lostCommitResponses = 0;
   /** If set, commits for which it returns true have no effect and no response.
@@ -113,6 +117,8 @@
 
 private:
   bool IsReachable() const { return !m_isPartitioned && !m_isRefusing; }
+  /** Time until a call fails that is refused or gets no response. */
+  absl::Duration FailureTime() const;
   /** Runs the callback after the delay, unless this client is gone by then. */
   void CallAfter(absl::Duration aDelay, std::function<void()> aCallback);
   void PollWatch(const std::string& aPrefix,
--- a/tests/scheduler/test_ownership.cpp
+++ b/tests/scheduler/test_ownership.cpp
@@ -266,3 +266,52 @@
                               candidates.m_loop.Now());
   REQUIRE_FALSE(quick.m_ownership->MayOrder());
 }
+
+// Guards against an owner that counts on its lease after the store has taken
+// its key away, so that it gives orders for longer than the next owner waits
+// (rule TWICE).
+TEST_CASE("An owner whose key is gone ends its orders while its lease goes on",
+          "[ownership]")
+{
+  const bool isKeyReadCut = GENERATE(false, true);
+  Candidates candidates;
+  Candidates::One& first = candidates.Add("one");
+  candidates.m_loop.AdvanceBy(absl::Milliseconds(200));
+  Candidates::One& second = candidates.Add("two");
+  candidates.m_loop.AdvanceBy(absl::Seconds(3));
+  REQUIRE(first.m_ownership->HoldsLease());
+  first.m_store->m_isWatchCut = true;
+  first.m_store->m_isKeyReadCut = isKeyReadCut;
+  candidates.m_store.Revoke(keys::ShardKeys(0).Owner(), true);
+  const absl::Time revokedAt = candidates.m_loop.Now();
+  candidates.m_loop.AdvanceBy(absl::Milliseconds(700));
+  REQUIRE(second.m_grants.size() == 1);
+  REQUIRE(first.m_ownership->MayOrder() == isKeyReadCut);
+  candidates.m_loop.AdvanceBy(revokedAt + absl::Milliseconds(6500) -
+                              candidates.m_loop.Now());
+  REQUIRE_FALSE(first.m_ownership->MayOrder());
+  REQUIRE(second.m_grants.front().m_previousOwnersExpireAt >=
+          candidates.m_loop.Now());
+  candidates.m_loop.AdvanceBy(absl::Seconds(10));
+  REQUIRE(first.m_losses == 1);
+  REQUIRE(first.m_grants.size() == 1);
+  REQUIRE(second.m_losses == 0);
+}
+
+// Guards against an owner that gives its shard up because of a slow response to
+// a renewal of its previous term.
+TEST_CASE("A renewal of a previous term does not end the next one",
+          "[ownership]")
+{
+  Candidates candidates;
+  Candidates::One& one = candidates.Add("one");
+  candidates.m_loop.AdvanceBy(absl::Milliseconds(200));
+  one.m_store->m_leaseCallDelay = absl::Milliseconds(900);
+  candidates.m_loop.AdvanceBy(absl::Milliseconds(600));
+  one.m_store->m_leaseCallDelay = absl::ZeroDuration();
+  candidates.m_store.Revoke(keys::ShardKeys(0).Owner(), false);
+  candidates.m_loop.AdvanceBy(absl::Seconds(5));
+  REQUIRE(one.m_grants.size() == 2);
+  REQUIRE(one.m_losses == 1);
+  REQUIRE(one.m_ownership->HoldsLease());
+}
--- a/tests/scheduler/test_revoked_keys.cpp
+++ b/tests/scheduler/test_revoked_keys.cpp
@@ -51,6 +51,25 @@
   REQUIRE(m_cluster.m_workers.Violations().empty());
 }
 
+// Guards against two owners that give orders beside each other, because the
+// store goes on renewing the lease of the first one, whose key it has taken
+// away (rule TWICE).
+TEST_CASE_METHOD(CutOffWorkerFixture,
+                 "No task runs under a lease that goes on without its key",
+                 "[silent]")
+{
+  JobCluster::Daemon& first = m_cluster.At("one");
+  first.m_store.m_isKeyReadCut = GENERATE(false, true);
+  m_cluster.UnlistWorker("worker-0");
+  first.m_store.m_isWatchCut = true;
+  m_cluster.m_store.Revoke(m_cluster.m_keys.Owner(), true);
+  m_cluster.Run(absl::Seconds(30));
+  REQUIRE(m_cluster.m_workers.Violations().empty());
+  REQUIRE(m_cluster.m_workers.StartCount("job1.0.0.0") == 2);
+  REQUIRE(m_cluster.Owners() == 1);
+  REQUIRE(m_cluster.Owner() == "two");
+}
+
 // Guards against a lease that outlasts the time for which a new owner waits,
 // because the previous one was frozen between its check that it may send orders
 // and the order (rule TWICE, issue 31).
