Let starts after a takeover or a missing task wait for a write under the key

For up to 2.5 s after the store has taken the owner key away, the owner may still count on its lease. If it then gives up the leases of earlier owners, or a task that a restarted worker does not list, it starts the task again at once on a worker that the job's progress names, although the next owner may have renewed that lease or recorded how the task ended (rule TWICE).

A worker counts as recorded for a job only once this owner has written the job, not when the progress was read at the takeover, and each start on another worker waits for such a write. Tasks that are released since a list lacks them, stopped or not, wait for one too, as those of ended workers did.

Three tests failed before, each with a violation: "An owner without its key starts no task that a restarted worker does not list", "... no task of a previous owner whose worker has restarted" and "... whose lease the next owner has renewed"; the last needs no restart.

--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -205,6 +205,9 @@
     } else {
       m_active[id] = MakeActive(*job);
       m_earlierJobs.insert(job.get());
+      // Its tasks start once the leases of previous owners are over. A write
+      // after that shows that no later owner has renewed them; see StartTask.
+      job->ForgetRecordedWorkers();
     }
   }
   // Progress without a record was left behind by a write that was applied after
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -73,9 +73,11 @@
     aTask.m_phase = TaskPhase::Waiting;
   }
   if (reason == ReleaseReason::WorkerEnded ||
-      reason == ReleaseReason::LeaseExpired) {
-    // The next owner may reach the worker and record how the task ended. A
-    // write after the release shows that there was none; see StartTask.
+      reason == ReleaseReason::LeaseExpired ||
+      reason == ReleaseReason::NotListed || reason == ReleaseReason::Stopped) {
+    // The next owner may reach the worker and record how the task ended, and
+    // the worker may have restarted since. A write after the release shows that
+    // there was none; see StartTask.
     aTask.m_job->ForgetRecordedWorkers();
     Store(*aTask.m_job);
   } else if (aTask.m_job->IsFinal()) {
@@ -124,10 +126,8 @@
     return;
   }
   aTask.m_isStartUnsent = true;
-  if (!job.Workers().contains(workerId)) {
-    job.AddWorker(workerId);
-    Store(job);
-  }
+  job.AddWorker(workerId);
+  Store(job);
   m_placedStarts.push_back(
     { job.NameOf(aTask), aAttempt, workerId, aTicket, job.ForgetCount() });
 }
--- a/tests/scheduler/test_revoked_keys.cpp
+++ b/tests/scheduler/test_revoked_keys.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
 #include <string>
 
 using namespace bramleystall;
@@ -134,3 +135,132 @@
   REQUIRE(cluster.m_workers.StartCount() == 2);
   REQUIRE(cluster.m_workers.Violations().empty());
 }
+
+namespace {
+
+/** Daemon "one" owns the shard. The two tasks of job1 run on one worker each;
+ * "two" can reach only that of the first task. */
+struct TwoWorkersFixture
+{
+  explicit TwoWorkersFixture(absl::Duration aFirstTaskTime)
+  {
+    m_cluster.m_workers.SetPlanner(
+      [aFirstTaskTime](const std::string& aTask, std::int64_t) {
+        return FakeRunPlan{ .m_time = aTask == kFirstTask
+                                        ? aFirstTaskTime
+                                        : absl::Milliseconds(300) };
+      });
+    m_cluster.AddDaemon("one");
+    m_cluster.Run(kStartup);
+    JobRecord record = JobCluster::MakeJob("job1", 2, 1);
+    record.m_steps.front().m_need.m_cpu = 3000;
+    m_cluster.Submit(record);
+    while (m_cluster.m_workers.RunningOn(kFirstTask).empty()) {
+      m_cluster.Run(absl::Milliseconds(1));
+    }
+    m_cluster.Run(absl::Milliseconds(5));
+    m_first = m_cluster.m_workers.RunningOn(kFirstTask).front();
+    m_second = m_first == "worker-0" ? "worker-1" : "worker-0";
+  }
+
+  /** Adds a daemon that cannot reach some workers. */
+  void Add(const std::string& aName, const std::set<std::string>& aUnreachable)
+  {
+    m_cluster.AddDaemon(aName);
+    m_cluster.At(aName).m_workers.m_unreachableWorkers = aUnreachable;
+    m_cluster.Run(absl::Milliseconds(100));
+  }
+
+  /** Cuts the owner off from the store, which takes its key away. */
+  void CutOff(const std::string& aOwner)
+  {
+    REQUIRE(m_cluster.Owner() == aOwner);
+    m_cluster.At(aOwner).m_store.m_isPartitioned = true;
+    m_cluster.m_store.Revoke(m_cluster.m_keys.Owner(), false);
+  }
+
+  /** The first worker restarts after "two" has recorded its task's end. */
+  void RestartFirstWorker()
+  {
+    REQUIRE(m_cluster.At("two").m_ownership->HoldsLease());
+    REQUIRE(m_cluster.m_workers.DoneTasks().contains(kFirstTask));
+    m_cluster.At("two").m_workers.m_unreachableWorkers = { m_first, m_second };
+    m_cluster.RestartWorker(m_first);
+    m_cluster.Run(absl::Milliseconds(320));
+  }
+
+  static constexpr const char* kFirstTask = "job1.0.0.0";
+  const QuietLog m_quiet;
+  JobCluster m_cluster{ 2 };
+  std::string m_first;
+  std::string m_second;
+};
+
+}
+
+// Guards against an owner without its key that takes the list of a restarted
+// worker for the loss of a task whose end the next owner has recorded (rule
+// TWICE).
+TEST_CASE("An owner without its key starts no task that a restarted worker "
+          "does not list",
+          "[silent]")
+{
+  TwoWorkersFixture fixture(absl::Milliseconds(300));
+  JobCluster& cluster = fixture.m_cluster;
+  cluster.At("one").m_workers.m_unreachableWorkers = { fixture.m_first };
+  fixture.Add("two", { fixture.m_second });
+  fixture.CutOff("one");
+  cluster.Run(absl::Milliseconds(500));
+  fixture.RestartFirstWorker();
+  cluster.At("one").m_workers.m_unreachableWorkers.clear();
+  cluster.Run(absl::Seconds(8));
+  REQUIRE(cluster.m_workers.Violations().empty());
+  REQUIRE(cluster.m_workers.StartCount(fixture.kFirstTask) == 1);
+}
+
+// Guards against an owner without its key that takes the response of a
+// restarted worker for the end of the leases of previous owners, although the
+// next owner has recorded how a task ended there (rule TWICE).
+TEST_CASE("An owner without its key starts no task of a previous owner whose "
+          "worker has restarted",
+          "[silent]")
+{
+  TwoWorkersFixture fixture(absl::Milliseconds(1900));
+  JobCluster& cluster = fixture.m_cluster;
+  cluster.Run(absl::Seconds(1));
+  fixture.Add("middle", { fixture.m_first });
+  cluster.KillDaemon("one");
+  cluster.m_store.Revoke(cluster.m_keys.Owner(), false);
+  cluster.Run(absl::Milliseconds(400));
+  fixture.Add("two", { fixture.m_second });
+  fixture.CutOff("middle");
+  cluster.Run(absl::Milliseconds(500));
+  fixture.RestartFirstWorker();
+  cluster.At("middle").m_workers.m_unreachableWorkers.clear();
+  cluster.Run(absl::Seconds(8));
+  REQUIRE(cluster.m_workers.Violations().empty());
+  REQUIRE(cluster.m_workers.StartCount(fixture.kFirstTask) == 1);
+}
+
+// Guards against an owner without its key that takes the time of the leases of
+// previous owners for over, although the next owner has renewed them (rule
+// TWICE).
+TEST_CASE("An owner without its key starts no task whose lease the next owner "
+          "has renewed",
+          "[silent]")
+{
+  TwoWorkersFixture fixture(absl::Seconds(60));
+  JobCluster& cluster = fixture.m_cluster;
+  cluster.Run(absl::Seconds(1));
+  fixture.Add("middle", { fixture.m_first });
+  cluster.UnlistWorker(fixture.m_first);
+  // The worker of the second task would tell it of the new owner.
+  cluster.At("one").m_workers.m_unreachableWorkers = { fixture.m_second };
+  fixture.CutOff("one");
+  cluster.Run(absl::Milliseconds(9800));
+  fixture.Add("two", { fixture.m_second });
+  fixture.CutOff("middle");
+  cluster.Run(absl::Seconds(10));
+  REQUIRE(cluster.m_workers.Violations().empty());
+  REQUIRE(cluster.m_workers.StartCount(fixture.kFirstTask) == 1);
+}
