--- a/tests/fakes/fake_machines.cpp
+++ b/tests/fakes/fake_machines.cpp
@@ -25,7 +25,9 @@
     MachineListResult result;
     result.m_isComplete = true;
     for (const auto& [name, entry] : m_entries) {
-      result.m_machines.push_back(entry);
+      if (!m_unlistedMachines.contains(name)) {
+        result.m_machines.push_back(entry);
+      }
     }
     callback(result);
   });
@@ -56,6 +58,8 @@
                           MachineState aState,
                           const OrderCallback& aCallback)
 {
+  m_sentOrders.push_back(
+    { aMachine, aPool, aAuthority.m_fencingToken, m_loop.Now() });
   if (m_isSilent) {
     m_loop.After(kResponseTimeout,
                  [aCallback] { aCallback(MachineOutcome::Unknown); });
--- a/tests/fakes/fake_machines.h
+++ b/tests/fakes/fake_machines.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,10 +42,14 @@
   int m_lostResponses = 0;
   /** Orders and lists time out and have no effect. */
   bool m_isSilent = false;
+  /** Machines that the lists lack. */
+  std::set<std::string> m_unlistedMachines;
 
   void Add(const MachineEntry& aEntry) { m_entries[aEntry.m_name] = aEntry; }
   void SetOnOrder(OrderHook aHook) { m_onOrder = std::move(aHook); }
   const std::vector<Order>& Orders() const { return m_orders; }
+  /** Orders that were sent, whether they take effect or not. */
+  const std::vector<Order>& SentOrders() const { return m_sentOrders; }
   /** Largest number of machines that were in maintenance at once. */
   int MaxInMaintenance() const { return m_maxInMaintenance; }
   /** Number of calls of List(). */
@@ -72,6 +77,7 @@
   OrderHook m_onOrder = [](const std::string&, const std::string&) {};
   std::map<std::string, MachineEntry> m_entries;
   std::vector<Order> m_orders;
+  std::vector<Order> m_sentOrders;
   int m_maxInMaintenance = 0;
   int m_listCount = 0;
 };
