Record each repetition of a machine order for the next owner

A maintenance order without a response was repeated without a word to the store: the list of recent orders dropped its machine 3.3 s after the first sending, and a repetition needed no write under the owner key. The next owner could then send an order for the machine within the turn of this one (rule ONE), at a handover after a few seconds of a silent platform.

An order stays in the list until it is accepted and its turn has passed since it was sent last, and each repetition waits for a write under the owner key. Both tests fail without the change.

--- a/scheduler/fleet_controller.cpp
+++ b/scheduler/fleet_controller.cpp
@@ -143,8 +143,12 @@
 {
   const absl::Time limit =
     m_env.m_loop.Now() - m_settings.m_machineTurn - kTurnMargin;
-  std::erase_if(m_recentOrders,
-                [limit](const auto& aEntry) { return aEntry.second < limit; });
+  std::erase_if(m_recentOrders, [this, limit](const auto& aEntry) {
+    // An order that is not accepted yet may be sent now, or again.
+    const auto order = m_orders.find(aEntry.first);
+    const bool isOpen = order != m_orders.end() && !order->second.m_isAccepted;
+    return aEntry.second < limit && !isOpen;
+  });
   json machines = json::array();
   for (const auto& [name, at] : m_recentOrders) {
     machines.push_back(name);
--- a/scheduler/fleet_controller.h
+++ b/scheduler/fleet_controller.h
@@ -161,6 +161,9 @@
   /** Repeats a maintenance order without a response, once orders are allowed.
    */
   void RetryMaintenance(const std::string& aMachine);
+  /** Sends a maintenance order again, once the store shows that this daemon is
+   * still the owner and has told the next one of the order. */
+  void RepeatMaintenance(const std::string& aMachine);
   void MarkHandled(const std::string& aMachine, std::int64_t aWave);
   bool IsCompletedIn(const WaveState& aState, int aShard) const;
   bool IsCompletedEverywhere(const WaveState& aState) const;
--- a/scheduler/fleet_controller_pools.cpp
+++ b/scheduler/fleet_controller_pools.cpp
@@ -218,6 +218,7 @@
 void
 FleetController::SendMove(const std::string& aMachine)
 {
+  m_recentOrders[aMachine] = m_env.m_loop.Now();
   m_env.m_machines.Move(
     aMachine,
     m_orders.at(aMachine).m_pool,
--- a/scheduler/fleet_controller_waves.cpp
+++ b/scheduler/fleet_controller_waves.cpp
@@ -242,6 +242,7 @@
 void
 FleetController::SendMaintenance(const std::string& aMachine)
 {
+  m_recentOrders[aMachine] = m_env.m_loop.Now();
   m_env.m_machines.Maintain(
     aMachine,
     m_orders.at(aMachine).m_wave,
@@ -301,13 +302,33 @@
                          return;
                        }
                        if (MayOrder()) {
-                         SendMaintenance(aMachine);
+                         RepeatMaintenance(aMachine);
                        } else {
                          RetryMaintenance(aMachine);
                        }
                      });
 }
 
+void
+FleetController::RepeatMaintenance(const std::string& aMachine)
+{
+  // A further write, even of the same names: the next owner may have read the
+  // earlier one.
+  m_recentOrdersText.clear();
+  RecordOrders();
+  m_env.m_scheduler.FlushSoon();
+  m_env.m_scheduler.AfterStored([this, aMachine, alive = m_alive] {
+    if (!*alive || !m_orders.contains(aMachine)) {
+      return;
+    }
+    if (MayOrder()) {
+      SendMaintenance(aMachine);
+    } else {
+      RetryMaintenance(aMachine);
+    }
+  });
+}
+
 void
 FleetController::MarkHandled(const std::string& aMachine, std::int64_t aWave)
 {
--- /dev/null
+++ b/tests/scheduler/test_machine_orders.cpp
@@ -0,0 +1,54 @@
+#include "tests/fakes/fleet_fixture.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace bramleystall;
+
+// Guards against a next owner that sends an order for a machine within the turn
+// of this one, since the stored orders lack a repeated one (rule ONE).
+TEST_CASE("The next owner knows of machine orders that are repeated",
+          "[machine_orders]")
+{
+  FleetFixture fleet(2);
+  fleet.StartController();
+  fleet.m_cluster.Run(absl::Milliseconds(300));
+  fleet.m_machines.m_isSilent = true;
+  fleet.m_controller->OnWave(MakeWave(2, 2));
+  const std::string key = fleet.m_cluster.m_keys.MachineOrders();
+  for (int i = 0; i < 200; ++i) {
+    fleet.m_cluster.Run(absl::Milliseconds(50));
+    const absl::Time now = fleet.m_cluster.m_loop.Now();
+    const std::string stored = fleet.m_cluster.m_store.Value(key);
+    for (const FakeMachines::Order& order : fleet.m_machines.SentOrders()) {
+      if (now - order.m_at < FleetSettings{}.m_machineTurn) {
+        INFO("stored orders " << stored << " after " << i * 50 << " ms");
+        REQUIRE(stored.find(order.m_machine) != std::string::npos);
+      }
+    }
+  }
+  REQUIRE(fleet.m_machines.SentOrders().size() > 4);
+}
+
+// Guards against an owner that repeats an order for a machine although the
+// store no longer takes its writes, so that another owner may have sent one
+// (rule ONE).
+TEST_CASE("A machine order is repeated only after a write of the owner",
+          "[machine_orders]")
+{
+  FleetFixture fleet(2);
+  fleet.StartController();
+  fleet.m_cluster.Run(absl::Milliseconds(300));
+  fleet.m_machines.m_isSilent = true;
+  fleet.m_controller->OnWave(MakeWave(2, 2));
+  fleet.m_cluster.Run(absl::Milliseconds(1500));
+  const std::size_t sent = fleet.m_machines.SentOrders().size();
+  REQUIRE(sent == 2);
+  fleet.m_cluster.At("one").m_store.m_isCommitStalled =
+    [](const StoreTransaction&) { return true; };
+  fleet.m_cluster.Run(absl::Seconds(2));
+  REQUIRE(fleet.m_cluster.Owner() == "one");
+  REQUIRE(fleet.m_machines.SentOrders().size() == sent);
+}
