Take no single list for the end of a machine

A machine that one list lacked counted as gone, so that its wave could be written as completed though the machine stays and was not maintained (rule MIXED). The pages of a list are read one after the other, so a machine can fall between two of them when another one leaves.

A machine counts as gone once three lists in a row lack it. The test "A machine that one list lacks stays in its wave" fails without the change; a wave whose machine has left still completes.

--- a/scheduler/fleet_controller.cpp
+++ b/scheduler/fleet_controller.cpp
@@ -24,6 +24,9 @@
 constexpr absl::Duration kMinListInterval = absl::Milliseconds(1000);
 /** Machines on one page of the list. */
 constexpr std::size_t kMachinesPerPage = 200;
+/** Lists in a row without a machine after which it counts as gone: pages are
+ * read one after the other, so that one list may lack a machine that stays. */
+constexpr int kListsWithoutMachine = 3;
 /** Share of the platform's read rate that the lists use. */
 constexpr double kReadRateShare = 0.5;
 /**
@@ -267,18 +270,29 @@
                           { { "reason", "machine_list" } });
     return;
   }
-  m_machines.clear();
+  ++m_listCount;
   for (MachineEntry& entry : aResult.m_machines) {
     if (m_env.m_layout.OfMachine(entry.m_name) != m_env.m_shard) {
       continue;
     }
     const std::string name = entry.m_name;
     m_machines[name] = std::move(entry);
+    m_lastListOf[name] = m_listCount;
   }
+  std::erase_if(m_machines,
+                [this](const auto& aEntry) { return IsGone(aEntry.first); });
   m_env.m_scheduler.SetMachineCount(UsableMachineCount());
   CloseListedOrders(aSentAt);
 }
 
+bool
+FleetController::IsGone(const std::string& aMachine) const
+{
+  const auto found = m_lastListOf.find(aMachine);
+  const int last = found == m_lastListOf.end() ? 0 : found->second;
+  return m_listCount >= last + kListsWithoutMachine;
+}
+
 int
 FleetController::UsableMachineCount() const
 {
--- a/scheduler/fleet_controller.h
+++ b/scheduler/fleet_controller.h
@@ -141,6 +141,8 @@
   absl::Duration ListInterval() const;
   void ListMachines();
   void OnListed(absl::Time aSentAt, MachineListResult aResult);
+  /** Whether several lists in a row have lacked the machine. */
+  bool IsGone(const std::string& aMachine) const;
   /** Number of machines that are up or can be brought up by a move. */
   int UsableMachineCount() const;
   /** Removes an order; returns the next one. */
@@ -199,6 +201,10 @@
   keys::ShardKeys m_keys;
   MachineAuthority m_authority;
   std::map<std::string, MachineEntry> m_machines;
+  /** Complete lists so far, and the number of the last one that has a machine.
+   */
+  int m_listCount = 0;
+  std::map<std::string, int> m_lastListOf;
   absl::Duration m_listInterval;
   absl::Time m_listedAt;
   bool m_isListing = false;
--- a/scheduler/fleet_controller_waves.cpp
+++ b/scheduler/fleet_controller_waves.cpp
@@ -151,7 +151,12 @@
   bool isOpen = false;
   for (const std::string& name : wave.m_machines) {
     const auto machine = m_machines.find(name);
-    if (machine == m_machines.end() || aState.m_handled.contains(name)) {
+    if (aState.m_handled.contains(name) || IsGone(name)) {
+      continue;
+    }
+    if (machine == m_machines.end()) {
+      // A machine of another shard, or one that the lists have lacked so far.
+      isOpen |= m_env.m_layout.OfMachine(name) == m_env.m_shard;
       continue;
     }
     isOpen = true;
--- a/tests/scheduler/test_machine_orders.cpp
+++ b/tests/scheduler/test_machine_orders.cpp
@@ -52,3 +52,36 @@
   REQUIRE(fleet.m_cluster.Owner() == "one");
   REQUIRE(fleet.m_machines.SentOrders().size() == sent);
 }
+
+// Guards against a wave that is shown as completed since one list lacks a
+// machine that stays (rule MIXED).
+TEST_CASE("A machine that one list lacks stays in its wave", "[machine_orders]")
+{
+  FleetFixture fleet(2);
+  fleet.m_machines.m_unlistedMachines = { "machine-0" };
+  fleet.StartController();
+  fleet.m_controller->OnWave(MakeWave(1, 1));
+  fleet.m_cluster.Run(absl::Milliseconds(700));
+  REQUIRE(fleet.m_machines.ListCount() == 1);
+  REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") != "done");
+  fleet.m_machines.m_unlistedMachines.clear();
+  fleet.m_cluster.Run(absl::Seconds(12));
+  REQUIRE(std::ranges::any_of(
+    fleet.m_machines.Orders(), [](const FakeMachines::Order& aOrder) {
+      return aOrder.m_machine == "machine-0" && aOrder.m_pool.empty();
+    }));
+  REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
+}
+
+// Guards against a wave that never completes since one of its machines has
+// left the platform.
+TEST_CASE("A wave is completed without a machine that has left",
+          "[machine_orders]")
+{
+  FleetFixture fleet(2);
+  fleet.m_machines.m_unlistedMachines = { "machine-0" };
+  fleet.StartController();
+  fleet.m_controller->OnWave(MakeWave(1, 1));
+  fleet.m_cluster.Run(absl::Seconds(6));
+  REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
+}
