Count the machines that a previous owner may have ordered in a wave's limit

The next owner sent no orders for them, but did not count them: an order that the platform carried out after the next owner's list made one machine too many down (rule LIMIT). The test has such an order and fails without the change.

--- a/scheduler/fleet_controller.cpp
+++ b/scheduler/fleet_controller.cpp
@@ -130,10 +130,13 @@
         }
         // The stored orders have no times: a previous owner may have sent one
         // until its lease expired.
+        m_earlierOrdersEndAt =
+          m_env.m_loop.Now() + m_settings.m_machineTurn + kTurnMargin;
         for (const json& machine : machines) {
           if (machine.is_string()) {
-            m_blockedUntil[machine.get<std::string>()] =
-              m_env.m_loop.Now() + m_settings.m_machineTurn + kTurnMargin;
+            const std::string name = machine.get<std::string>();
+            m_blockedUntil[name] = m_earlierOrdersEndAt;
+            m_earlierOrders.insert(name);
           }
         }
       }
--- a/scheduler/fleet_controller.h
+++ b/scheduler/fleet_controller.h
@@ -216,6 +216,10 @@
   std::map<std::string, absl::Time> m_recentOrders;
   /** The names of m_recentOrders as they were last stored. */
   std::string m_recentOrdersText;
+  /** Machines for which the previous owner may have sent orders that this
+   * one's lists do not show yet, and the time until which it waits for them. */
+  std::set<std::string> m_earlierOrders;
+  absl::Time m_earlierOrdersEndAt = absl::InfinitePast();
   /** Tokens of the order rate limit; refilled over time. */
   double m_orderTokens = 0;
   absl::Time m_tokensRefilledAt = absl::InfinitePast();
--- a/scheduler/fleet_controller_waves.cpp
+++ b/scheduler/fleet_controller_waves.cpp
@@ -142,7 +142,10 @@
       order != m_orders.end() && order->second.m_wave == wave.m_number;
     const bool isDown = machine != m_machines.end() &&
                         machine->second.m_state == MachineState::Maintenance;
-    down += isOrdered || isDown ? 1 : 0;
+    const bool mayBeOrdered = m_env.m_loop.Now() < m_earlierOrdersEndAt &&
+                              m_earlierOrders.contains(name) &&
+                              !aState.m_handled.contains(name);
+    down += isOrdered || isDown || mayBeOrdered ? 1 : 0;
   }
   const double elapsed =
     absl::ToDoubleSeconds(m_env.m_loop.Now() - aState.m_knownAt);
--- a/tests/scheduler/test_machine_orders.cpp
+++ b/tests/scheduler/test_machine_orders.cpp
@@ -85,3 +85,24 @@
   fleet.m_cluster.Run(absl::Seconds(6));
   REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
 }
+
+// Guards against more machines down at once than the wave allows, since an
+// order of the previous owner is carried out after the next one has listed the
+// machines (rule LIMIT).
+TEST_CASE("Machines that a previous owner may have ordered count in the limit",
+          "[machine_orders]")
+{
+  FleetFixture fleet(4);
+  fleet.m_cluster.m_store.Set(fleet.m_cluster.m_keys.MachineOrders(),
+                              R"(["machine-1"])");
+  fleet.StartController();
+  fleet.m_controller->OnWave(MakeWave(4, 1));
+  fleet.m_cluster.Run(absl::Milliseconds(500));
+  fleet.m_machines.Maintain("machine-1",
+                            1,
+                            { .m_holder = "two", .m_fencingToken = 6 },
+                            [](MachineOutcome) {});
+  fleet.m_cluster.Run(absl::Seconds(18));
+  REQUIRE(fleet.m_machines.MaxInMaintenance() == 1);
+  REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
+}
