Take the latest worker of a machine for the one that runs there

The worker whose entry was read last counted, though the entries of an ended worker and of the next one of its machine lie beside each other for some heartbeats, and a new owner reads them in the order of their ids. Once the old entry expired, the machine had no worker for the rest of the term: it was not moved, and its wave waited for it. The test fails without the change.

--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -372,7 +372,7 @@
   std::set<const Job*> m_earlierJobs;
   std::set<std::string> m_cancelled;
   std::map<std::string, Worker> m_workers;
-  /** Worker that was listed last on each machine. */
+  /** Listed worker of each machine that has started last. */
   std::unordered_map<std::string, std::string> m_workerOfMachine;
   /** Capacity of the worker that was reported last. */
   Resources m_typicalWorker;
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -30,7 +30,12 @@
   worker.m_isListed = true;
   m_typicalWorker = aReport.m_capacity;
   if (isNew && !aReport.m_machine.empty()) {
-    m_workerOfMachine[aReport.m_machine] = aReport.m_id;
+    // The entry of an ended worker may be read after that of the next one.
+    const Worker* other = WorkerOnMachine(aReport.m_machine);
+    if (other == nullptr ||
+        other->m_report.m_startTimeMs <= aReport.m_startTimeMs) {
+      m_workerOfMachine[aReport.m_machine] = aReport.m_id;
+    }
   }
   if (worker.m_startTimeMs != 0 &&
       aReport.m_startTimeMs > worker.m_startTimeMs) {
--- a/tests/scheduler/test_machine_orders.cpp
+++ b/tests/scheduler/test_machine_orders.cpp
@@ -106,3 +106,24 @@
   REQUIRE(fleet.m_machines.MaxInMaintenance() == 1);
   REQUIRE(fleet.m_cluster.m_store.Value("wave-status/1") == "done");
 }
+// Guards against a machine whose worker is taken for unlisted, since the entry
+// of an earlier one was read after its own.
+TEST_CASE("The latest worker of a machine is the one that runs on it",
+          "[machine_orders]")
+{
+  FleetFixture fleet(1);
+  Scheduler& scheduler = *fleet.m_cluster.At("one").m_scheduler;
+  WorkerReport later = fleet.m_cluster.m_reports.at("worker-0");
+  later.m_id = "a-worker";
+  later.m_startTimeMs += 1000;
+  WorkerReport earlier = later;
+  earlier.m_id = "b-worker";
+  earlier.m_startTimeMs -= 500;
+  scheduler.OnWorkerReport(later);
+  scheduler.OnWorkerReport(earlier);
+  REQUIRE(scheduler.WorkerOnMachine("machine-0") != nullptr);
+  REQUIRE(scheduler.WorkerOnMachine("machine-0")->m_report.m_id == "a-worker");
+  scheduler.OnWorkerRemoved("b-worker");
+  REQUIRE(scheduler.WorkerOnMachine("machine-0") != nullptr);
+  REQUIRE(scheduler.WorkerOnMachine("machine-0")->m_report.m_id == "a-worker");
+}
