Wait once, not once for each owner, for a worker that no owner reaches

After a takeover the tasks of a worker that does not respond wait 11.2 s, for the leases of all previous owners.

The list now names, for a worker that is silent, unlisted and without a lease of its writer, the term of the last owner that may have given it one. The next owner counts that owner's time for orders from when it first saw a later term, and clears the worker once three renewals got no response. While the stored list may say so, its writer gives the worker no lease, until a list without it is stored. A list of an older writer or form counts as before.

--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -56,6 +56,14 @@
    * incarnation; 0 if the latest one does not.
    */
   std::int64_t m_leasedSince = 0;
+  /** Term of the latest earlier owner that may have given the worker a lease.
+   */
+  std::int64_t m_earlierLeaseTerm = 0;
+  /** This owner may have given the worker a lease. */
+  bool m_hasOwnLease = false;
+  /** This owner gives the worker no lease, since the next one may read a list
+   * that says so. */
+  bool m_isLeaseDenied = false;
   /**
    * Consecutive lease renewals without a response; at least 1 after any order
    * without one.
--- a/scheduler/ownership.cpp
+++ b/scheduler/ownership.cpp
@@ -40,6 +40,8 @@
 constexpr absl::Duration kReleasePause = absl::Seconds(3);
 /** Range of the delay that separates simultaneous candidates. */
 constexpr int kMaxCandidateJitterMs = 60;
+/** Terms whose first sight is kept. */
+constexpr std::size_t kMaxKnownTerms = 16;
 
 }
 
@@ -161,6 +163,16 @@
     const json value = json::parse(aItem.m_value, nullptr, false);
     m_termRevision = aItem.m_isRemoved ? 0 : aItem.m_revision;
     m_term = IntegerField(value, "term");
+    if (!m_ownersBeforeExpireAt.empty() &&
+        m_term < m_ownersBeforeExpireAt.rbegin()->first) {
+      // The key was lost or overwritten, so the terms are counted anew.
+      m_ownersBeforeExpireAt.clear();
+    }
+    m_ownersBeforeExpireAt.try_emplace(m_term,
+                                       m_loop.ReadClock() + kAuthorityTime);
+    if (m_ownersBeforeExpireAt.size() > kMaxKnownTerms) {
+      m_ownersBeforeExpireAt.erase(m_ownersBeforeExpireAt.begin());
+    }
   } else if (aItem.m_key == m_offerKey) {
     OnOfferItem(aItem);
   } else if (aItem.m_key == m_ownerKey) {
@@ -220,7 +232,8 @@
     Schedule(kRenewInterval, &Ownership::Renew);
     m_onGrant({ .m_fencingToken = m_ownerRevision,
                 .m_term = m_ownerTerm,
-                .m_previousOwnersExpireAt = previousOwnersExpireAt });
+                .m_previousOwnersExpireAt = previousOwnersExpireAt,
+                .m_ownersBeforeExpireAt = m_ownersBeforeExpireAt });
     return;
   }
   if (IsInState("confirming") && m_ownerRevision != 0) {
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -30,6 +31,8 @@
    * owner that gives its key up has stopped sending orders before.
    */
   absl::Time m_previousOwnersExpireAt;
+  /** The same for the owners before each term that this daemon has seen. */
+  std::map<std::int64_t, absl::Time> m_ownersBeforeExpireAt;
 };
 
 /**
@@ -160,6 +163,9 @@
   absl::Time m_candidateFrom = absl::InfinitePast();
   std::int64_t m_term = 0;
   std::int64_t m_termRevision = 0;
+  /** Monotonic time from which no owner before a term sends orders: counted
+   * from when this daemon has first seen the term or a later one. */
+  std::map<std::int64_t, absl::Time> m_ownersBeforeExpireAt;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -26,6 +26,8 @@
 /** Factor on the load of long-running tasks: what they leave of a machine is
  * too small for many tasks. */
 constexpr double kPermanentLoadFactor = 1.2;
+/** Size of a row of the leased workers that names an earlier owner's term. */
+constexpr std::size_t kEarlierLeaseRowSize = 5;
 /** Least share of a shard's machines that counts as its capacity. */
 constexpr double kLeastCapacityShare = 0.05;
 
@@ -154,6 +156,15 @@
   if (worker.m_fence == 0) {
     RaiseFence(worker);
   }
+  const std::int64_t previousTerm = m_grant.m_term - 1;
+  worker.m_earlierLeaseTerm = previousTerm;
+  // A list of an owner before the previous one does not tell whether that one
+  // has given a lease.
+  if (aRow.is_array() && aRow.size() == kEarlierLeaseRowSize &&
+      aRow[3].is_number_integer() && aRow[4] == previousTerm) {
+    worker.m_earlierLeaseTerm =
+      std::min(previousTerm, aRow[3].get<std::int64_t>());
+  }
   if (!worker.m_report.m_address.empty()) {
     return;
   }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -165,12 +165,21 @@
   // Takeover.
   void ReadProgress(const std::string& aAfter);
   void ReadLeasedWorkers();
-  /** Adds a worker from the stored list: [address, machine, start time]. */
+  /**
+   * Adds a worker from the stored list: [address, machine, start time]. If the
+   * owner that wrote the list has given the worker no lease, the row ends with
+   * the term of the last owner that may have, and its own term.
+   */
   void AddLeasedWorker(const std::string& aId, const nlohmann::json& aRow);
   void BeginWhenLoaded();
   void Begin();
   void ResolveEarlierLease(const std::string& aWorkerId);
   bool MayRunOnUnresolvedWorker(const Job& aJob) const;
+  /** Whether only earlier owners have given the worker a lease, and it is
+   * silent now. */
+  bool HasOnlyEarlierLease(const Worker& aWorker) const;
+  /** Monotonic time by which the leases of earlier owners have expired. */
+  absl::Time EarlierLeasesExpireAt(const Worker& aWorker) const;
   /** Gives up waiting for workers whose leases of previous owners expired. */
   void ClearExpiredLeases();
   void SendPlacedStarts();
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -19,6 +19,7 @@
 std::int64_t
 Scheduler::NextLeaseExpiryMs(Worker& aWorker)
 {
+  aWorker.m_hasOwnLease = true;
   const absl::Duration lease =
     std::min(kWorkerLease, m_settings.m_maxWorkerLease);
   // The daemon may have been frozen since it found that it may send orders. The
@@ -125,7 +126,7 @@
   // to expire. The clock of one that has not responded yet is unknown.
   const bool mayExtend = aWorker.m_unansweredRenewals == 0 &&
                          aWorker.m_clockReadAt != absl::InfinitePast() &&
-                         !aWorker.m_tasks.empty();
+                         !aWorker.m_tasks.empty() && !aWorker.m_isLeaseDenied;
   if (mayExtend) {
     order.m_leaseExpiryMs = NextLeaseExpiryMs(aWorker);
     // A response that is not held tells the incarnation again.
@@ -221,6 +222,9 @@
   if (isFirstResponse || !m_env.m_holdsLease()) {
     RequestPlacement();
   }
+  if (worker.m_isLeaseDenied) {
+    StoreLeasedWorkers();
+  }
   if (worker.m_appliedEnd > before) {
     AfterStored([this,
                  aWorkerId,
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -18,6 +18,15 @@
 
 using nlohmann::json;
 
+namespace {
+
+/** Renewals without a response after which a new owner waits no longer than the
+ * leases of earlier owners for a worker that the store does not list: its ends
+ * may be unknown. */
+constexpr int kMinUnansweredRenewals = 3;
+
+}
+
 void
 Scheduler::OnWorkerReport(const WorkerReport& aReport)
 {
@@ -225,6 +234,30 @@
   }
 }
 
+bool
+Scheduler::HasOnlyEarlierLease(const Worker& aWorker) const
+{
+  return m_unresolvedWorkers.contains(aWorker.m_report.m_id) &&
+         !aWorker.m_isListed && !aWorker.m_hasOwnLease &&
+         aWorker.m_unansweredRenewals > 0 &&
+         aWorker.m_clockReadAt == absl::InfinitePast();
+}
+
+absl::Time
+Scheduler::EarlierLeasesExpireAt(const Worker& aWorker) const
+{
+  absl::Time ordersEndAt = m_grant.m_previousOwnersExpireAt;
+  if (HasOnlyEarlierLease(aWorker) &&
+      aWorker.m_unansweredRenewals >= kMinUnansweredRenewals) {
+    const auto seen =
+      m_grant.m_ownersBeforeExpireAt.upper_bound(aWorker.m_earlierLeaseTerm);
+    if (seen != m_grant.m_ownersBeforeExpireAt.end()) {
+      ordersEndAt = std::min(ordersEndAt, seen->second);
+    }
+  }
+  return ordersEndAt + PadForClockDrift(kWorkerLease) + kLeaseMargin;
+}
+
 void
 Scheduler::StoreLeasedWorkers()
 {
@@ -236,9 +269,14 @@
   json addresses = json::object();
   for (const auto& [id, worker] : m_workers) {
     if (mayHoldLeases(worker)) {
-      addresses[id] = { worker.m_report.m_address,
-                        worker.m_report.m_machine,
-                        worker.m_report.m_startTimeMs };
+      json& row = addresses[id];
+      row = { worker.m_report.m_address,
+              worker.m_report.m_machine,
+              worker.m_report.m_startTimeMs };
+      if (HasOnlyEarlierLease(worker)) {
+        row.push_back(worker.m_earlierLeaseTerm);
+        row.push_back(m_grant.m_term);
+      }
     }
   }
   std::string text = addresses.dump();
@@ -248,7 +286,9 @@
   m_leasedWorkersText = text;
   const std::int64_t number = ++m_leasedWorkersNumber;
   for (auto& [id, worker] : m_workers) {
-    if (!mayHoldLeases(worker)) {
+    const bool isDenied = HasOnlyEarlierLease(worker);
+    worker.m_isLeaseDenied |= isDenied;
+    if (!mayHoldLeases(worker) || isDenied) {
       // No task starts there until a later list names the worker again.
       worker.m_leasedSince = 0;
       worker.m_isLeaseRecorded = false;
@@ -264,6 +304,7 @@
     for (auto& [id, worker] : m_workers) {
       if (worker.m_leasedSince != 0 && worker.m_leasedSince <= number) {
         worker.m_isLeaseRecorded = true;
+        worker.m_isLeaseDenied = false;
       }
     }
     RequestPlacement();
@@ -315,23 +356,22 @@
 void
 Scheduler::ClearExpiredLeases()
 {
-  const absl::Time now = m_env.m_loop.Now();
-  const absl::Time expiry = m_grant.m_previousOwnersExpireAt +
-                            PadForClockDrift(kWorkerLease) + kLeaseMargin;
-  if (m_unresolvedWorkers.empty() || now < expiry || !m_env.m_holdsLease()) {
+  if (m_unresolvedWorkers.empty() || !m_env.m_holdsLease()) {
     // Without the store lease, the next owner may have renewed them.
     return;
   }
+  const absl::Time now = m_env.m_loop.Now();
   // A listed worker is alive, and its tasks may have ended as done before the
   // leases expired. Its responses tell, once they have listed all ends.
   const std::size_t cleared =
     std::erase_if(m_unresolvedWorkers, [&](const std::string& aId) {
-      const Worker* worker = FindWorker(aId);
-      const bool isResponding = worker != nullptr &&
-                                worker->m_clockReadAt != absl::InfinitePast() &&
-                                worker->m_unansweredRenewals == 0;
-      return !isResponding && (worker == nullptr || !worker->m_isListed ||
-                               now >= expiry + kSilentWorkerGrace);
+      const Worker& worker = m_workers.at(aId);
+      const bool isResponding = worker.m_clockReadAt != absl::InfinitePast() &&
+                                worker.m_unansweredRenewals == 0;
+      return !isResponding &&
+             now >= EarlierLeasesExpireAt(worker) + (worker.m_isListed
+                                                       ? kSilentWorkerGrace
+                                                       : absl::ZeroDuration());
     });
   if (cleared > 0) {
     LogInfo(LogPart::Owner,
