--- a/scheduler/fleet_controller.h
+++ b/scheduler/fleet_controller.h
@@ -141,6 +141,8 @@
   absl::Duration ListInterval() const;
   void ListMachines();
   void OnListed(absl::Time aSentAt, MachineListResult aResult);
+  /** Whether several lists in a row have lacked the machine. */
+  bool IsGone(const std::string& aMachine) const;
   /** Number of machines that are up or can be brought up by a move. */
   int UsableMachineCount() const;
   /** Removes an order; returns the next one. */
@@ -161,6 +163,9 @@
   /** Repeats a maintenance order without a response, once orders are allowed.
    */
   void RetryMaintenance(const std::string& aMachine);
+  /** Sends a maintenance order again, once the store shows that this daemon is
+   * still the owner and has told the next one of the order. */
+  void RepeatMaintenance(const std::string& aMachine);
   void MarkHandled(const std::string& aMachine, std::int64_t aWave);
   bool IsCompletedIn(const WaveState& aState, int aShard) const;
   bool IsCompletedEverywhere(const WaveState& aState) const;
@@ -196,6 +201,10 @@
   keys::ShardKeys m_keys;
   MachineAuthority m_authority;
   std::map<std::string, MachineEntry> m_machines;
+  /** Complete lists so far, and the number of the last one that has a machine.
+   */
+  int m_listCount = 0;
+  std::map<std::string, int> m_lastListOf;
   absl::Duration m_listInterval;
   absl::Time m_listedAt;
   bool m_isListing = false;
@@ -207,6 +216,10 @@
   std::map<std::string, absl::Time> m_recentOrders;
   /** The names of m_recentOrders as they were last stored. */
   std::string m_recentOrdersText;
+  /** Machines for which the previous owner may have sent orders that this
+   * one's lists do not show yet, and the time until which it waits for them. */
+  std::set<std::string> m_earlierOrders;
+  absl::Time m_earlierOrdersEndAt = absl::InfinitePast();
   /** Tokens of the order rate limit; refilled over time. */
   double m_orderTokens = 0;
   absl::Time m_tokensRefilledAt = absl::InfinitePast();
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -169,7 +169,11 @@
   // Takeover.
   void ReadProgress(const std::string& aAfter);
   void ReadLeasedWorkers();
-  /** Adds a worker from the stored list: [address, machine, start time]. */
+  /**
+   * Adds a worker from the stored list: [address, machine, start time]. If the
+   * owner that wrote the list has given the worker no lease, the row ends with
+   * the term of the last owner that may have, and its own term.
+   */
   void AddLeasedWorker(const std::string& aId, const nlohmann::json& aRow);
   void BeginWhenLoaded();
   void Begin();
@@ -177,6 +181,11 @@
   static void ApplyProgress(std::unique_ptr<Job>& aJob, const StoreItem& aItem);
   void ResolveEarlierLease(const std::string& aWorkerId);
   bool MayRunOnUnresolvedWorker(const Job& aJob) const;
+  /** Whether only earlier owners have given the worker a lease, and it is
+   * silent now. */
+  bool HasOnlyEarlierLease(const Worker& aWorker) const;
+  /** Monotonic time by which the leases of earlier owners have expired. */
+  absl::Time EarlierLeasesExpireAt(const Worker& aWorker) const;
   /** Gives up waiting for workers whose leases of previous owners expired. */
   void ClearExpiredLeases();
   void SendPlacedStarts();
@@ -387,7 +396,7 @@
   std::set<const Job*> m_earlierJobs;
   std::set<std::string> m_cancelled;
   std::map<std::string, Worker> m_workers;
-  /** Worker that was listed last on each machine. */
+  /** Listed worker of each machine that has started last. */
   std::unordered_map<std::string, std::string> m_workerOfMachine;
   /** Capacity of the worker that was reported last. */
   Resources m_typicalWorker;
