--- a/tests/fakes/fake_workers.cpp
+++ b/tests/fakes/fake_workers.cpp
@@ -60,6 +60,7 @@
     std::max(aWorker.m_lastAttempt[aTask], run.m_attempt);
   aWorker.m_ends.push_back(
     { aWorker.m_nextEndNumber++, aTask, run.m_attempt, aKind, "" });
+  ++m_endCounts[{ aTask, aKind }];
   if (aKind == TaskEndKind::Done) {
     m_done.insert(aTask);
   }
@@ -253,6 +254,13 @@
   return found == m_startCounts.end() ? 0 : found->second;
 }
 
+int
+FakeWorkers::EndCount(const std::string& aTask, TaskEndKind aKind) const
+{
+  const auto found = m_endCounts.find({ aTask, aKind });
+  return found == m_endCounts.end() ? 0 : found->second;
+}
+
 void
 FakeWorkerClient::CallAfter(absl::Duration aDelay,
                             std::function<void()> aCallback)
--- a/tests/fakes/fake_workers.h
+++ b/tests/fakes/fake_workers.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bramleystall {
@@ -101,6 +102,8 @@
     return StartCount(aTask) > 0;
   }
   const std::set<std::string>& DoneTasks() const { return m_done; }
+  /** Number of runs of the task that ended in this way. */
+  int EndCount(const std::string& aTask, TaskEndKind aKind) const;
   /** Descriptions of the guarantees that orders have violated. */
   const std::vector<std::string>& Violations() const { return m_violations; }
 
@@ -153,6 +156,7 @@
   std::map<std::string, WorkerState> m_workers;
   std::map<std::string, int> m_startCounts;
   int m_startCount = 0;
+  std::map<std::pair<std::string, TaskEndKind>, int> m_endCounts;
   std::set<std::string> m_done;
   /** Tasks whose successful end has been recorded by a daemon. */
   std::set<std::string> m_recordedDone;
--- a/tests/fakes/scheduler_fixture.h
+++ b/tests/fakes/scheduler_fixture.h
@@ -47,7 +47,7 @@
         .m_mayOrder = [] { return true; },
         .m_ordersEndAt = [] { return absl::InfiniteFuture(); },
         .m_holdsLease = [this] { return m_holdsLease; },
-        .m_onSuperseded = [] {} },
+        .m_onSuperseded = [this] { m_isSuperseded = true; } },
       SchedulerSettings{},
       m_keys,
       OwnershipGrant{ .m_fencingToken = fence,
@@ -73,6 +73,8 @@
   HeldWorkerGateway m_gateway{ m_delayed };
   Metrics m_metrics;
   JobConfiguration m_configuration;
+  /** A worker has seen the fencing token of a later owner. */
+  bool m_isSuperseded = false;
   std::unique_ptr<Scheduler> m_scheduler;
 };
 
