--- a/tests/fakes/delayed_worker_gateway.cpp
+++ b/tests/fakes/delayed_worker_gateway.cpp
@@ -24,7 +24,7 @@
 template<class Result>
 void
 DelayedWorkerGateway::Delay(
-  OrderKind aKind,
+  WorkerOrderKind aKind,
   absl::Duration aTimeout,
   std::function<void(std::function<void(Result)>)> aSend,
   std::function<void(Result)> aCallback)
@@ -51,7 +51,7 @@
                             OrderCallback aCallback)
 {
   Delay<OrderResult>(
-    OrderKind::Start,
+    WorkerOrderKind::Start,
     kTimeout,
     [this, aWorker, aOrder](OrderCallback aSent) {
       m_workers.Start(aWorker, aOrder, std::move(aSent));
@@ -65,7 +65,7 @@
                            OrderCallback aCallback)
 {
   Delay<OrderResult>(
-    OrderKind::Stop,
+    WorkerOrderKind::Stop,
     kTimeout,
     [this, aWorker, aOrder](OrderCallback aSent) {
       m_workers.Stop(aWorker, aOrder, std::move(aSent));
@@ -87,7 +87,7 @@
                                  LeaseCallback aCallback)
 {
   Delay<LeaseOrderResult>(
-    OrderKind::Renewal,
+    WorkerOrderKind::Renewal,
     aOrder.m_wait + kTimeout,
     [this, aWorker, aOrder](LeaseCallback aSent) {
       m_workers.RenewLease(aWorker, aOrder, std::move(aSent));
--- a/tests/fakes/delayed_worker_gateway.h
+++ b/tests/fakes/delayed_worker_gateway.h
@@ -13,7 +13,7 @@
 namespace bramleystall {
 
 /** Kind of an order to a worker. */
-enum class OrderKind
+enum class WorkerOrderKind
 {
   Start,
   Stop,
@@ -36,7 +36,7 @@
 class DelayedWorkerGateway : public WorkerGateway
 {
 public:
-  using DelayHook = std::function<OrderDelays(OrderKind)>;
+  using DelayHook = std::function<OrderDelays(WorkerOrderKind)>;
 
   DelayedWorkerGateway(EventLoop& aLoop, WorkerGateway& aWorkers)
     : m_loop(aLoop)
@@ -46,7 +46,7 @@
   ~DelayedWorkerGateway() override { *m_alive = false; }
 
   /** Returns the delays of the next order. */
-  DelayHook m_delays = [](OrderKind) { return OrderDelays{}; };
+  DelayHook m_delays = [](WorkerOrderKind) { return OrderDelays{}; };
 
   void Start(const WorkerAddress& aWorker,
              const StartOrder& aOrder,
@@ -72,7 +72,7 @@
    * response's; passes an empty one on if that takes longer than aTimeout.
    */
   template<class Result>
-  void Delay(OrderKind aKind,
+  void Delay(WorkerOrderKind aKind,
              absl::Duration aTimeout,
              std::function<void(std::function<void(Result)>)> aSend,
              std::function<void(Result)> aCallback);
--- a/tests/scheduler/test_late_responses.cpp
+++ b/tests/scheduler/test_late_responses.cpp
@@ -34,9 +34,10 @@
 
   void DelayRenewals(absl::Duration aTime)
   {
-    m_delayed.m_delays = [aTime](OrderKind aKind) {
-      return aKind == OrderKind::Renewal ? OrderDelays{ .m_response = aTime }
-                                         : OrderDelays{};
+    m_delayed.m_delays = [aTime](WorkerOrderKind aKind) {
+      return aKind == WorkerOrderKind::Renewal
+               ? OrderDelays{ .m_response = aTime }
+               : OrderDelays{};
     };
   }
 };
--- a/tests/scheduler/test_list_order.cpp
+++ b/tests/scheduler/test_list_order.cpp
@@ -26,12 +26,14 @@
     m_client.m_lostStartResponses = 1;
     Submit(JobCluster::MakeJob("watched", 1, 1));
     m_loop.AdvanceBy(absl::Seconds(1));
-    m_delayed.m_delays = [this](OrderKind aKind) { return DelayOf(aKind); };
+    m_delayed.m_delays = [this](WorkerOrderKind aKind) {
+      return DelayOf(aKind);
+    };
   }
 
-  OrderDelays DelayOf(OrderKind aKind)
+  OrderDelays DelayOf(WorkerOrderKind aKind)
   {
-    if (aKind != OrderKind::Renewal) {
+    if (aKind != WorkerOrderKind::Renewal) {
       return { .m_response = absl::Milliseconds(150) };
     }
     ++m_renewals;
--- a/tests/scheduler/test_random_interleavings.cpp
+++ b/tests/scheduler/test_random_interleavings.cpp
@@ -48,7 +48,7 @@
     }
     m_scheduler->OnWorkersListed();
     m_loop.AdvanceBy(absl::Milliseconds(300));
-    m_delayed.m_delays = [this](OrderKind) {
+    m_delayed.m_delays = [this](WorkerOrderKind) {
       return OrderDelays{ .m_request = DrawDelay(), .m_response = DrawDelay() };
     };
   }
@@ -60,7 +60,7 @@
       Disturb();
       m_loop.AdvanceBy(absl::Milliseconds(20 + Pick(300)));
     }
-    m_delayed.m_delays = [](OrderKind) { return OrderDelays{}; };
+    m_delayed.m_delays = [](WorkerOrderKind) { return OrderDelays{}; };
     m_client.m_lostStartResponses = 0;
     for (int i = 0; i < m_workerCount; ++i) {
       m_scheduler->SetEvacuating(absl::StrCat("worker-", i), false);
