--- a/tests/fakes/fake_workers.cpp
+++ b/tests/fakes/fake_workers.cpp
@@ -60,6 +60,7 @@
     std::max(aWorker.m_lastAttempt[aTask], run.m_attempt);
   aWorker.m_ends.push_back(
     { aWorker.m_nextEndNumber++, aTask, run.m_attempt, aKind, "" });
+  ++m_endCounts[{ aTask, aKind }];
   if (aKind == TaskEndKind::Done) {
     m_done.insert(aTask);
   }
@@ -253,6 +254,13 @@
   return found == m_startCounts.end() ? 0 : found->second;
 }
 
+int
+FakeWorkers::EndCount(const std::string& aTask, TaskEndKind aKind) const
+{
+  const auto found = m_endCounts.find({ aTask, aKind });
+  return found == m_endCounts.end() ? 0 : found->second;
+}
+
 void
 FakeWorkerClient::CallAfter(absl::Duration aDelay,
                             std::function<void()> aCallback)
@@ -291,22 +299,36 @@
     });
     return;
   }
-  CallAfter(kLatency, [this, id, aOrder, callback = std::move(aCallback)] {
-    if (m_unreachableWorkers.contains(id) || !m_workers.IsUp(id)) {
-      CallAfter(kTimeout, [callback] {
-        callback({ .m_outcome = OrderOutcome::Unknown });
-      });
-      return;
-    }
-    const OrderResult result = m_workers.Start(id, aOrder);
-    const bool isLost = m_lostStartResponses > 0;
-    if (isLost) {
-      --m_lostStartResponses;
-    }
-    CallAfter(isLost ? kTimeout : kLatency, [callback, result, isLost] {
-      callback(isLost ? OrderResult{} : result);
-    });
-  });
+  CallAfter(kLatency,
+            [this,
+             id,
+             born = m_workers.StartTimeMs(id),
+             aOrder,
+             callback = std::move(aCallback)] {
+              if (m_unreachableWorkers.contains(id) || !m_workers.IsUp(id)) {
+                CallAfter(kTimeout, [callback] {
+                  callback({ .m_outcome = OrderOutcome::Unknown });
+                });
+                return;
+              }
+              OrderResult result;
+              const auto start = [&] { result = m_workers.Start(id, aOrder); };
+              if (m_workers.StartTimeMs(id) == born) {
+                start();
+              } else {
+                // The worker has restarted in a slow iteration of the event
+                // loop.
+                m_workers.RunLate(start);
+              }
+              const bool isLost = m_lostStartResponses > 0;
+              if (isLost) {
+                --m_lostStartResponses;
+              }
+              CallAfter(isLost ? kTimeout : kLatency,
+                        [callback, result, isLost] {
+                          callback(isLost ? OrderResult{} : result);
+                        });
+            });
 }
 
 void
