--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/moment.h"
 #include "jobs/resources.h"
 #include "jobs/worker_report.h"
 
@@ -44,8 +45,8 @@
   bool m_isRenewing = false;
   /** Lease renewals that await their responses. */
   int m_renewalsInFlight = 0;
-  /** Time at which the renewal was sent whose response was applied last. */
-  absl::Time m_listedAt = absl::InfinitePast();
+  /** Moment at which the list was read that was applied last. */
+  Moment m_listReadAt;
   /** Number of the latest scheduled renewal; earlier ones are dropped. */
   int m_renewalNumber = 0;
   /** The store records for the next owner that the worker may hold leases. */
@@ -60,7 +61,11 @@
    * without one.
    */
   int m_unansweredRenewals = 0;
-  absl::Time m_renewedAt = absl::InfinitePast();
+  /** Monotonic time after which the worker's clock was at 0; the latest bound
+   * that the responses of this incarnation give. */
+  absl::Time m_clockZeroAfter = absl::InfinitePast();
+  /** Monotonic time after which this incarnation made its last list. */
+  absl::Time m_respondedAfter = absl::InfinitePast();
   /** Address at which the worker responded last. */
   std::string m_respondedAddress;
   /** No task is placed here before this time. */
