--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -56,14 +56,23 @@
    * incarnation; 0 if the latest one does not.
    */
   std::int64_t m_leasedSince = 0;
+  /** Term of the latest earlier owner that may have given the worker a lease.
+   */
+  std::int64_t m_earlierLeaseTerm = 0;
+  /** This owner may have given the worker a lease. */
+  bool m_hasOwnLease = false;
+  /** This owner gives the worker no lease, since the next one may read a list
+   * that says so. */
+  bool m_isLeaseDenied = false;
   /**
    * Consecutive lease renewals without a response; at least 1 after any order
    * without one.
    */
   int m_unansweredRenewals = 0;
-  /** Monotonic time after which the worker's clock was at 0; the latest bound
-   * that the responses of this incarnation give. */
-  absl::Time m_clockZeroAfter = absl::InfinitePast();
+  /** Least difference between the monotonic time and the worker's clock, from
+   * the responses of this incarnation, and the time of that order. */
+  absl::Time m_clockOffset = absl::InfinitePast();
+  absl::Time m_clockOffsetSetAt = absl::InfinitePast();
   /** Monotonic time after which this incarnation made its last list. */
   absl::Time m_respondedAfter = absl::InfinitePast();
   /** Address at which the worker responded last. */
--- a/scheduler/fleet_controller_waves.cpp
+++ b/scheduler/fleet_controller_waves.cpp
@@ -142,7 +142,10 @@
       order != m_orders.end() && order->second.m_wave == wave.m_number;
     const bool isDown = machine != m_machines.end() &&
                         machine->second.m_state == MachineState::Maintenance;
-    down += isOrdered || isDown ? 1 : 0;
+    const bool mayBeOrdered = m_env.m_loop.Now() < m_earlierOrdersEndAt &&
+                              m_earlierOrders.contains(name) &&
+                              !aState.m_handled.contains(name);
+    down += isOrdered || isDown || mayBeOrdered ? 1 : 0;
   }
   const double elapsed =
     absl::ToDoubleSeconds(m_env.m_loop.Now() - aState.m_knownAt);
@@ -151,7 +154,12 @@
   bool isOpen = false;
   for (const std::string& name : wave.m_machines) {
     const auto machine = m_machines.find(name);
-    if (machine == m_machines.end() || aState.m_handled.contains(name)) {
+    if (aState.m_handled.contains(name) || IsGone(name)) {
+      continue;
+    }
+    if (machine == m_machines.end()) {
+      // A machine of another shard, or one that the lists have lacked so far.
+      isOpen |= m_env.m_layout.OfMachine(name) == m_env.m_shard;
       continue;
     }
     isOpen = true;
@@ -242,6 +250,7 @@
 void
 FleetController::SendMaintenance(const std::string& aMachine)
 {
+  m_recentOrders[aMachine] = m_env.m_loop.Now();
   m_env.m_machines.Maintain(
     aMachine,
     m_orders.at(aMachine).m_wave,
@@ -301,13 +310,33 @@
                          return;
                        }
                        if (MayOrder()) {
-                         SendMaintenance(aMachine);
+                         RepeatMaintenance(aMachine);
                        } else {
                          RetryMaintenance(aMachine);
                        }
                      });
 }
 
+void
+FleetController::RepeatMaintenance(const std::string& aMachine)
+{
+  // A further write, even of the same names: the next owner may have read the
+  // earlier one.
+  m_recentOrdersText.clear();
+  RecordOrders();
+  m_env.m_scheduler.FlushSoon();
+  m_env.m_scheduler.AfterStored([this, aMachine, alive = m_alive] {
+    if (!*alive || !m_orders.contains(aMachine)) {
+      return;
+    }
+    if (MayOrder()) {
+      SendMaintenance(aMachine);
+    } else {
+      RetryMaintenance(aMachine);
+    }
+  });
+}
+
 void
 FleetController::MarkHandled(const std::string& aMachine, std::int64_t aWave)
 {
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -26,6 +26,8 @@
 /** Factor on the load of long-running tasks: what they leave of a machine is
  * too small for many tasks. */
 constexpr double kPermanentLoadFactor = 1.2;
+/** Size of a row of the leased workers that names an earlier owner's term. */
+constexpr std::size_t kEarlierLeaseRowSize = 5;
 /** Least share of a shard's machines that counts as its capacity. */
 constexpr double kLeastCapacityShare = 0.05;
 
@@ -154,6 +156,15 @@
   if (worker.m_fence == 0) {
     RaiseFence(worker);
   }
+  const std::int64_t previousTerm = m_grant.m_term - 1;
+  worker.m_earlierLeaseTerm = previousTerm;
+  // A list of an owner before the previous one does not tell whether that one
+  // has given a lease.
+  if (aRow.is_array() && aRow.size() == kEarlierLeaseRowSize &&
+      aRow[3].is_number_integer() && aRow[4] == previousTerm) {
+    worker.m_earlierLeaseTerm =
+      std::min(previousTerm, aRow[3].get<std::int64_t>());
+  }
   if (!worker.m_report.m_address.empty()) {
     return;
   }
@@ -184,16 +195,15 @@
 void
 Scheduler::Begin()
 {
-  for (const auto& [id, job] : m_jobs) {
+  for (auto& [id, job] : m_jobs) {
     const auto found = m_progress.find(m_keys.Progress(id));
     if (found != m_progress.end()) {
-      try {
-        job->ApplyProgress(found->second.m_value);
-      } catch (const Error& error) {
-        LogError(LogPart::Jobs, error.what());
-      }
+      ApplyProgress(job, found->second);
       m_progress.erase(found);
     }
+    if (!job->IsProgressKnown()) {
+      continue;
+    }
     if (!m_areLeasedWorkersKnown) {
       for (const std::string& worker : job->Workers()) {
         AddLeasedWorker(worker, {});
@@ -205,6 +215,9 @@
     } else {
       m_active[id] = MakeActive(*job);
       m_earlierJobs.insert(job.get());
+      // Its tasks start once the leases of previous owners are over. A write
+      // after that shows that no later owner has renewed them; see StartTask.
+      job->ForgetRecordedWorkers();
     }
   }
   // Progress without a record was left behind by a write that was applied after
@@ -229,10 +242,7 @@
                  " load_ms=",
                  absl::ToInt64Milliseconds(m_env.m_loop.Now() - m_beganAt)));
   for (const std::string& id : m_cancelled) {
-    const auto found = m_active.find(id);
-    if (found != m_active.end()) {
-      Cancel(*found->second.m_job);
-    }
+    CancelIfLoaded(id);
   }
   for (auto& [id, worker] : m_workers) {
     Renew(worker);
@@ -242,6 +252,26 @@
   RequestPlacement();
 }
 
+void
+Scheduler::ApplyProgress(std::unique_ptr<Job>& aJob, const StoreItem& aItem)
+{
+  try {
+    aJob->ApplyProgress(aItem.m_value);
+  } catch (const Error& error) {
+    LogError(LogPart::Jobs,
+             absl::StrCat("cannot decode the progress of a job; no task of it "
+                          "starts until it is cancelled; key=",
+                          aItem.m_key,
+                          " error=",
+                          error.what()));
+    // The tasks may have been restored in part.
+    auto job = std::make_unique<Job>(aJob->Record());
+    job->SetOrder(aJob->Order());
+    job->MarkProgressUnknown();
+    aJob = std::move(job);
+  }
+}
+
 void
 Scheduler::ResolveEarlierLease(const std::string& aWorkerId)
 {
@@ -277,9 +307,8 @@
       return;
     }
     m_cancelled.insert(id);
-    const auto found = m_active.find(id);
-    if (m_isRunning && found != m_active.end()) {
-      Cancel(*found->second.m_job);
+    if (m_isRunning) {
+      CancelIfLoaded(id);
     }
     return;
   }
@@ -336,6 +365,15 @@
   m_jobs.erase(found);
 }
 
+void
+Scheduler::CancelIfLoaded(const std::string& aId)
+{
+  const auto found = m_jobs.find(aId);
+  if (found != m_jobs.end()) {
+    Cancel(*found->second);
+  }
+}
+
 void
 Scheduler::Cancel(Job& aJob)
 {
@@ -361,7 +399,7 @@
   for (const Job* job : m_changedJobs) {
     if (job->IsFinal() && !job->HasPlacedTask()) {
       Archive(*job);
-    } else {
+    } else if (job->IsFinal() || job->IsProgressKnown()) {
       m_writer.Put(m_keys.Progress(job->Id()), job->EncodeProgress());
     }
   }
@@ -391,7 +429,7 @@
   m_env.m_metrics.Count("bramleystall_jobs_finished_total",
                         { { "state", state } });
   const std::int64_t ageMs =
-    ToMillis(absl::Now()) - aJob.Record().m_acceptedAtMs;
+    ToMillis(m_env.m_timeOfDay()) - aJob.Record().m_acceptedAtMs;
   m_env.m_metrics.Observe("bramleystall_job_duration_seconds",
                           { { "state", state } },
                           absl::Milliseconds(ageMs));
