--- a/scheduler/release_proof.cpp
+++ b/scheduler/release_proof.cpp
@@ -60,7 +60,7 @@
 std::optional<ReleaseProof>
 ReleaseProof::FromRefusal(const Task& aTask, OrderOutcome aOutcome)
 {
-  // An unresolved task has an earlier answer, "unknown", to the same start.
+  // A running task was listed before the refusal was read.
   if (!IsRefusal(aOutcome) || aTask.m_phase == TaskPhase::Running ||
       aTask.m_phase == TaskPhase::Unresolved) {
     return std::nullopt;
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -137,9 +137,9 @@
   if (mayExtend) {
     order.m_leaseExpiryMs = NextLeaseExpiryMs(aWorker);
     // A held response tells less about the time at which it was sent.
-    const bool isAcknowledged =
+    const bool acknowledgesAll =
       order.m_lastRecordedEnd == aWorker.m_recordedEnd;
-    if (!aWorker.HasUnrecordedEnd() && isAcknowledged) {
+    if (!aWorker.HasUnrecordedEnd() && acknowledgesAll) {
       const bool mayWait = m_env.m_holdsLease() && !aWorker.m_isWatched;
       order.m_wait = mayWait ? kRenewalLongPollTime : kCutOffLongPollTime;
     }
--- a/scheduler/scheduler_lists.cpp
+++ b/scheduler/scheduler_lists.cpp
@@ -100,7 +100,7 @@
                             aWorker.m_startTimeMs,
                             " list_sent_ms_ago=",
                             MillisSince(aList.m_sentAt.m_time),
-                            " started_ms_ago=",
+                            " begun_by_ms_ago=",
                             MillisSince(task->m_begunBy.m_time),
                             " renewals_in_flight=",
                             aWorker.m_renewalsInFlight));
