Revert "Start no occurrence early while the time of day is ahead"

The time of day followed a clock that was set back at once, and one that was ahead only after 30 s. A machine's time of day may go back by up to a second after a slow spell, so the owner's time stayed behind: late jobs counted as in time, and went before those that still could be.

--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -429,7 +429,7 @@
   m_env.m_metrics.Count("bramleystall_jobs_finished_total",
                         { { "state", state } });
   const std::int64_t ageMs =
-    ToMillis(m_env.m_timeOfDay()) - aJob.Record().m_acceptedAtMs;
+    ToMillis(absl::Now()) - aJob.Record().m_acceptedAtMs;
   m_env.m_metrics.Observe("bramleystall_job_duration_seconds",
                           { { "state", state } },
                           absl::Milliseconds(ageMs));
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -13,10 +13,8 @@
 #include "scheduler/release_proof.h"
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/shard_status.h"
-#include "scheduler/steady_time_of_day.h"
 #include "store/store_mirror.h"
 
-#include <absl/time/clock.h>
 #include <absl/time/time.h>
 #include <nlohmann/json_fwd.hpp>
 
@@ -62,8 +60,6 @@
     std::function<bool()> m_holdsLease;
     /** Called when a worker has seen the fencing token of a later owner. */
     std::function<void()> m_onSuperseded;
-    /** The time of day by the machine's clock, which may jump. */
-    std::function<absl::Time()> m_timeOfDay = [] { return absl::Now(); };
   };
 
   Scheduler(Environment aEnvironment,
@@ -390,7 +386,6 @@
   std::uint64_t m_lastMoment = 0;
   /** Wall-clock time in ms of the last placement, and its duration. */
   std::int64_t m_wallNowMs = 0;
-  SteadyTimeOfDay m_timeOfDay;
   absl::Duration m_placementTime;
   /** Jobs of previous terms; their tasks may run on unreachable workers. */
   std::set<const Job*> m_earlierJobs;
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -90,7 +90,7 @@
     return;
   }
   const absl::Time begin = m_env.m_loop.ReadClock();
-  m_wallNowMs = ToMillis(m_timeOfDay.Update(begin, m_env.m_timeOfDay()));
+  m_wallNowMs = ToMillis(absl::Now());
   std::map<std::string, std::vector<const ActiveJob*>> byPool;
   for (const auto& [id, active] : m_active) {
     if (m_unresolvedWorkers.empty() ||
--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -54,8 +54,7 @@
           .m_mayOrder = [this] { return MayOrder(); },
           .m_ordersEndAt = [this] { return m_ownership->OrdersEndAt(); },
           .m_holdsLease = [this] { return m_ownership->HoldsLease(); },
-          .m_onSuperseded = [this] { m_ownership->StepDown(); },
-          .m_timeOfDay = [this] { return m_cluster.m_timeOfDay(); } },
+          .m_onSuperseded = [this] { m_ownership->StepDown(); } },
         m_cluster.m_settings,
         m_cluster.m_keys,
         aGrant);
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -10,9 +10,6 @@
 #include "tests/fakes/fake_store.h"
 #include "tests/fakes/fake_workers.h"
 
-#include <absl/time/clock.h>
-
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -88,8 +85,6 @@
   /** The only shard. */
   keys::ShardKeys m_keys{ 0 };
   EventLoop m_loop{ EventLoop::ClockMode::Simulated };
-  /** Time of day by the daemons' clocks. */
-  std::function<absl::Time()> m_timeOfDay = [] { return absl::Now(); };
   FakeStore m_store{ m_loop };
   FakeWorkers m_workers{ m_loop };
   Metrics m_metrics;
