--- a/review/world/deployment.cpp
+++ b/review/world/deployment.cpp
@@ -151,8 +151,8 @@
 Deployment::HandleMachines(const HttpRequest& aRequest)
 {
   if (aRequest.m_path != "/bramleystall/machines") {
-    // No case needs a move: its pools have all machines that they want.
-    return { 409, json{ { "reason", "busy" } }.dump() };
+    // The pools of these deployments are pools of other machines.
+    return { 400, "{}" };
   }
   const std::lock_guard lock(m_mutex);
   json machines = json::array();
