Let the connections of a worker stand-in go silent

Cause: a probe of the review silences the connections to workers as well; no lease lapsed in it. Change: Worker::SilenceConnections of review/world.

--- a/review/world/worker.h
+++ b/review/world/worker.h
@@ -53,6 +53,8 @@
   /** A new lifetime begins under the same id and at the same address, and
    * registers at once. */
   void Restart(std::vector<std::string> aLabels);
+  /** Its open connections go silent; see HttpServer. */
+  int SilenceConnections() { return m_server->SilenceOpenConnections(); }
   /** The worker has left for good. */
   void Leave();
   /** Names of the subtasks that run. */
