Show that a late start runs beside its next run

Cause: a list under a higher fencing token counts as proof that a start without a response is never carried out, but a restarted worker knows no token. Change: review/6; the other cases get the next numbers, since the gravest goes first.

--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,4 +1,5 @@
-// Workers of a service that run subtasks that fill are lost for good.
+// Workers are added to a service, and a queue whose policy allows two of its
+// older workers gets a job.
 
 #include "deployment.h"
 
@@ -8,111 +9,107 @@
 using namespace review;
 
 constexpr const char* kService = "perro-norte";
-constexpr int kWorkers = 20;
-/** 15% of the workers. */
-constexpr int kFillers = 3;
+constexpr int kWorkers = 28;
+/** A quarter, as scale_out adds on lican-gt. */
+constexpr int kAddedWorkers = 7;
+constexpr int kAllowedWorkers = 2;
 constexpr int kDaemons = 2;
-/** Silence after which the store removes a worker's entry: three heartbeats. */
-constexpr int kEntryMs = 4500;
-/** The rule counts from 6 s after the last run, for 3 s after 4 calm ones. */
-constexpr int kJudgedFromMs = 6000 + 4000 + 3000;
-constexpr int kObservedMs = 30'000;
+/** `finish_s` of lican-gt. */
+constexpr int kFinishMs = 14'000;
+/** Time for which a job has nothing running, by the rule. */
+constexpr int kIdleMs = 3000;
 
 json
-MakeLastingJob(int aCount)
+MakeRoute(const char* aName, const char* aPrefix)
 {
-  return { { "spec", "0" },
-           { "phases",
-             { { { "count", aCount },
-                 { "cpu", 1300 },
-                 { "mem_mb", 6800 },
-                 { "estimate_ms", 500 },
-                 { "long_running", true },
-                 { "anti_affinity", 1 },
-                 { "may_miss", 1 } } } } };
+  return { { "name", aName },      { "host", kHost },
+           { "prefix", aPrefix },  { "kind", "unsafe" },
+           { "timeout_ms", 3000 }, { "target_runtime_ms", 600 },
+           { "priority", 0 },      { "service", kService },
+           { "max_attempts", 3 },  { "stretch", 1.6 } };
 }
 
 int
 RunCase(Deployment& aDeployment)
 {
+  std::set<std::string> allowed;
   for (int i = 0; i < kWorkers; ++i) {
-    aDeployment.AddWorker(kService, { "a", "r1-1" });
+    const bool isAllowed = i < kAllowedWorkers;
+    Worker& worker =
+      aDeployment.AddWorker(kService, { isAllowed ? "b" : "a", "r1-1" });
+    if (isAllowed) {
+      allowed.insert(worker.Id());
+    }
   }
-  aDeployment.Configure(1,
-                        { { { "name", "r-1" },
-                            { "host", kHost },
-                            { "prefix", "/q/" },
-                            { "kind", "unsafe" },
-                            { "timeout_ms", 3000 },
-                            { "target_runtime_ms", 2500 },
-                            { "priority", 0 },
-                            { "service", kService },
-                            { "max_attempts", 4 },
-                            { "stretch", 2.2 } } },
-                        { kService });
+  aDeployment.Allow(allowed);
+  json advised = MakeRoute("r-advised", "/advised/");
+  advised["advice"] = { { "decide_ms", 20 },
+                        { "each_ms", Deployment::kAdviceEachMs },
+                        { "valid_ms", 3000 } };
+  aDeployment.Configure(
+    1, { MakeRoute("r-plain", "/plain/"), advised }, { kService });
   for (int i = 0; i < kDaemons; ++i) {
     aDeployment.AddDaemon();
   }
   if (!aDeployment.WaitUntilReady()) {
     return kCouldNotRun;
   }
-  const std::string serving = "00000000000000a1";
-  const std::string filling = "00000000000000b2";
-  json servingJob = MakeLastingJob(kWorkers - kFillers);
-  servingJob["phases"][0]["target_ms"] = 200;
-  servingJob["phases"][0]["image"] = "img-1";
-  json fillingJob = MakeLastingJob(kFillers);
-  fillingJob["phases"][0]["fills"] = true;
-  fillingJob["phases"][0]["image"] = "img-2";
-  const auto runs = [&](const std::string& aJob, int aCount) {
-    return Deployment::WaitFor(
-      10'000, [&] { return aDeployment.RunningOf(aJob) == aCount; });
-  };
-  aDeployment.Ask(0, "POST", "/q/" + serving, servingJob);
-  if (!runs(serving, kWorkers - kFillers)) {
-    return kCouldNotRun;
-  }
-  aDeployment.Ask(0, "POST", "/q/" + filling, fillingJob);
-  if (!runs(filling, kFillers)) {
+  // A lasting job takes a quarter of the two workers.
+  const std::string lasting = "00000000000000a1";
+  aDeployment.Ask(0,
+                  "POST",
+                  "/plain/" + lasting,
+                  { { "spec", "0" },
+                    { "phases",
+                      { { { "count", kAllowedWorkers },
+                          { "cpu", 4000 },
+                          { "mem_mb", 6800 },
+                          { "estimate_ms", 500 },
+                          { "long_running", true },
+                          { "anti_affinity", 1 },
+                          { "may_miss", 1 },
+                          { "constraints", "b" } } } } });
+  if (!Deployment::WaitFor(10'000, [&] {
+        return aDeployment.RunningOf(lasting) == kAllowedWorkers;
+      })) {
     return kCouldNotRun;
   }
-  Deployment::Sleep(2000);
-  const std::int64_t begin = aDeployment.Log().NowMs();
   if (HasTrouble()) {
-    std::vector<Worker*> lost;
-    for (const auto& worker : aDeployment.Workers()) {
-      for (const std::string& task : worker->Running()) {
-        if (task.starts_with(filling)) {
-          lost.push_back(worker.get());
-        }
-      }
-    }
-    for (Worker* worker : lost) {
-      worker->Crash();
-    }
-    Deployment::Sleep(kEntryMs);
-    for (Worker* worker : lost) {
-      worker->Leave();
+    for (int i = 0; i < kAddedWorkers; ++i) {
+      aDeployment.AddWorker(kService, { "a", "r1-2" });
     }
+    aDeployment.Log().Add("workers added: " + std::to_string(kAddedWorkers));
+  }
+  Deployment::Sleep(3000);
+  const std::string job = "00000000000000b2";
+  const int status = aDeployment
+                       .Ask(0,
+                            "POST",
+                            "/advised/" + job,
+                            { { "spec", "800" },
+                              { "phases",
+                                { { { "count", 2 },
+                                    { "cpu", 880 },
+                                    { "mem_mb", 2500 },
+                                    { "estimate_ms", 800 } } } } })
+                       .m_status;
+  if (status != 200) {
+    return kCouldNotRun;
   }
-  int idleMs = 0;
-  int longestIdleMs = 0;
-  while (aDeployment.Log().NowMs() < begin + kObservedMs) {
-    const int running = aDeployment.RunningOf(filling);
-    const bool isJudged = aDeployment.Log().NowMs() >= begin + kJudgedFromMs;
-    idleMs = isJudged && running < kFillers ? idleMs + 100 : 0;
-    longestIdleMs = std::max(longestIdleMs, idleMs);
-    Deployment::Sleep(100);
+  // The rule is applied once finish_s has passed since the last request.
+  Deployment::Sleep(kFinishMs);
+  const std::int64_t begin = aDeployment.Log().NowMs();
+  bool hasRun = false;
+  std::string state;
+  while (aDeployment.Log().NowMs() < begin + kIdleMs) {
+    hasRun = hasRun || aDeployment.RunningOf(job) > 0;
+    state = aDeployment.StateOf(1, "/advised/" + job);
+    Deployment::Sleep(200);
   }
-  aDeployment.Log().Add(
-    "subtasks that fill: " + std::to_string(aDeployment.RunningOf(filling)) +
-    " of " + std::to_string(kFillers) + " run, " +
-    std::to_string(aDeployment.RunningOf(serving)) +
-    " that serve run; longest time without one of the former, from 13 s after "
-    "the loss: " +
-    std::to_string(longestIdleMs) +
-    " ms; each worker that is left has 58736 of 65536 MB free");
-  return longestIdleMs > 3000 ? kRuleBroken : kRuleHeld;
+  aDeployment.Log().Add("the job's state is " + state +
+                        "; each allowed worker has 12000 of 16000 "
+                        "thousandths of a core free, and a subtask takes 880");
+  return state != "completed" && !hasRun ? kRuleBroken : kRuleHeld;
 }
 
 }
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,9 +1,9 @@
-// Scheduled jobs with many repeats come at once, and an ordinary job with them.
+// A start gets no response and is carried out seconds later, by the next
+// lifetime of its worker, while the worker is cut off from the daemons.
 
 #include "deployment.h"
 
-#include <csignal>
-#include <thread>
+#include <algorithm>
 
 namespace {
 
@@ -12,76 +12,45 @@
 
 constexpr const char* kService = "perro-norte";
 constexpr int kWorkers = 9;
-constexpr int kDaemons = 3;
-/** `memory_mb` of a machine of lican-gt. */
-constexpr int kMemoryLimitMb = 260;
-constexpr int kRestartDelayMs = 500;
-constexpr int kScheduledJobs = 12;
-/** Once a minute for 60 days, or ten times. */
-constexpr int kManyRepeats = 86'400;
-constexpr int kFewRepeats = 10;
-constexpr std::int64_t kIntervalMs = 60'000;
-/** `finish_s` of lican-gt. */
-constexpr int kFinishMs = 14'000;
-/** Time for which a job has nothing running, by the rule. */
-constexpr int kIdleMs = 3000;
+constexpr int kDaemons = 2;
+/** Within the 2 to 12 s of applied_late. */
+constexpr int kLateMs = 6000;
+constexpr int kCutMs = 5500;
+constexpr int kObservedMs = 12'000;
 
-/** The platform: it kills a process that takes more memory than its machine
- * has, and starts processes that have ended again. */
-void
-Supervise(Deployment& aDeployment, const bool& aIsOver, int& aKills)
+json
+MakeLastingJob(int aCpu, const char* aLabel)
 {
-  while (!aIsOver) {
-    Deployment::Sleep(10);
-    for (const auto& daemon : aDeployment.Daemons()) {
-      const int memory = daemon->MemoryMb();
-      if (memory > kMemoryLimitMb) {
-        ++aKills;
-        aDeployment.Log().Add("daemon " + daemon->Name() + " takes " +
-                              std::to_string(memory) + " MB and is killed");
-        daemon->Signal(SIGKILL);
-      }
-      if (daemon->HasEnded()) {
-        aDeployment.Log().Add("daemon " + daemon->Name() + " has ended");
-        Deployment::Sleep(kRestartDelayMs);
-        daemon->Start();
-      }
-    }
+  json step = { { "count", 1 },
+                { "cpu", aCpu },
+                { "mem_mb", 6800 },
+                { "estimate_ms", 500 },
+                { "long_running", true } };
+  if (*aLabel != '\0') {
+    step["constraints"] = aLabel;
   }
-}
-
-/** Submits a job, again without a response or after a 502 to 504. */
-bool
-Submit(Deployment& aDeployment, const std::string& aId, const json& aJob)
-{
-  for (std::size_t i = 0; i < 5; ++i) {
-    const int status =
-      aDeployment.Ask(i % kDaemons, "POST", "/q/" + aId, aJob).m_status;
-    if (status == 200) {
-      return true;
-    }
-    Deployment::Sleep(300);
-  }
-  return false;
+  return { { "spec", "0" }, { "phases", json::array({ step }) } };
 }
 
 int
 RunCase(Deployment& aDeployment)
 {
+  // One worker of another kind has a job already, so that it is the fullest
+  // one, where subtasks go first.
   for (int i = 0; i < kWorkers; ++i) {
-    aDeployment.AddWorker(kService, { "a", "r1-1" });
+    aDeployment.AddWorker(kService, { i + 1 == kWorkers ? "b" : "a", "r1-1" });
   }
   aDeployment.Configure(1,
-                        { { { "name", "r-1" },
-                            { "host", kHost },
-                            { "prefix", "/q/" },
-                            { "kind", "unsafe" },
-                            { "timeout_ms", 3000 },
-                            { "target_runtime_ms", 600 },
-                            { "priority", 0 },
-                            { "service", kService },
-                            { "max_attempts", 3 },
-                            { "stretch", 1.6 } } },
+                        json::array({ { { "name", "r-1" },
+                                        { "host", kHost },
+                                        { "prefix", "/q/" },
+                                        { "kind", "unsafe" },
+                                        { "timeout_ms", 3000 },
+                                        { "target_runtime_ms", 2500 },
+                                        { "priority", 0 },
+                                        { "service", kService },
+                                        { "max_attempts", 4 },
+                                        { "stretch", 2.2 } } }),
                         { kService });
   for (int i = 0; i < kDaemons; ++i) {
     aDeployment.AddDaemon();
@@ -89,63 +58,52 @@
   if (!aDeployment.WaitUntilReady()) {
     return kCouldNotRun;
   }
-  bool isOver = false;
-  int kills = 0;
-  std::thread platform(
-    [&aDeployment, &isOver, &kills] { Supervise(aDeployment, isOver, kills); });
-  const auto nowMs = std::chrono::duration_cast<std::chrono::milliseconds>(
-                       std::chrono::system_clock::now().time_since_epoch())
-                       .count();
-  const json ordinary = { { "spec", "500" },
-                          { "phases",
-                            { { { "count", 4 },
-                                { "cpu", 880 },
-                                { "mem_mb", 2500 },
-                                { "estimate_ms", 500 } } } } };
-  const json scheduled = { { "spec", "500" },
-                           { "phases",
-                             { { { "count", 1 },
-                                 { "cpu", 880 },
-                                 { "mem_mb", 2500 },
-                                 { "estimate_ms", 500 } } } },
-                           { "repeats",
-                             HasTrouble() ? kManyRepeats : kFewRepeats },
-                           { "initial_delay_ms", nowMs + kIntervalMs },
-                           { "interval_ms", kIntervalMs } };
-  int accepted = 0;
-  for (int i = 0; i < kScheduledJobs; ++i) {
-    accepted +=
-      Submit(aDeployment, "00000000000001" + std::to_string(10 + i), scheduled)
-        ? 1
-        : 0;
-  }
-  const std::string job = "0000000000000200";
-  const bool isAccepted = Submit(aDeployment, job, ordinary);
-  // The rule is applied once finish_s has passed since the last request.
-  Deployment::Sleep(kFinishMs);
-  const std::int64_t begin = aDeployment.Log().NowMs();
-  bool hasRun = false;
-  std::string state;
-  while (aDeployment.Log().NowMs() < begin + kIdleMs) {
-    hasRun = hasRun || aDeployment.RunningOf(job) > 0;
-    state = aDeployment.StateOf(0, "/q/" + job);
-    Deployment::Sleep(100);
+  const std::string job = "00000000000000a1";
+  const std::string other = "00000000000000b2";
+  if (HasTrouble()) {
+    for (const auto& worker : aDeployment.Workers()) {
+      worker->DelayStarts(kLateMs);
+    }
   }
-  int starts = 0;
+  aDeployment.Ask(0, "POST", "/q/" + job, MakeLastingJob(1300, ""));
+  Deployment::Sleep(150);
   for (const auto& worker : aDeployment.Workers()) {
-    starts += worker->Starts();
+    worker->DelayStarts(0);
   }
-  isOver = true;
-  platform.join();
-  aDeployment.Log().Add(
-    "scheduled jobs accepted: " + std::to_string(accepted) +
-    ", ordinary job accepted: " + (isAccepted ? "yes" : "no") +
-    ", its state: " + state + ", starts: " + std::to_string(starts) +
-    ", processes over their memory: " + std::to_string(kills));
-  if (!isAccepted) {
+  aDeployment.Ask(0, "POST", "/q/" + other, MakeLastingJob(1300, "b"));
+  if (!Deployment::WaitFor(5000,
+                           [&] { return aDeployment.RunningOf(job) == 1; })) {
     return kCouldNotRun;
   }
-  return state != "completed" && !hasRun ? kRuleBroken : kRuleHeld;
+  Worker* late = aDeployment.Workers().front().get();
+  int most = 0;
+  const auto look = [&](std::int64_t aUntilMs) {
+    while (aDeployment.Log().NowMs() < aUntilMs) {
+      most = std::max(most, aDeployment.RunningOf(job));
+      Deployment::Sleep(20);
+    }
+  };
+  if (HasTrouble()) {
+    if (!late->Running().empty()) {
+      return kCouldNotRun;
+    }
+    Deployment::Sleep(200);
+    late->SetCutOff(true);
+    aDeployment.Log().Add("worker " + late->Id() + " is cut off");
+    const std::int64_t cutAt = aDeployment.Log().NowMs();
+    Deployment::Sleep(500);
+    late->Crash();
+    Deployment::Sleep(500);
+    late->Restart({ "a", "r1-1" });
+    look(cutAt + kCutMs);
+    late->SetCutOff(false);
+    aDeployment.Log().Add("worker " + late->Id() + " is reachable again");
+  }
+  look(aDeployment.Log().NowMs() + kObservedMs);
+  aDeployment.Log().Add(
+    "most runs of the subtask at the same time, on workers that are up: " +
+    std::to_string(most));
+  return most > 1 ? kRuleBroken : kRuleHeld;
 }
 
 }
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,45 +1,68 @@
-// A job that can never be done waits in one service, and a scheduled job of
-// another service comes to its times.
+// Scheduled jobs with many repeats come at once, and an ordinary job with them.
 
 #include "deployment.h"
 
+#include <csignal>
+#include <thread>
+
 namespace {
 
 using nlohmann::json;
 using namespace review;
 
 constexpr const char* kService = "perro-norte";
-constexpr const char* kOtherService = "canes-sur";
 constexpr int kWorkers = 9;
-constexpr int kDaemons = 2;
-constexpr int kHopelessSteps = 24;
-constexpr int kHopelessSubtasks = 24;
-constexpr int kRepeats = 4;
-constexpr int kSubtasks = 2;
-constexpr std::int64_t kFirstDueMs = 3000;
-constexpr std::int64_t kIntervalMs = 2000;
+constexpr int kDaemons = 3;
+/** `memory_mb` of a machine of lican-gt. */
+constexpr int kMemoryLimitMb = 260;
+constexpr int kRestartDelayMs = 500;
+constexpr int kScheduledJobs = 12;
+/** Once a minute for 60 days, or ten times. */
+constexpr int kManyRepeats = 86'400;
+constexpr int kFewRepeats = 10;
+constexpr std::int64_t kIntervalMs = 60'000;
 /** `finish_s` of lican-gt. */
 constexpr int kFinishMs = 14'000;
 /** Time for which a job has nothing running, by the rule. */
 constexpr int kIdleMs = 3000;
 
-json
-MakeRoute(const char* aName, const char* aPrefix, const char* aService)
+/** The platform: it kills a process that takes more memory than its machine
+ * has, and starts processes that have ended again. */
+void
+Supervise(Deployment& aDeployment, const bool& aIsOver, int& aKills)
 {
-  return { { "name", aName },      { "host", kHost },
-           { "prefix", aPrefix },  { "kind", "unsafe" },
-           { "timeout_ms", 3000 }, { "target_runtime_ms", 600 },
-           { "priority", 0 },      { "service", aService },
-           { "max_attempts", 3 },  { "stretch", 1.6 } };
+  while (!aIsOver) {
+    Deployment::Sleep(10);
+    for (const auto& daemon : aDeployment.Daemons()) {
+      const int memory = daemon->MemoryMb();
+      if (memory > kMemoryLimitMb) {
+        ++aKills;
+        aDeployment.Log().Add("daemon " + daemon->Name() + " takes " +
+                              std::to_string(memory) + " MB and is killed");
+        daemon->Signal(SIGKILL);
+      }
+      if (daemon->HasEnded()) {
+        aDeployment.Log().Add("daemon " + daemon->Name() + " has ended");
+        Deployment::Sleep(kRestartDelayMs);
+        daemon->Start();
+      }
+    }
+  }
 }
 
-json
-MakeStep(int aCount, int aCpu, int aEstimateMs)
+/** Submits a job, again without a response or after a 502 to 504. */
+bool
+Submit(Deployment& aDeployment, const std::string& aId, const json& aJob)
 {
-  return { { "count", aCount },
-           { "cpu", aCpu },
-           { "mem_mb", 2500 },
-           { "estimate_ms", aEstimateMs } };
+  for (std::size_t i = 0; i < 5; ++i) {
+    const int status =
+      aDeployment.Ask(i % kDaemons, "POST", "/q/" + aId, aJob).m_status;
+    if (status == 200) {
+      return true;
+    }
+    Deployment::Sleep(300);
+  }
+  return false;
 }
 
 int
@@ -47,72 +70,81 @@
 {
   for (int i = 0; i < kWorkers; ++i) {
     aDeployment.AddWorker(kService, { "a", "r1-1" });
-    aDeployment.AddWorker(kOtherService, { "c", "r2-1" });
   }
   aDeployment.Configure(1,
-                        { MakeRoute("r-1", "/q/", kService),
-                          MakeRoute("r-2", "/other/", kOtherService) },
-                        { kService, kOtherService });
+                        { { { "name", "r-1" },
+                            { "host", kHost },
+                            { "prefix", "/q/" },
+                            { "kind", "unsafe" },
+                            { "timeout_ms", 3000 },
+                            { "target_runtime_ms", 600 },
+                            { "priority", 0 },
+                            { "service", kService },
+                            { "max_attempts", 3 },
+                            { "stretch", 1.6 } } },
+                        { kService });
   for (int i = 0; i < kDaemons; ++i) {
     aDeployment.AddDaemon();
   }
   if (!aDeployment.WaitUntilReady()) {
     return kCouldNotRun;
   }
-  if (HasTrouble()) {
-    // No worker of the service has 20 cores.
-    json steps = json::array({ MakeStep(kHopelessSubtasks, 20'000, 10'000) });
-    for (int i = 1; i < kHopelessSteps; ++i) {
-      steps.push_back(MakeStep(kHopelessSubtasks, 880, 10'000));
-      steps.back()["after"] = json::array({ i - 1 });
-    }
-    const json hopeless = { { "spec", "1000" }, { "phases", steps } };
-    if (aDeployment.Ask(0, "POST", "/other/00000000000000c3", hopeless)
-          .m_status != 200) {
-      return kCouldNotRun;
-    }
-    Deployment::Sleep(500);
-  }
+  bool isOver = false;
+  int kills = 0;
+  std::thread platform(
+    [&aDeployment, &isOver, &kills] { Supervise(aDeployment, isOver, kills); });
   const auto nowMs = std::chrono::duration_cast<std::chrono::milliseconds>(
                        std::chrono::system_clock::now().time_since_epoch())
                        .count();
-  const std::string job = "00000000000000a1";
-  const std::int64_t begin = aDeployment.Log().NowMs();
+  const json ordinary = { { "spec", "500" },
+                          { "phases",
+                            { { { "count", 4 },
+                                { "cpu", 880 },
+                                { "mem_mb", 2500 },
+                                { "estimate_ms", 500 } } } } };
   const json scheduled = { { "spec", "500" },
                            { "phases",
-                             json::array({ MakeStep(kSubtasks, 880, 500) }) },
-                           { "repeats", kRepeats },
-                           { "initial_delay_ms", nowMs + kFirstDueMs },
+                             { { { "count", 1 },
+                                 { "cpu", 880 },
+                                 { "mem_mb", 2500 },
+                                 { "estimate_ms", 500 } } } },
+                           { "repeats",
+                             HasTrouble() ? kManyRepeats : kFewRepeats },
+                           { "initial_delay_ms", nowMs + kIntervalMs },
                            { "interval_ms", kIntervalMs } };
-  if (aDeployment.Ask(0, "POST", "/q/" + job, scheduled).m_status != 200) {
-    return kCouldNotRun;
+  int accepted = 0;
+  for (int i = 0; i < kScheduledJobs; ++i) {
+    accepted +=
+      Submit(aDeployment, "00000000000001" + std::to_string(10 + i), scheduled)
+        ? 1
+        : 0;
   }
-  aDeployment.Log().Add(
-    "the job's first time is in " + std::to_string(kFirstDueMs) +
-    " ms, its last one in " +
-    std::to_string(kFirstDueMs + (kRepeats - 1) * kIntervalMs) + " ms");
-  // The rule is applied once finish_s has passed since the last request, and
-  // all times have come.
-  Deployment::Sleep(
-    static_cast<int>(kFirstDueMs + (kRepeats - 1) * kIntervalMs) + kFinishMs);
-  const std::int64_t judged = aDeployment.Log().NowMs();
+  const std::string job = "0000000000000200";
+  const bool isAccepted = Submit(aDeployment, job, ordinary);
+  // The rule is applied once finish_s has passed since the last request.
+  Deployment::Sleep(kFinishMs);
+  const std::int64_t begin = aDeployment.Log().NowMs();
   bool hasRun = false;
   std::string state;
-  while (aDeployment.Log().NowMs() < judged + kIdleMs) {
+  while (aDeployment.Log().NowMs() < begin + kIdleMs) {
     hasRun = hasRun || aDeployment.RunningOf(job) > 0;
-    state = aDeployment.StateOf(1, "/q/" + job);
-    Deployment::Sleep(200);
+    state = aDeployment.StateOf(0, "/q/" + job);
+    Deployment::Sleep(100);
   }
   int starts = 0;
   for (const auto& worker : aDeployment.Workers()) {
     starts += worker->Starts();
   }
+  isOver = true;
+  platform.join();
   aDeployment.Log().Add(
-    "the scheduled job is " + state + " " +
-    std::to_string(aDeployment.Log().NowMs() - begin) +
-    " ms after it was handed in; subtasks started: " + std::to_string(starts) +
-    " of " + std::to_string(kRepeats * kSubtasks) +
-    "; the nine workers of its service run nothing else");
+    "scheduled jobs accepted: " + std::to_string(accepted) +
+    ", ordinary job accepted: " + (isAccepted ? "yes" : "no") +
+    ", its state: " + state + ", starts: " + std::to_string(starts) +
+    ", processes over their memory: " + std::to_string(kills));
+  if (!isAccepted) {
+    return kCouldNotRun;
+  }
   return state != "completed" && !hasRun ? kRuleBroken : kRuleHeld;
 }
 
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,23 +1,23 @@
-// Workers are added to a service, and a queue whose policy allows two of its
-// older workers gets a job.
+// The open connections to the store go silent, and the configuration changes.
 
 #include "deployment.h"
 
+#include <thread>
+
 namespace {
 
 using nlohmann::json;
 using namespace review;
 
 constexpr const char* kService = "perro-norte";
-constexpr int kWorkers = 28;
-/** A quarter, as scale_out adds on lican-gt. */
-constexpr int kAddedWorkers = 7;
-constexpr int kAllowedWorkers = 2;
-constexpr int kDaemons = 2;
-/** `finish_s` of lican-gt. */
-constexpr int kFinishMs = 14'000;
-/** Time for which a job has nothing running, by the rule. */
-constexpr int kIdleMs = 3000;
+constexpr int kWorkers = 4;
+constexpr int kDaemons = 3;
+/** Clients that ask for a job's state at once, in the burst before. */
+constexpr int kBurst = 24;
+/** `config_apply_ms` and `contact_ms` of lican-gt. */
+constexpr std::int64_t kApplyMs = 2000;
+constexpr std::int64_t kContactMs = 3000;
+constexpr std::int64_t kObservedMs = 15'000;
 
 json
 MakeRoute(const char* aName, const char* aPrefix)
@@ -29,87 +29,96 @@
            { "max_attempts", 3 },  { "stretch", 1.6 } };
 }
 
+/** Many clients ask all daemons for the state of a job at once. */
+void
+AskAtOnce(Deployment& aDeployment, const std::string& aPath)
+{
+  std::vector<std::thread> clients;
+  for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+    for (int i = 0; i < kBurst; ++i) {
+      clients.emplace_back([&aDeployment, &aPath, daemon] {
+        aDeployment.Ask(daemon, "GET", aPath, nullptr, false);
+      });
+    }
+  }
+  for (std::thread& client : clients) {
+    client.join();
+  }
+}
+
 int
 RunCase(Deployment& aDeployment)
 {
-  std::set<std::string> allowed;
   for (int i = 0; i < kWorkers; ++i) {
-    const bool isAllowed = i < kAllowedWorkers;
-    Worker& worker =
-      aDeployment.AddWorker(kService, { isAllowed ? "b" : "a", "r1-1" });
-    if (isAllowed) {
-      allowed.insert(worker.Id());
-    }
+    aDeployment.AddWorker(kService, { "a", "r1-1" });
   }
-  aDeployment.Allow(allowed);
-  json advised = MakeRoute("r-advised", "/advised/");
-  advised["advice"] = { { "decide_ms", 20 },
-                        { "each_ms", Deployment::kAdviceEachMs },
-                        { "valid_ms", 3000 } };
-  aDeployment.Configure(
-    1, { MakeRoute("r-plain", "/plain/"), advised }, { kService });
+  const json first = MakeRoute("r-1", "/old/");
+  aDeployment.Configure(1, json::array({ first }), { kService });
   for (int i = 0; i < kDaemons; ++i) {
     aDeployment.AddDaemon();
   }
   if (!aDeployment.WaitUntilReady()) {
     return kCouldNotRun;
   }
-  // A lasting job takes a quarter of the two workers.
-  const std::string lasting = "00000000000000a1";
-  aDeployment.Ask(0,
-                  "POST",
-                  "/plain/" + lasting,
-                  { { "spec", "0" },
-                    { "phases",
-                      { { { "count", kAllowedWorkers },
-                          { "cpu", 4000 },
-                          { "mem_mb", 6800 },
-                          { "estimate_ms", 500 },
-                          { "long_running", true },
-                          { "anti_affinity", 1 },
-                          { "may_miss", 1 },
-                          { "constraints", "b" } } } } });
-  if (!Deployment::WaitFor(10'000, [&] {
-        return aDeployment.RunningOf(lasting) == kAllowedWorkers;
-      })) {
+  const std::string path = "/old/00000000000000a1";
+  const json job = { { "spec", "500" },
+                     { "phases",
+                       { { { "count", 4 },
+                           { "cpu", 880 },
+                           { "mem_mb", 2500 },
+                           { "estimate_ms", 500 } } } } };
+  if (aDeployment.Ask(0, "POST", path, job).m_status != 200 ||
+      !Deployment::WaitFor(
+        10'000, [&] { return aDeployment.StateOf(0, path) == "completed"; })) {
     return kCouldNotRun;
   }
+  AskAtOnce(aDeployment, path);
+  aDeployment.Log().Add(
+    std::to_string(kBurst) +
+    " clients have asked each daemon at once; "
+    "connections open to the store: " +
+    std::to_string(aDeployment.StoreServer().OpenConnections()));
+  Deployment::Sleep(1000);
+  const std::int64_t silentMs = aDeployment.Log().NowMs();
   if (HasTrouble()) {
-    for (int i = 0; i < kAddedWorkers; ++i) {
-      aDeployment.AddWorker(kService, { "a", "r1-2" });
-    }
-    aDeployment.Log().Add("workers added: " + std::to_string(kAddedWorkers));
+    aDeployment.Log().Add(
+      "connections to the store that go silent: " +
+      std::to_string(aDeployment.StoreServer().SilenceOpenConnections()) +
+      "; new ones work");
   }
-  Deployment::Sleep(3000);
-  const std::string job = "00000000000000b2";
-  const int status = aDeployment
-                       .Ask(0,
-                            "POST",
-                            "/advised/" + job,
-                            { { "spec", "800" },
-                              { "phases",
-                                { { { "count", 2 },
-                                    { "cpu", 880 },
-                                    { "mem_mb", 2500 },
-                                    { "estimate_ms", 800 } } } } })
-                       .m_status;
-  if (status != 200) {
-    return kCouldNotRun;
+  Deployment::Sleep(500);
+  const std::int64_t ackMs = aDeployment.Log().NowMs();
+  aDeployment.Configure(
+    2, json::array({ first, MakeRoute("r-2", "/new/") }), { kService });
+  const std::int64_t judgedMs =
+    std::max(ackMs + kApplyMs, silentMs + kContactMs);
+  int broken = 0;
+  int served = 0;
+  std::int64_t lastMs = 0;
+  while (aDeployment.Log().NowMs() < ackMs + kObservedMs) {
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      const std::int64_t sentMs = aDeployment.Log().NowMs();
+      const int status = aDeployment.Ask(daemon, "GET", "/new/").m_status;
+      if (status == 404 && sentMs > judgedMs) {
+        ++broken;
+        lastMs = sentMs;
+      }
+      served += status == 200 ? 1 : 0;
+    }
+    Deployment::Sleep(250);
   }
-  // The rule is applied once finish_s has passed since the last request.
-  Deployment::Sleep(kFinishMs);
-  const std::int64_t begin = aDeployment.Log().NowMs();
-  bool hasRun = false;
-  std::string state;
-  while (aDeployment.Log().NowMs() < begin + kIdleMs) {
-    hasRun = hasRun || aDeployment.RunningOf(job) > 0;
-    state = aDeployment.StateOf(1, "/advised/" + job);
-    Deployment::Sleep(200);
+  aDeployment.Log().Add(
+    "refused with 404 though version 2 has the route, in touch and later than "
+    "config_apply_ms: " +
+    std::to_string(broken) +
+    (broken > 0 ? ", the last one " + std::to_string(lastMs - ackMs) +
+                    " ms after the acknowledgement"
+                : "") +
+    "; answered with a count: " + std::to_string(served));
+  if (served == 0) {
+    return broken > 0 ? kRuleBroken : kCouldNotRun;
   }
-  aDeployment.Log().Add("the job's state is " + state +
-                        "; each allowed worker has 12000 of 16000 "
-                        "thousandths of a core free, and a subtask takes 880");
-  return state != "completed" && !hasRun ? kRuleBroken : kRuleHeld;
+  return broken > 0 ? kRuleBroken : kRuleHeld;
 }
 
 }
--- a/review/world/http_server.cpp
+++ b/review/world/http_server.cpp
@@ -165,6 +165,15 @@
     }));
 }
 
+void
+HttpServer::SetCutOff(bool aIsCutOff)
+{
+  m_isCutOff = aIsCutOff;
+  if (aIsCutOff) {
+    SilenceOpenConnections();
+  }
+}
+
 void
 HttpServer::SetDown(bool aIsDown)
 {
@@ -193,6 +202,7 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     const auto connection = std::make_shared<Connection>();
     connection->m_socket = socket;
+    connection->m_isSilent = m_isCutOff.load();
     {
       const std::lock_guard lock(m_mutex);
       std::erase_if(m_connections, [](const auto& aEntry) {
--- a/review/world/http_server.h
+++ b/review/world/http_server.h
@@ -25,6 +25,8 @@
   /** The connections that are open now go silent: they lose all bytes, but are
    * not closed. New connections work. Returns their number. */
   int SilenceOpenConnections();
+  /** While cut off, the server loses all bytes of all connections. */
+  void SetCutOff(bool aIsCutOff);
   /** While down, the server closes its connections and accepts none. */
   void SetDown(bool aIsDown);
   int OpenConnections();
@@ -44,6 +46,7 @@
   int m_socket = -1;
   std::string m_address;
   std::atomic<bool> m_isDown = false;
+  std::atomic<bool> m_isCutOff = false;
   std::mutex m_mutex;
   std::vector<std::shared_ptr<Connection>> m_connections;
 };
--- a/review/world/worker.cpp
+++ b/review/world/worker.cpp
@@ -20,6 +20,8 @@
 constexpr std::int64_t kMaxWaitMs = 2000;
 constexpr std::size_t kMaxListedEnds = 500;
 constexpr std::chrono::milliseconds kTickInterval{ 5 };
+/** Longer than any client waits. */
+constexpr std::chrono::milliseconds kNoResponseTime{ 5000 };
 
 std::int64_t
 UnixMs()
@@ -208,7 +210,35 @@
 HttpResponse
 Worker::Handle(const HttpRequest& aRequest)
 {
+  const int delayMs = m_startDelayMs;
+  if (delayMs > 0 && aRequest.m_path == "/bramleystall/run-start") {
+    return Delay(aRequest, delayMs);
+  }
   std::unique_lock lock(m_mutex);
+  return Carry(aRequest, lock);
+}
+
+HttpResponse
+Worker::Delay(const HttpRequest& aRequest, int aDelayMs)
+{
+  m_record.Add("worker " + Id() +
+               " gives no response to a start, which is "
+               "carried out in " +
+               std::to_string(aDelayMs) + " ms: " + aRequest.m_body);
+  std::thread([this, aRequest, aDelayMs] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(aDelayMs));
+    std::unique_lock lock(m_mutex);
+    const HttpResponse response = Carry(aRequest, lock);
+    m_record.Add("worker " + Id() + " has carried out the late start: " +
+                 std::to_string(response.m_status) + " " + response.m_body);
+  }).detach();
+  std::this_thread::sleep_for(kNoResponseTime);
+  return {};
+}
+
+HttpResponse
+Worker::Carry(const HttpRequest& aRequest, std::unique_lock<std::mutex>& aLock)
+{
   if (!m_isUp) {
     return {};
   }
@@ -234,7 +264,7 @@
     return Stop(body);
   }
   if (aRequest.m_path == "/bramleystall/hold") {
-    return Hold(body, lock);
+    return Hold(body, aLock);
   }
   return { 404, "{}" };
 }
--- a/review/world/worker.h
+++ b/review/world/worker.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -53,6 +54,11 @@
   /** A new lifetime begins under the same id and at the same address, and
    * registers at once. */
   void Restart(std::vector<std::string> aLabels);
+  /** Starts get no response from now on, or no longer, and are carried out
+   * after this time by the lifetime that is up then; 0 ends that. */
+  void DelayStarts(int aDelayMs) { m_startDelayMs = aDelayMs; }
+  /** While cut off, the worker gets no bytes of any connection. */
+  void SetCutOff(bool aIsCutOff) { m_server->SetCutOff(aIsCutOff); }
   /** Its open connections go silent; see HttpServer. */
   int SilenceConnections() { return m_server->SilenceOpenConnections(); }
   /** The worker has left for good. */
@@ -82,6 +88,10 @@
   };
 
   HttpResponse Handle(const HttpRequest& aRequest);
+  HttpResponse Carry(const HttpRequest& aRequest,
+                     std::unique_lock<std::mutex>& aLock);
+  /** Carries out an order later and gives no response. */
+  HttpResponse Delay(const HttpRequest& aRequest, int aDelayMs);
   HttpResponse Start(const nlohmann::json& aBody);
   HttpResponse Stop(const nlohmann::json& aBody);
   HttpResponse Hold(const nlohmann::json& aBody,
@@ -100,6 +110,7 @@
   Record& m_record;
   WorkerDescription m_description;
   TicketCheck m_ticketCheck;
+  std::atomic<int> m_startDelayMs = 0;
   std::unique_ptr<HttpServer> m_server;
   std::mutex m_mutex;
   std::condition_variable m_ended;
