--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,12 +1,12 @@
 // Workers are added to a service, and a queue whose policy allows two of its
 // older workers gets a job.
 
-#include "review/world/deployment.h"
+#include "review/small_deployment.h"
 
 namespace {
 
 using nlohmann::json;
-using namespace review;
+using namespace second_review;
 
 constexpr const char* kService = "perro-norte";
 constexpr int kWorkers = 28;
@@ -30,12 +30,12 @@
 }
 
 int
-RunCase(Deployment& aDeployment)
+RunCase(SmallDeployment& aDeployment)
 {
   std::set<std::string> allowed;
   for (int i = 0; i < kWorkers; ++i) {
     const bool isAllowed = i < kAllowedWorkers;
-    Worker& worker =
+    WorkerStandIn& worker =
       aDeployment.AddWorker(kService, { isAllowed ? "b" : "a", "r1-1" });
     if (isAllowed) {
       allowed.insert(worker.Id());
@@ -44,7 +44,7 @@
   aDeployment.Allow(allowed);
   json advised = MakeRoute("r-advised", "/advised/");
   advised["advice"] = { { "decide_ms", 20 },
-                        { "each_ms", Deployment::kAdviceEachMs },
+                        { "each_ms", SmallDeployment::kAdviceEachMs },
                         { "valid_ms", 3000 } };
   aDeployment.Configure(
     1, { MakeRoute("r-plain", "/plain/"), advised }, { kService });
@@ -69,7 +69,7 @@
                           { "anti_affinity", 1 },
                           { "may_miss", 1 },
                           { "constraints", "b" } } } } });
-  if (!Deployment::WaitFor(10'000, [&] {
+  if (!SmallDeployment::WaitFor(10'000, [&] {
         return aDeployment.RunningOf(lasting) == kAllowedWorkers;
       })) {
     return kCouldNotRun;
@@ -80,7 +80,7 @@
     }
     aDeployment.Log().Add("workers added: " + std::to_string(kAddedWorkers));
   }
-  Deployment::Sleep(3000);
+  SmallDeployment::Sleep(3000);
   const std::string job = "00000000000000b2";
   const int status = aDeployment
                        .Ask(0,
@@ -97,14 +97,14 @@
     return kCouldNotRun;
   }
   // The rule is applied once finish_s has passed since the last request.
-  Deployment::Sleep(kFinishMs);
+  SmallDeployment::Sleep(kFinishMs);
   const std::int64_t begin = aDeployment.Log().NowMs();
   bool hasRun = false;
   std::string state;
   while (aDeployment.Log().NowMs() < begin + kIdleMs) {
     hasRun = hasRun || aDeployment.RunningOf(job) > 0;
     state = aDeployment.StateOf(1, "/advised/" + job);
-    Deployment::Sleep(200);
+    SmallDeployment::Sleep(200);
   }
   aDeployment.Log().Add("the job's state is " + state +
                         "; each allowed worker has 12000 of 16000 "
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,14 +1,14 @@
 // A start gets no response and is carried out seconds later, by the next
 // lifetime of its worker, while the worker is cut off from the daemons.
 
-#include "review/world/deployment.h"
+#include "review/small_deployment.h"
 
 #include <algorithm>
 
 namespace {
 
 using nlohmann::json;
-using namespace review;
+using namespace second_review;
 
 constexpr const char* kService = "perro-norte";
 constexpr int kWorkers = 9;
@@ -33,7 +33,7 @@
 }
 
 int
-RunCase(Deployment& aDeployment)
+RunCase(SmallDeployment& aDeployment)
 {
   // One worker of another kind has a job already, so that it is the fullest
   // one, where subtasks go first.
@@ -66,8 +66,8 @@
     }
   }
   aDeployment.Ask(0, "POST", "/q/" + job, MakeLastingJob(1300, ""));
-  Worker* late = aDeployment.Workers().front().get();
-  if (HasTrouble() && !Deployment::WaitFor(
+  WorkerStandIn* late = aDeployment.Workers().front().get();
+  if (HasTrouble() && !SmallDeployment::WaitFor(
                         5000, [late] { return late->DelayedStarts() > 0; })) {
     return kCouldNotRun;
   }
@@ -75,28 +75,28 @@
     worker->DelayStarts(0);
   }
   aDeployment.Ask(0, "POST", "/q/" + other, MakeLastingJob(1300, "b"));
-  if (!Deployment::WaitFor(5000,
-                           [&] { return aDeployment.RunningOf(job) == 1; })) {
+  if (!SmallDeployment::WaitFor(
+        5000, [&] { return aDeployment.RunningOf(job) == 1; })) {
     return kCouldNotRun;
   }
   int most = 0;
   const auto look = [&](std::int64_t aUntilMs) {
     while (aDeployment.Log().NowMs() < aUntilMs) {
       most = std::max(most, aDeployment.RunningOf(job));
-      Deployment::Sleep(20);
+      SmallDeployment::Sleep(20);
     }
   };
   if (HasTrouble()) {
     if (!late->Running().empty()) {
       return kCouldNotRun;
     }
-    Deployment::Sleep(200);
+    SmallDeployment::Sleep(200);
     late->SetCutOff(true);
     aDeployment.Log().Add("worker " + late->Id() + " is cut off");
     const std::int64_t cutAt = aDeployment.Log().NowMs();
-    Deployment::Sleep(500);
+    SmallDeployment::Sleep(500);
     late->Crash();
-    Deployment::Sleep(500);
+    SmallDeployment::Sleep(500);
     late->Restart({ "a", "r1-1" });
     look(cutAt + kCutMs);
     late->SetCutOff(false);
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,6 @@
 // Scheduled jobs with many repeats come at once, and an ordinary job with them.
 
-#include "review/world/deployment.h"
+#include "review/small_deployment.h"
 
 #include <csignal>
 #include <thread>
@@ -8,7 +8,7 @@
 namespace {
 
 using nlohmann::json;
-using namespace review;
+using namespace second_review;
 
 constexpr const char* kService = "perro-norte";
 constexpr int kWorkers = 9;
@@ -29,10 +29,10 @@
 /** The platform: it kills a process that takes more memory than its machine
  * has, and starts processes that have ended again. */
 void
-Supervise(Deployment& aDeployment, const bool& aIsOver, int& aKills)
+Supervise(SmallDeployment& aDeployment, const bool& aIsOver, int& aKills)
 {
   while (!aIsOver) {
-    Deployment::Sleep(10);
+    SmallDeployment::Sleep(10);
     for (const auto& daemon : aDeployment.Daemons()) {
       const int memory = daemon->MemoryMb();
       if (memory > kMemoryLimitMb) {
@@ -43,7 +43,7 @@
       }
       if (daemon->HasEnded()) {
         aDeployment.Log().Add("daemon " + daemon->Name() + " has ended");
-        Deployment::Sleep(kRestartDelayMs);
+        SmallDeployment::Sleep(kRestartDelayMs);
         daemon->Start();
       }
     }
@@ -52,7 +52,7 @@
 
 /** Submits a job, again without a response or after a 502 to 504. */
 bool
-Submit(Deployment& aDeployment, const std::string& aId, const json& aJob)
+Submit(SmallDeployment& aDeployment, const std::string& aId, const json& aJob)
 {
   for (std::size_t i = 0; i < 5; ++i) {
     const int status =
@@ -60,13 +60,13 @@
     if (status == 200) {
       return true;
     }
-    Deployment::Sleep(300);
+    SmallDeployment::Sleep(300);
   }
   return false;
 }
 
 int
-RunCase(Deployment& aDeployment)
+RunCase(SmallDeployment& aDeployment)
 {
   for (int i = 0; i < kWorkers; ++i) {
     aDeployment.AddWorker(kService, { "a", "r1-1" });
@@ -122,14 +122,14 @@
   const std::string job = "0000000000000200";
   const bool isAccepted = Submit(aDeployment, job, ordinary);
   // The rule is applied once finish_s has passed since the last request.
-  Deployment::Sleep(kFinishMs);
+  SmallDeployment::Sleep(kFinishMs);
   const std::int64_t begin = aDeployment.Log().NowMs();
   bool hasRun = false;
   std::string state;
   while (aDeployment.Log().NowMs() < begin + kIdleMs) {
     hasRun = hasRun || aDeployment.RunningOf(job) > 0;
     state = aDeployment.StateOf(0, "/q/" + job);
-    Deployment::Sleep(100);
+    SmallDeployment::Sleep(100);
   }
   int starts = 0;
   for (const auto& worker : aDeployment.Workers()) {
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,13 +1,13 @@
 // The open connections to the store go silent, and the configuration changes.
 
-#include "review/world/deployment.h"
+#include "review/small_deployment.h"
 
 #include <thread>
 
 namespace {
 
 using nlohmann::json;
-using namespace review;
+using namespace second_review;
 
 constexpr const char* kService = "perro-norte";
 constexpr int kWorkers = 4;
@@ -31,7 +31,7 @@
 
 /** Many clients ask all daemons for the state of a job at once. */
 void
-AskAtOnce(Deployment& aDeployment, const std::string& aPath)
+AskAtOnce(SmallDeployment& aDeployment, const std::string& aPath)
 {
   std::vector<std::thread> clients;
   for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
@@ -47,7 +47,7 @@
 }
 
 int
-RunCase(Deployment& aDeployment)
+RunCase(SmallDeployment& aDeployment)
 {
   for (int i = 0; i < kWorkers; ++i) {
     aDeployment.AddWorker(kService, { "a", "r1-1" });
@@ -68,7 +68,7 @@
                            { "mem_mb", 2500 },
                            { "estimate_ms", 500 } } } } };
   if (aDeployment.Ask(0, "POST", path, job).m_status != 200 ||
-      !Deployment::WaitFor(
+      !SmallDeployment::WaitFor(
         10'000, [&] { return aDeployment.StateOf(0, path) == "completed"; })) {
     return kCouldNotRun;
   }
@@ -78,7 +78,7 @@
     " clients have asked each daemon at once; "
     "connections open to the store: " +
     std::to_string(aDeployment.StoreServer().OpenConnections()));
-  Deployment::Sleep(1000);
+  SmallDeployment::Sleep(1000);
   const std::int64_t silentMs = aDeployment.Log().NowMs();
   if (HasTrouble()) {
     aDeployment.Log().Add(
@@ -86,7 +86,7 @@
       std::to_string(aDeployment.StoreServer().SilenceOpenConnections()) +
       "; new ones work");
   }
-  Deployment::Sleep(500);
+  SmallDeployment::Sleep(500);
   const std::int64_t ackMs = aDeployment.Log().NowMs();
   aDeployment.Configure(
     2, json::array({ first, MakeRoute("r-2", "/new/") }), { kService });
@@ -105,7 +105,7 @@
       }
       served += status == 200 ? 1 : 0;
     }
-    Deployment::Sleep(250);
+    SmallDeployment::Sleep(250);
   }
   aDeployment.Log().Add(
     "refused with 404 though version 2 has the route, in touch and later than "
--- a/review/world/record.cpp
+++ b/review/case_record.cpp
@@ -1,15 +1,15 @@
-#include "review/world/record.h"
+#include "review/case_record.h"
 
-namespace review {
+namespace second_review {
 
-Record::Record(const std::string& aPath)
+CaseRecord::CaseRecord(const std::string& aPath)
   : m_begin(std::chrono::steady_clock::now())
   , m_file(aPath)
 {
 }
 
 std::int64_t
-Record::NowMs() const
+CaseRecord::NowMs() const
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
            std::chrono::steady_clock::now() - m_begin)
@@ -17,7 +17,7 @@
 }
 
 void
-Record::Add(const std::string& aLine)
+CaseRecord::Add(const std::string& aLine)
 {
   const std::int64_t now = NowMs();
   const std::lock_guard lock(m_mutex);
--- a/review/world/record.h
+++ b/review/case_record.h
@@ -5,13 +5,13 @@
 #include <mutex>
 #include <string>
 
-namespace review {
+namespace second_review {
 
 /** The log of a case: what was sent, answered and run, with times. */
-class Record
+class CaseRecord
 {
 public:
-  explicit Record(const std::string& aPath);
+  explicit CaseRecord(const std::string& aPath);
 
   void Add(const std::string& aLine);
   /** Milliseconds since the case began. */
--- a/review/world/daemon_process.cpp
+++ b/review/daemon_process.cpp
@@ -1,7 +1,7 @@
-#include "review/world/daemon_process.h"
+#include "review/daemon_process.h"
 
-#include "review/world/http_server.h"
-#include "review/world/record.h"
+#include "review/case_record.h"
+#include "review/http_server.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,7 +13,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-namespace review {
+namespace second_review {
 
 namespace {
 
@@ -50,7 +50,8 @@
 
 }
 
-DaemonProcess::DaemonProcess(Record& aRecord, const DaemonSettings& aSettings)
+DaemonProcess::DaemonProcess(CaseRecord& aRecord,
+                             const DaemonSettings& aSettings)
   : m_record(aRecord)
   , m_settings(aSettings)
   , m_callers(FreeAddress())
--- a/review/world/daemon_process.h
+++ b/review/daemon_process.h
@@ -4,9 +4,9 @@
 
 #include <string>
 
-namespace review {
+namespace second_review {
 
-class Record;
+class CaseRecord;
 
 /** Addresses that a daemon is told in its settings. */
 struct DaemonSettings
@@ -23,7 +23,7 @@
 class DaemonProcess
 {
 public:
-  DaemonProcess(Record& aRecord, const DaemonSettings& aSettings);
+  DaemonProcess(CaseRecord& aRecord, const DaemonSettings& aSettings);
   ~DaemonProcess();
   DaemonProcess(const DaemonProcess&) = delete;
   DaemonProcess& operator=(const DaemonProcess&) = delete;
@@ -40,7 +40,7 @@
   int MemoryMb() const;
 
 private:
-  Record& m_record;
+  CaseRecord& m_record;
   DaemonSettings m_settings;
   std::string m_callers;
   std::string m_ready;
--- a/review/world/http_client.cpp
+++ b/review/http_client.cpp
@@ -1,4 +1,4 @@
-#include "review/world/http_client.h"
+#include "review/http_client.h"
 
 #include <arpa/inet.h>
 #include <chrono>
@@ -8,7 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace review {
+namespace second_review {
 
 namespace {
 
--- a/review/world/http_client.h
+++ b/review/http_client.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "review/world/http_message.h"
+#include "review/http_message.h"
 
 #include <string>
 
-namespace review {
+namespace second_review {
 
 /** Sends a request on a new connection to a loopback address and waits for the
  * response, for aTimeoutMs at most. */
--- a/review/world/http_message.h
+++ b/review/http_message.h
@@ -3,7 +3,7 @@
 #include <map>
 #include <string>
 
-namespace review {
+namespace second_review {
 
 struct HttpRequest
 {
--- a/review/world/http_server.cpp
+++ b/review/http_server.cpp
@@ -1,4 +1,4 @@
-#include "review/world/http_server.h"
+#include "review/http_server.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -12,7 +12,7 @@
 #include <thread>
 #include <unistd.h>
 
-namespace review {
+namespace second_review {
 
 namespace {
 
--- a/review/world/http_server.h
+++ b/review/http_server.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "review/world/http_message.h"
+#include "review/http_message.h"
 
 #include <atomic>
 #include <functional>
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace review {
+namespace second_review {
 
 /** An HTTP server on a free loopback port, with a thread for each connection.
  * It lives until the process exits. */
--- a/review/world/kv_store.cpp
+++ b/review/kv_store.cpp
@@ -1,10 +1,10 @@
-#include "review/world/kv_store.h"
+#include "review/kv_store.h"
 
 #include <algorithm>
 #include <cstdlib>
 #include <thread>
 
-namespace review {
+namespace second_review {
 
 namespace {
 
--- a/review/world/kv_store.h
+++ b/review/kv_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "review/world/http_message.h"
+#include "review/http_message.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace review {
+namespace second_review {
 
 /** The platform's metadata store as PROTOCOL.md describes it. It loses nothing
  * that it has acknowledged and keeps its whole history. */
--- a/review/world/deployment.cpp
+++ b/review/small_deployment.cpp
@@ -1,6 +1,6 @@
-#include "review/world/deployment.h"
+#include "review/small_deployment.h"
 
-#include "review/world/http_client.h"
+#include "review/http_client.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -9,7 +9,7 @@
 #include <thread>
 #include <unistd.h>
 
-namespace review {
+namespace second_review {
 
 namespace {
 
@@ -46,16 +46,17 @@
 void
 Play(int aCount,
      char** aArguments,
-     const std::function<int(Deployment&)>& aCase)
+     const std::function<int(SmallDeployment&)>& aCase)
 {
-  auto* deployment = new Deployment(aCount > 1 ? aArguments[1] : "record.txt");
+  auto* deployment =
+    new SmallDeployment(aCount > 1 ? aArguments[1] : "record.txt");
   const int result = aCase(*deployment);
   deployment->Log().Add("exit " + std::to_string(result));
   deployment->Close();
   _exit(result);
 }
 
-Deployment::Deployment(const std::string& aRecordPath)
+SmallDeployment::SmallDeployment(const std::string& aRecordPath)
   : m_folder(MakeFolder())
   , m_record(aRecordPath)
   , m_storeServer(
@@ -70,7 +71,7 @@
 }
 
 void
-Deployment::Close()
+SmallDeployment::Close()
 {
   m_daemons.clear();
   std::error_code ignored;
@@ -79,21 +80,21 @@
   }
 }
 
-Worker&
-Deployment::AddWorker(const std::string& aService,
-                      const std::vector<std::string>& aLabels)
+WorkerStandIn&
+SmallDeployment::AddWorker(const std::string& aService,
+                           const std::vector<std::string>& aLabels)
 {
-  Worker* added = nullptr;
+  WorkerStandIn* added = nullptr;
   {
     const std::lock_guard lock(m_mutex);
     const std::string number = std::to_string(100 + m_workers.size());
-    m_workers.push_back(
-      std::make_unique<Worker>(m_store,
-                               m_record,
-                               WorkerDescription{ .m_id = "i-" + number,
-                                                  .m_service = aService,
-                                                  .m_machine = "m-" + number,
-                                                  .m_labels = aLabels }));
+    m_workers.push_back(std::make_unique<WorkerStandIn>(
+      m_store,
+      m_record,
+      WorkerDescription{ .m_id = "i-" + number,
+                         .m_service = aService,
+                         .m_machine = "m-" + number,
+                         .m_labels = aLabels }));
     added = m_workers.back().get();
   }
   added->Register();
@@ -101,7 +102,7 @@
 }
 
 void
-Deployment::AddDaemon()
+SmallDeployment::AddDaemon()
 {
   const std::string name = "front-" + std::to_string(1 + m_daemons.size());
   m_daemons.push_back(std::make_unique<DaemonProcess>(
@@ -115,9 +116,9 @@
 }
 
 void
-Deployment::Configure(int aVersion,
-                      const json& aRoutes,
-                      const std::vector<std::string>& aServices)
+SmallDeployment::Configure(int aVersion,
+                           const json& aRoutes,
+                           const std::vector<std::string>& aServices)
 {
   json services = json::array();
   for (const std::string& service : aServices) {
@@ -140,7 +141,7 @@
 }
 
 void
-Deployment::Allow(std::set<std::string> aWorkers)
+SmallDeployment::Allow(std::set<std::string> aWorkers)
 {
   const std::lock_guard lock(m_mutex);
   m_isAdviceLimited = true;
@@ -148,7 +149,7 @@
 }
 
 HttpResponse
-Deployment::HandleMachines(const HttpRequest& aRequest)
+SmallDeployment::HandleMachines(const HttpRequest& aRequest)
 {
   if (aRequest.m_path != "/bramleystall/machines") {
     // The pools of these deployments are pools of other machines.
@@ -176,7 +177,7 @@
 }
 
 HttpResponse
-Deployment::HandleAdvice(const HttpRequest& aRequest)
+SmallDeployment::HandleAdvice(const HttpRequest& aRequest)
 {
   const json body = json::parse(aRequest.m_body, nullptr, false);
   if (!body.is_object()) {
@@ -203,7 +204,8 @@
 }
 
 bool
-Deployment::WaitFor(int aTimeoutMs, const std::function<bool()>& aCondition)
+SmallDeployment::WaitFor(int aTimeoutMs,
+                         const std::function<bool()>& aCondition)
 {
   const auto end =
     std::chrono::steady_clock::now() + std::chrono::milliseconds(aTimeoutMs);
@@ -217,13 +219,13 @@
 }
 
 void
-Deployment::Sleep(int aMs)
+SmallDeployment::Sleep(int aMs)
 {
   std::this_thread::sleep_for(std::chrono::milliseconds(aMs));
 }
 
 bool
-Deployment::WaitUntilReady()
+SmallDeployment::WaitUntilReady()
 {
   const bool areReady = WaitFor(kReadyTimeoutMs, [this] {
     for (const auto& daemon : m_daemons) {
@@ -240,11 +242,11 @@
 }
 
 HttpResponse
-Deployment::Ask(std::size_t aDaemon,
-                const std::string& aMethod,
-                const std::string& aPath,
-                const json& aBody,
-                bool aIsRecorded)
+SmallDeployment::Ask(std::size_t aDaemon,
+                     const std::string& aMethod,
+                     const std::string& aPath,
+                     const json& aBody,
+                     bool aIsRecorded)
 {
   const std::int64_t sentMs = m_record.NowMs();
   HttpResponse response = Call(m_daemons[aDaemon]->Callers(),
@@ -264,7 +266,7 @@
 }
 
 std::string
-Deployment::StateOf(std::size_t aDaemon, const std::string& aPath)
+SmallDeployment::StateOf(std::size_t aDaemon, const std::string& aPath)
 {
   const HttpResponse response = Ask(aDaemon, "GET", aPath);
   const json body = json::parse(response.m_body, nullptr, false);
@@ -274,7 +276,7 @@
 }
 
 int
-Deployment::RunningOf(const std::string& aJob)
+SmallDeployment::RunningOf(const std::string& aJob)
 {
   int count = 0;
   const std::lock_guard lock(m_mutex);
--- a/review/world/deployment.h
+++ b/review/small_deployment.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "review/world/daemon_process.h"
-#include "review/world/http_message.h"
-#include "review/world/http_server.h"
-#include "review/world/kv_store.h"
-#include "review/world/record.h"
-#include "review/world/worker.h"
+#include "review/case_record.h"
+#include "review/daemon_process.h"
+#include "review/http_message.h"
+#include "review/http_server.h"
+#include "review/kv_store.h"
+#include "review/worker_stand_in.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,33 +16,33 @@
 #include <string>
 #include <vector>
 
-namespace review {
+namespace second_review {
 
 /** A small deployment: stand-ins of the platform and of the workers on
  * loopback addresses, and daemons of the project. It is never destroyed, since
  * the threads of the stand-ins use it. */
-class Deployment
+class SmallDeployment
 {
 public:
   /** Time that each worker named in a call for advice takes, in ms. */
   static constexpr int kAdviceEachMs = 5;
 
-  explicit Deployment(const std::string& aRecordPath);
+  explicit SmallDeployment(const std::string& aRecordPath);
   /** Ends the daemons and removes the temporary folder. The stand-ins go on
    * until the process exits. */
   void Close();
-  Deployment(const Deployment&) = delete;
-  Deployment& operator=(const Deployment&) = delete;
+  SmallDeployment(const SmallDeployment&) = delete;
+  SmallDeployment& operator=(const SmallDeployment&) = delete;
 
-  Record& Log() { return m_record; }
+  CaseRecord& Log() { return m_record; }
   KvStore& Store() { return m_store; }
   HttpServer& StoreServer() { return m_storeServer; }
-  std::vector<std::unique_ptr<Worker>>& Workers() { return m_workers; }
+  std::vector<std::unique_ptr<WorkerStandIn>>& Workers() { return m_workers; }
   std::vector<std::unique_ptr<DaemonProcess>>& Daemons() { return m_daemons; }
 
   /** Adds a worker on a machine of its own and registers it. */
-  Worker& AddWorker(const std::string& aService,
-                    const std::vector<std::string>& aLabels);
+  WorkerStandIn& AddWorker(const std::string& aService,
+                           const std::vector<std::string>& aLabels);
   void AddDaemon();
   /** Writes the configuration as the operator does. */
   void Configure(int aVersion,
@@ -75,7 +75,7 @@
   HttpResponse HandleAdvice(const HttpRequest& aRequest);
 
   std::string m_folder;
-  Record m_record;
+  CaseRecord m_record;
   KvStore m_store;
   HttpServer m_storeServer;
   HttpServer m_machineServer;
@@ -86,7 +86,7 @@
   bool m_isAdviceLimited = false;
   std::set<std::string> m_allowed;
   std::size_t m_advisedWorkers = 0;
-  std::vector<std::unique_ptr<Worker>> m_workers;
+  std::vector<std::unique_ptr<WorkerStandIn>> m_workers;
   std::vector<std::unique_ptr<DaemonProcess>> m_daemons;
 };
 
@@ -99,7 +99,7 @@
 [[noreturn]] void
 Play(int aCount,
      char** aArguments,
-     const std::function<int(Deployment&)>& aCase);
+     const std::function<int(SmallDeployment&)>& aCase);
 
 /** Exit codes of a case. */
 inline constexpr int kRuleHeld = 0;
--- a/review/world/worker.cpp
+++ b/review/worker_stand_in.cpp
@@ -1,13 +1,13 @@
-#include "review/world/worker.h"
+#include "review/worker_stand_in.h"
 
-#include "review/world/kv_store.h"
-#include "review/world/record.h"
+#include "review/case_record.h"
+#include "review/kv_store.h"
 
 #include <algorithm>
 #include <cstdlib>
 #include <thread>
 
-namespace review {
+namespace second_review {
 
 namespace {
 
@@ -33,7 +33,9 @@
 
 }
 
-Worker::Worker(KvStore& aStore, Record& aRecord, WorkerDescription aDescription)
+WorkerStandIn::WorkerStandIn(KvStore& aStore,
+                             CaseRecord& aRecord,
+                             WorkerDescription aDescription)
   : m_store(aStore)
   , m_record(aRecord)
   , m_description(std::move(aDescription))
@@ -51,7 +53,7 @@
 }
 
 std::int64_t
-Worker::ClockMs() const
+WorkerStandIn::ClockMs() const
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
            std::chrono::steady_clock::now() - m_begin)
@@ -59,7 +61,7 @@
 }
 
 void
-Worker::Register()
+WorkerStandIn::Register()
 {
   const std::lock_guard lock(m_mutex);
   m_isRegistered = true;
@@ -67,7 +69,7 @@
 }
 
 void
-Worker::WriteEntry()
+WorkerStandIn::WriteEntry()
 {
   m_heartbeatMs = ClockMs();
   const json entry = { { "service", m_description.m_service },
@@ -90,7 +92,7 @@
 }
 
 void
-Worker::Crash()
+WorkerStandIn::Crash()
 {
   {
     const std::lock_guard lock(m_mutex);
@@ -110,7 +112,7 @@
 }
 
 void
-Worker::Restart(std::vector<std::string> aLabels)
+WorkerStandIn::Restart(std::vector<std::string> aLabels)
 {
   {
     const std::lock_guard lock(m_mutex);
@@ -131,7 +133,7 @@
 }
 
 void
-Worker::Leave()
+WorkerStandIn::Leave()
 {
   Crash();
   m_store.Remove("servers/" + Id());
@@ -139,7 +141,7 @@
 }
 
 std::vector<std::string>
-Worker::Running()
+WorkerStandIn::Running()
 {
   const std::lock_guard lock(m_mutex);
   std::vector<std::string> names;
@@ -150,14 +152,14 @@
 }
 
 int
-Worker::Starts()
+WorkerStandIn::Starts()
 {
   const std::lock_guard lock(m_mutex);
   return m_starts;
 }
 
 void
-Worker::Tick()
+WorkerStandIn::Tick()
 {
   const std::lock_guard lock(m_mutex);
   if (!m_isUp) {
@@ -170,7 +172,7 @@
 }
 
 void
-Worker::Advance()
+WorkerStandIn::Advance()
 {
   const std::int64_t now = ClockMs();
   std::vector<std::pair<std::string, const char*>> over;
@@ -189,7 +191,7 @@
 }
 
 void
-Worker::EndRun(const std::string& aTask, const char* aHow)
+WorkerStandIn::EndRun(const std::string& aTask, const char* aHow)
 {
   const Run run = m_runs.at(aTask);
   m_runs.erase(aTask);
@@ -201,14 +203,14 @@
 }
 
 HttpResponse
-Worker::Conflict(const char* aReason)
+WorkerStandIn::Conflict(const char* aReason)
 {
   return { 409,
            json{ { "clock_ms", ClockMs() }, { "reason", aReason } }.dump() };
 }
 
 HttpResponse
-Worker::Handle(const HttpRequest& aRequest)
+WorkerStandIn::Handle(const HttpRequest& aRequest)
 {
   const int delayMs = m_startDelayMs;
   if (delayMs > 0 && aRequest.m_path == "/bramleystall/run-start") {
@@ -219,7 +221,7 @@
 }
 
 HttpResponse
-Worker::Delay(const HttpRequest& aRequest, int aDelayMs)
+WorkerStandIn::Delay(const HttpRequest& aRequest, int aDelayMs)
 {
   ++m_delayedStarts;
   m_record.Add("worker " + Id() +
@@ -238,7 +240,8 @@
 }
 
 HttpResponse
-Worker::Carry(const HttpRequest& aRequest, std::unique_lock<std::mutex>& aLock)
+WorkerStandIn::Carry(const HttpRequest& aRequest,
+                     std::unique_lock<std::mutex>& aLock)
 {
   if (!m_isUp) {
     return {};
@@ -271,7 +274,7 @@
 }
 
 bool
-Worker::AcceptFence(const json& aBody)
+WorkerStandIn::AcceptFence(const json& aBody)
 {
   const std::int64_t fence = aBody.value("fence", std::int64_t{ 0 });
   if (fence < m_fence) {
@@ -282,14 +285,14 @@
 }
 
 void
-Worker::ExtendLease(const json& aBody)
+WorkerStandIn::ExtendLease(const json& aBody)
 {
   const std::int64_t end = aBody.value("deadline_ms", std::int64_t{ 0 });
   m_leaseEndMs = std::max(m_leaseEndMs, std::min(end, ClockMs() + kMaxLeaseMs));
 }
 
 HttpResponse
-Worker::Start(const json& aBody)
+WorkerStandIn::Start(const json& aBody)
 {
   const std::string task = aBody.at("task");
   const std::int64_t attempt = aBody.at("attempt");
@@ -321,7 +324,7 @@
 }
 
 HttpResponse
-Worker::Stop(const json& aBody)
+WorkerStandIn::Stop(const json& aBody)
 {
   const std::string task = aBody.at("task");
   const std::int64_t attempt = aBody.at("attempt");
@@ -336,7 +339,7 @@
 }
 
 HttpResponse
-Worker::Hold(const json& aBody, std::unique_lock<std::mutex>& aLock)
+WorkerStandIn::Hold(const json& aBody, std::unique_lock<std::mutex>& aLock)
 {
   ExtendLease(aBody);
   const std::int64_t seen = aBody.value("last_seen", std::int64_t{ 0 });
--- a/review/world/worker.h
+++ b/review/worker_stand_in.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "review/world/http_server.h"
+#include "review/http_server.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,10 +14,10 @@
 #include <string>
 #include <vector>
 
-namespace review {
+namespace second_review {
 
 class KvStore;
-class Record;
+class CaseRecord;
 
 /** What a worker reports about itself. */
 struct WorkerDescription
@@ -34,14 +34,16 @@
  * A worker as PROTOCOL.md describes it. The spec of a subtask is its run time
  * in ms; 0 stands for one that lasts.
  */
-class Worker
+class WorkerStandIn
 {
 public:
   /** Whether a start with this ticket may run. */
   using TicketCheck =
     std::function<bool(const std::string& aTask, const std::string& aTicket)>;
 
-  Worker(KvStore& aStore, Record& aRecord, WorkerDescription aDescription);
+  WorkerStandIn(KvStore& aStore,
+                CaseRecord& aRecord,
+                WorkerDescription aDescription);
 
   const std::string& Id() const { return m_description.m_id; }
   const std::string& Address() const { return m_server->Address(); }
@@ -109,7 +111,7 @@
   std::int64_t ClockMs() const;
 
   KvStore& m_store;
-  Record& m_record;
+  CaseRecord& m_record;
   WorkerDescription m_description;
   TicketCheck m_ticketCheck;
   std::atomic<int> m_startDelayMs = 0;
