Stop a task whose late start may run on a restarted worker

Cause: a list under a higher fencing token was taken as proof that a start without a response will never run. It holds for the incarnation that made the list; the next one knows no token and carries the start out.

Starts that are given up are kept while they can be late (LateStarts). Once the store reports a restart of their worker and the new incarnation does not respond, the task's run elsewhere is stopped, and the task waits until the worker has listed what it runs.

--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -49,6 +49,7 @@
               aKeys.Owner(),
               aGrant.m_fencingToken,
               aSettings.m_jobRetention)
+  , m_lateStarts(PadForClockDrift(aSettings.m_maxWorkerLease) + kLeaseMargin)
   , m_beganAt(m_env.m_loop.Now())
 {
   ReadLeasedWorkers();
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -8,6 +8,7 @@
 #include "jobs/worker.h"
 #include "scheduler/entry_sweeper.h"
 #include "scheduler/job_keys.h"
+#include "scheduler/late_starts.h"
 #include "scheduler/ownership.h"
 #include "scheduler/progress_writer.h"
 #include "scheduler/release_proof.h"
@@ -318,6 +319,13 @@
   void RaiseFence(Worker& aWorker);
   /** Asks the worker often while it may carry out a start late. */
   void WatchLateStarts(const std::string& aWorkerId);
+  /** Remembers the start of a task that is released, if the next incarnation of
+   * its worker may carry it out. */
+  void KeepLateStart(const Task& aTask, ReleaseReason aReason);
+  /** Whether the task waits since an earlier start may run elsewhere. */
+  bool IsHeldBack(const Task& aTask) const;
+  /** Stops tasks that may run on another worker as well; see LateStarts. */
+  void StopBesideLateStarts();
   /** Sets Worker::m_respondedAfter by the clock of a response to an order that
    * was sent at a monotonic time. */
   void SetRespondedAfter(Worker& aWorker, absl::Time aSentAt);
@@ -338,6 +346,8 @@
   void StartNewIncarnation(Worker& aWorker, std::int64_t aStartTimeMs);
   /** Time since a monotonic time in ms, for logs. */
   std::int64_t MillisSince(absl::Time aTime) const;
+  /** Whether the store reports an incarnation that has not responded yet. */
+  static bool HasUnansweredRestart(const Worker& aWorker);
   /** Applies the list of running tasks; returns the worker's tasks in it. */
   std::set<const Task*> ApplyRunning(Worker& aWorker,
                                      const LeaseOrderResult& aResult,
@@ -375,6 +385,7 @@
   std::int64_t m_lastFence;
   ProgressWriter m_writer;
   EntrySweeper m_sweeper;
+  LateStarts m_lateStarts;
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   /** Jobs whose records cannot be decoded; their keys are left alone. */
   std::set<std::string> m_unreadableJobs;
--- a/scheduler/scheduler_leases.cpp
+++ b/scheduler/scheduler_leases.cpp
@@ -72,25 +72,6 @@
          aWorker.m_respondedAfter + kIncarnationKnownTime;
 }
 
-void
-Scheduler::WatchLateStarts(const std::string& aWorkerId)
-{
-  Worker* worker = FindWorker(aWorkerId);
-  if (worker == nullptr) {
-    return;
-  }
-  worker->m_isWatched = m_env.m_loop.Now() < worker->m_lateStartsUntil;
-  if (!worker->m_isWatched) {
-    return;
-  }
-  // A renewal that is in flight to an incarnation that has ended gets no
-  // response, or late.
-  worker->m_isRenewing = false;
-  Renew(*worker);
-  After(kLateStartWatchInterval,
-        [this, aWorkerId] { WatchLateStarts(aWorkerId); });
-}
-
 void
 Scheduler::EnsureRenewal(Worker& aWorker)
 {
@@ -222,6 +203,7 @@
                        .m_fence = fence,
                        .m_hasAllEnds = aResult.m_hasAllEnds,
                        .m_tasks = ApplyRunning(worker, aResult, readAt) };
+  m_lateStarts.OnList(aWorkerId, aResult.m_running);
   ReleaseUnlisted(worker, list);
   if (aResult.m_hasAllEnds) {
     ResolveEarlierLease(aWorkerId);
@@ -249,7 +231,8 @@
     ScheduleRenewal(worker, absl::ZeroDuration());
   } else if (!worker.m_tasks.empty() || !aResult.m_hasAllEnds ||
              worker.m_appliedEnd > worker.m_recordedEnd ||
-             m_unresolvedWorkers.contains(aWorkerId)) {
+             m_unresolvedWorkers.contains(aWorkerId) ||
+             m_lateStarts.NeedsList(aWorkerId)) {
     // The incarnation is known for a short time only.
     const bool mayAcknowledge =
       aSent.m_order.m_lastRecordedEnd == 0 && worker.m_recordedEnd > 0;
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -280,10 +280,11 @@
   Job& job = *aActive.m_job;
   std::vector<Task>& tasks = job.Tasks(aOccurrence, aStep);
   const StepSpec& spec = job.Record().m_steps[static_cast<std::size_t>(aStep)];
+  const auto mayStart = [this](const Task& aTask) {
+    return aTask.m_phase == TaskPhase::Waiting && !IsHeldBack(aTask);
+  };
   if (!aPlacement.LargestFree().Fits(OccupiedBy(spec)) ||
-      std::ranges::none_of(tasks, [](const Task& aTask) {
-        return aTask.m_phase == TaskPhase::Waiting;
-      })) {
+      std::ranges::none_of(tasks, mayStart)) {
     return;
   }
   const std::map<std::string, std::string>* tickets = nullptr;
@@ -311,11 +312,7 @@
     return tickets == nullptr ? "" : tickets->at(aWorker.m_report.m_id);
   };
   if (spec.m_isGang) {
-    const bool areAllWaiting =
-      std::ranges::all_of(tasks, [](const Task& aTask) {
-        return aTask.m_phase == TaskPhase::Waiting;
-      });
-    if (!areAllWaiting) {
+    if (!std::ranges::all_of(tasks, mayStart)) {
       return;
     }
     const std::vector<Worker*> chosen = aPlacement.ChooseGang(tasks, filter);
@@ -337,7 +334,7 @@
   }
   bool hasStarted = false;
   for (Task& task : tasks) {
-    if (task.m_phase != TaskPhase::Waiting) {
+    if (!mayStart(task)) {
       continue;
     }
     Worker* worker = aPlacement.Choose(task, filter);
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -63,6 +63,7 @@
                          " reason=",
                          name));
   }
+  KeepLateStart(aTask, reason);
   if (worker != nullptr && worker->m_tasks.erase(&aTask) > 0) {
     worker->m_used.Subtract(OccupiedBy(aTask.m_job->Spec(aTask)));
   }
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -53,6 +53,10 @@
       aReport.m_startTimeMs != worker.m_startTimeMs) {
     AskForRestart(worker);
   }
+  if (HasUnansweredRestart(worker) && m_lateStarts.MayRunOn(aReport.m_id)) {
+    m_lateStarts.OnRestartReported(aReport.m_id);
+    After(kRestartResponseTime, [this] { StopBesideLateStarts(); });
+  }
   if (isNew) {
     StoreLeasedWorkers();
     Renew(worker);
@@ -188,6 +192,14 @@
   ScheduleRenewal(aWorker, absl::ZeroDuration());
 }
 
+bool
+Scheduler::HasUnansweredRestart(const Worker& aWorker)
+{
+  return aWorker.m_report.m_startTimeMs != 0 &&
+         aWorker.m_report.m_startTimeMs != aWorker.m_startTimeMs &&
+         aWorker.m_clockReadAt == absl::InfinitePast();
+}
+
 void
 Scheduler::StartNewIncarnation(Worker& aWorker, std::int64_t aStartTimeMs)
 {
@@ -427,6 +439,7 @@
   }
   ClearExpiredLeases();
   ReleaseUnsentStarts();
+  StopBesideLateStarts();
   StoreLeasedWorkers();
   RequestPlacement();
   After(kTickInterval, [this] { Tick(); });
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -67,6 +67,8 @@
  */
 inline constexpr absl::Duration kLateStartWatchInterval =
   absl::Milliseconds(200);
+/** A restarted worker that can be reached responds within this time. */
+inline constexpr absl::Duration kRestartResponseTime = absl::Milliseconds(100);
 /** Fencing tokens of one owner; see Scheduler::RaiseFence. */
 inline constexpr std::int64_t kFencesPerOwner = 1'000'000;
 /** Margin for timers and the network before a lease counts as expired. */
--- a/tests/scheduler/test_late_orders.cpp
+++ b/tests/scheduler/test_late_orders.cpp
@@ -1,9 +1,11 @@
+#include "scheduler/scheduling_limits.h"
 #include "tests/fakes/job_cluster.h"
 #include "tests/fakes/quiet_log.h"
 
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <vector>
 
 using namespace bramleystall;
 
@@ -27,6 +29,26 @@
   return nullptr;
 }
 
+/** Submits a job of one task whose start gets no response and is carried out
+ * after aDelay; returns the worker. The next attempt runs on another one. */
+std::string
+StartLate(JobCluster& aCluster, absl::Duration aDelay)
+{
+  JobCluster::Daemon& owner = aCluster.At("one");
+  owner.m_workers.m_delayedStarts = 1;
+  owner.m_workers.m_orderDelay = aDelay;
+  JobRecord record = JobCluster::MakeJob("job1", 1, 1);
+  record.m_steps.front().m_isLongRunning = true;
+  aCluster.Submit(record);
+  while (owner.m_workers.m_delayedStarts > 0) {
+    aCluster.Run(absl::Milliseconds(1));
+  }
+  Worker* worker = FindPlaced(aCluster, "job1");
+  REQUIRE(worker != nullptr);
+  worker->m_avoidUntil = absl::InfiniteFuture();
+  return worker->m_report.m_id;
+}
+
 void
 CheckInvariants(JobCluster& aCluster)
 {
@@ -129,6 +151,91 @@
   CheckInvariants(cluster);
 }
 
+// Guards against a start that is carried out late by a restarted worker that is
+// cut off from the daemons, beside the next run on another worker (rule TWICE,
+// review/6).
+TEST_CASE("A late start at a restarted worker that is cut off runs alone",
+          "[scheduler]")
+{
+  const QuietLog quiet;
+  const int restartMs = GENERATE(range(700, 4400, 300));
+  INFO("restart after " << restartMs << " ms");
+  JobCluster cluster(3);
+  cluster.m_workers.SetPlan({ .m_isLongRunning = true });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  const std::string id = StartLate(cluster, absl::Seconds(5));
+  cluster.Run(absl::Milliseconds(restartMs));
+  REQUIRE(cluster.m_workers.RunningOn("job1.0.0.0").size() == 1);
+  cluster.At("one").m_workers.m_unreachableWorkers = { id };
+  cluster.RestartListedWorker(id);
+  cluster.Run(absl::Milliseconds(5200 - restartMs));
+  CHECK(cluster.m_workers.RunningOn("job1.0.0.0") == std::vector{ id });
+  cluster.At("one").m_workers.m_unreachableWorkers.clear();
+  cluster.Run(absl::Seconds(20));
+  CHECK(cluster.m_workers.RunningOn("job1.0.0.0").size() == 1);
+  CheckInvariants(cluster);
+}
+
+// Guards against holding a task back for a start that can no longer be carried
+// out, when its worker has gone for good after a restart (rule LOST).
+TEST_CASE("A task runs again once its late start is over", "[scheduler]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(3);
+  cluster.m_workers.SetPlan({ .m_isLongRunning = true });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  const std::string id = StartLate(cluster, absl::Seconds(5));
+  cluster.Run(absl::Seconds(1));
+  cluster.At("one").m_workers.m_unreachableWorkers = { id };
+  cluster.RestartListedWorker(id);
+  cluster.Run(absl::Seconds(2));
+  REQUIRE(cluster.m_workers.RunningOn("job1.0.0.0").empty());
+  cluster.CrashWorker(id);
+  cluster.Run(kLateOrderTime + PadForClockDrift(absl::Seconds(6)) +
+              absl::Seconds(1));
+  CHECK(cluster.m_workers.RunningOn("job1.0.0.0").size() == 1);
+  CheckInvariants(cluster);
+}
+
+// Guards against stopping the next run for each restart of a worker that can be
+// reached, and so refuses the late start.
+TEST_CASE("A restarted worker that responds stops no run elsewhere",
+          "[scheduler]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(3);
+  cluster.m_workers.SetPlan({ .m_isLongRunning = true });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  const std::string id = StartLate(cluster, absl::Seconds(5));
+  cluster.Run(absl::Seconds(1));
+  cluster.RestartListedWorker(id);
+  cluster.Run(absl::Seconds(20));
+  CHECK(cluster.m_workers.StartCount("job1.0.0.0") == 1);
+  CHECK(cluster.m_workers.RunningOn("job1.0.0.0").size() == 1);
+  CheckInvariants(cluster);
+}
+
+// Guards against the same beside a restart that the store does not report,
+// since the worker is cut off from the store as well (rule TWICE).
+TEST_CASE("A late start at a restarted worker without an entry runs alone",
+          "[scheduler]")
+{
+  const QuietLog quiet;
+  JobCluster cluster(3);
+  cluster.m_workers.SetPlan({ .m_isLongRunning = true });
+  cluster.AddDaemon("one");
+  cluster.Run(kStartup);
+  const std::string id = StartLate(cluster, absl::Seconds(5));
+  cluster.Run(absl::Seconds(1));
+  cluster.At("one").m_workers.m_unreachableWorkers = { id };
+  cluster.RestartWorker(id);
+  cluster.Run(absl::Seconds(6));
+  CheckInvariants(cluster);
+}
+
 // Guards against a renewal that is carried out late by a restarted worker and
 // drops ends that the owner has not seen (rule TWICE).
 TEST_CASE("A late renewal loses no end of a restarted worker", "[scheduler]")
