Ask the advice service about each worker once before any is asked again

Cause: each request named the 30 workers with the most free processor time, and an answer without tickets was forgotten, so the same ones were named again. While a step had tickets, nobody else was asked about.

StepAdvice keeps the answer for each incarnation of a worker, which never changes, and chooses whom to ask about next. Answers go with their jobs; they were kept for good before.

--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -3,6 +3,7 @@
 #include "jobs/job.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
@@ -86,28 +87,45 @@
          std::ranges::find(labels, aSpec.m_requiredLabel) != labels.end();
 }
 
+bool
+Placement::FitsOn(const Worker& aWorker, const Task& aTask) const
+{
+  const StepSpec& spec = aTask.m_job->Spec(aTask);
+  if (!aWorker.Free().Fits(OccupiedBy(spec)) ||
+      !HasRequiredLabel(aWorker, spec) || HasConflictingTask(aWorker, spec)) {
+    return false;
+  }
+  if (spec.m_maxPerWorker == 0) {
+    return true;
+  }
+  const auto members =
+    std::ranges::count_if(aWorker.m_tasks, [&aTask](const Task* aOther) {
+      return IsSameStep(*aOther, aTask);
+    });
+  return members < spec.m_maxPerWorker;
+}
+
+std::vector<Worker*>
+Placement::Fitting(const Task& aTask, const WorkerFilter& aFilter) const
+{
+  std::vector<Worker*> fitting;
+  std::ranges::copy_if(
+    m_workers, std::back_inserter(fitting), [&](const Worker* aWorker) {
+      return FitsOn(*aWorker, aTask) && aFilter(*aWorker);
+    });
+  return fitting;
+}
+
 Worker*
 Placement::Choose(const Task& aTask, const WorkerFilter& aFilter) const
 {
   const StepSpec& spec = aTask.m_job->Spec(aTask);
-  const Resources need = OccupiedBy(spec);
   Worker* best = nullptr;
   std::pair<int, std::int64_t> bestRank;
   for (Worker* worker : m_workers) {
-    const Resources free = worker->Free();
-    if (!free.Fits(need) || !HasRequiredLabel(*worker, spec) ||
-        HasConflictingTask(*worker, spec) || !aFilter(*worker)) {
+    if (!FitsOn(*worker, aTask) || !aFilter(*worker)) {
       continue;
     }
-    if (spec.m_maxPerWorker > 0) {
-      const auto members =
-        std::ranges::count_if(worker->m_tasks, [&aTask](const Task* aOther) {
-          return IsSameStep(*aOther, aTask);
-        });
-      if (members >= spec.m_maxPerWorker) {
-        continue;
-      }
-    }
     int preference = 0;
     if (!spec.m_dataRack.empty() && worker->Rack() == spec.m_dataRack) {
       preference += 2;
@@ -115,7 +133,7 @@
     if (worker->m_report.m_id != aTask.m_failedOn) {
       preference += 4;
     }
-    const std::pair rank(preference, -free.m_cpu);
+    const std::pair rank(preference, -worker->Free().m_cpu);
     if (best == nullptr || rank > bestRank) {
       best = worker;
       bestRank = rank;
--- a/jobs/placement.h
+++ b/jobs/placement.h
@@ -39,6 +39,10 @@
    */
   Worker* Choose(const Task& aTask, const WorkerFilter& aFilter) const;
 
+  /** Returns all workers on which a task fits now. */
+  std::vector<Worker*> Fitting(const Task& aTask,
+                               const WorkerFilter& aFilter) const;
+
   /**
    * Returns a worker for each member of a gang, in the order of aTasks, or an
    * empty vector when the gang does not fit as a whole. The rack with the
@@ -49,6 +53,7 @@
                                   const WorkerFilter& aFilter) const;
 
 private:
+  bool FitsOn(const Worker& aWorker, const Task& aTask) const;
   bool HasRequiredLabel(const Worker& aWorker, const StepSpec& aSpec) const;
 
   std::vector<Worker*> m_workers;
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -361,6 +361,7 @@
     }
   }
   m_active.erase(aId);
+  ForgetAdvice(*found->second);
   m_changedJobs.erase(found->second.get());
   m_earlierJobs.erase(found->second.get());
   m_jobs.erase(found);
@@ -425,6 +426,7 @@
 {
   Store(aJob);
   m_active.erase(aJob.Id());
+  ForgetAdvice(aJob);
   m_earlierJobs.erase(&aJob);
   const std::string state(NameOf(kJobStateNames, aJob.State()));
   m_env.m_metrics.Count("bramleystall_jobs_finished_total",
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -4,7 +4,9 @@
 #include "jobs/demand_estimator.h"
 #include "jobs/job.h"
 #include "jobs/job_configuration.h"
+#include "jobs/placement.h"
 #include "jobs/pool_demand.h"
+#include "jobs/step_advice.h"
 #include "jobs/worker.h"
 #include "scheduler/entry_sweeper.h"
 #include "scheduler/job_keys.h"
@@ -34,7 +36,6 @@
 
 class EventLoop;
 class Metrics;
-class Placement;
 
 /**
  * Places the tasks of a shard's jobs on its workers while this daemon owns the
@@ -253,10 +254,21 @@
                  Placement& aPlacement);
   const std::string& PoolOf(const Job& aJob) const;
   bool IsDue(const Job& aJob, int aOccurrence) const;
-  const std::map<std::string, std::string>* TicketsFor(const Job& aJob,
-                                                       int aOccurrence,
-                                                       int aStep);
-  void RequestAdvice(const std::string& aStep, const std::string& aPool);
+  /** Asks the advice service about workers that have room for a task of the
+   * step, unless all answers are known or a request is in flight. */
+  void RequestAdvice(const std::string& aStep,
+                     const Task& aTask,
+                     const WorkerFilter& aFilter,
+                     const Placement& aPlacement);
+  void OnAdvice(const std::string& aStep,
+                const std::vector<AdvisedWorker>& aAsked,
+                absl::Time aSentAt,
+                const AdviceResult& aResult);
+  static AdvisedWorker IncarnationOf(const Worker& aWorker);
+  /** The task's worker has rejected its ticket. */
+  void RejectTicket(const Task& aTask);
+  /** Drops the advice about all steps of a job. */
+  void ForgetAdvice(const Job& aJob);
 
   // Tasks.
   void StartTask(Task& aTask,
@@ -413,14 +425,8 @@
   std::string m_leasedWorkersText;
   std::int64_t m_leasedWorkersNumber = 0;
   std::map<std::string, StoreItem> m_progress;
-  struct Advice
-  {
-    std::map<std::string, std::string> m_tickets;
-    absl::Time m_validUntil = absl::InfinitePast();
-    absl::Time m_requestedAt = absl::InfinitePast();
-    bool m_isRequested = false;
-  };
-  std::map<std::string, Advice> m_advice;
+  /** By the names of the steps, JOB.OCCURRENCE.STEP. */
+  std::map<std::string, StepAdvice> m_advice;
   bool m_hasProgress = false;
   bool m_hasLeasedWorkers = false;
   bool m_areLeasedWorkersKnown = true;
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -287,20 +287,27 @@
       std::ranges::none_of(tasks, mayStart)) {
     return;
   }
-  const std::map<std::string, std::string>* tickets = nullptr;
-  if (aActive.m_needsAdvice) {
-    tickets = TicketsFor(job, aOccurrence, aStep);
-    if (tickets == nullptr) {
-      return;
-    }
-  }
+  const std::string step =
+    aActive.m_needsAdvice ? absl::StrCat(job.Id(), ".", aOccurrence, ".", aStep)
+                          : "";
+  const auto ticketOf = [this, &step](const Worker& aWorker) {
+    const auto advice = m_advice.find(step);
+    return advice == m_advice.end()
+             ? nullptr
+             : advice->second.FindTicket(IncarnationOf(aWorker),
+                                         m_env.m_loop.Now());
+  };
+  const auto startOn =
+    [&](Task& aTask, Worker& aWorker, std::int64_t aAttempt) {
+      const std::string* ticket = ticketOf(aWorker);
+      StartTask(aTask, aWorker, aAttempt, ticket == nullptr ? "" : *ticket);
+    };
   // While the store accepts no writes, the job's tasks can start only on
   // workers that are already stored with it.
-  const WorkerFilter filter =
-    [this, tickets, &job, aIsWithheld](const Worker& aWorker) {
+  const WorkerFilter isUsable =
+    [this, &job, aIsWithheld](const Worker& aWorker) {
       const std::string& id = aWorker.m_report.m_id;
       const bool isAllowed = (!aIsWithheld || HasLongRunning(aWorker)) &&
-                             (tickets == nullptr || tickets->contains(id)) &&
                              (!m_isStoreBehind || job.IsWorkerRecorded(id));
       if (!isAllowed || MayStartOn(aWorker)) {
         return isAllowed;
@@ -308,8 +315,8 @@
       m_workersToAsk.insert(id);
       return false;
     };
-  const auto ticketOf = [tickets](const Worker& aWorker) {
-    return tickets == nullptr ? "" : tickets->at(aWorker.m_report.m_id);
+  const WorkerFilter filter = [&](const Worker& aWorker) {
+    return (step.empty() || ticketOf(aWorker) != nullptr) && isUsable(aWorker);
   };
   if (spec.m_isGang) {
     if (!std::ranges::all_of(tasks, mayStart)) {
@@ -317,6 +324,9 @@
     }
     const std::vector<Worker*> chosen = aPlacement.ChooseGang(tasks, filter);
     if (chosen.empty()) {
+      if (aActive.m_needsAdvice) {
+        RequestAdvice(step, tasks.front(), isUsable, aPlacement);
+      }
       return;
     }
     std::int64_t attempt = 0;
@@ -327,7 +337,7 @@
     }
     for (std::size_t i = 0; i < tasks.size(); ++i) {
       tasks[i].m_checkpoint = checkpoint;
-      StartTask(tasks[i], *chosen[i], attempt, ticketOf(*chosen[i]));
+      startOn(tasks[i], *chosen[i], attempt);
     }
     aPlacement.RefreshLargestFree();
     return;
@@ -339,9 +349,12 @@
     }
     Worker* worker = aPlacement.Choose(task, filter);
     if (worker == nullptr) {
+      if (aActive.m_needsAdvice) {
+        RequestAdvice(step, task, isUsable, aPlacement);
+      }
       break;
     }
-    StartTask(task, *worker, NextAttempt(task), ticketOf(*worker));
+    startOn(task, *worker, NextAttempt(task));
     hasStarted = true;
   }
   if (hasStarted) {
@@ -356,65 +369,92 @@
   return m_env.m_holdsLease() || IsIncarnationKnown(aWorker);
 }
 
-const std::map<std::string, std::string>*
-Scheduler::TicketsFor(const Job& aJob, int aOccurrence, int aStep)
+void
+Scheduler::RequestAdvice(const std::string& aStep,
+                         const Task& aTask,
+                         const WorkerFilter& aFilter,
+                         const Placement& aPlacement)
 {
-  const std::string step =
-    absl::StrCat(aJob.Id(), ".", aOccurrence, ".", aStep);
-  Advice& advice = m_advice[step];
-  if (m_env.m_loop.Now() < advice.m_validUntil && !advice.m_tickets.empty()) {
-    return &advice.m_tickets;
-  }
-  if (!advice.m_isRequested &&
-      m_env.m_loop.Now() >= advice.m_requestedAt + kAdviceRetryDelay) {
-    RequestAdvice(step, PoolOf(aJob));
+  std::vector<Worker*> fitting = aPlacement.Fitting(aTask, aFilter);
+  std::ranges::sort(fitting, std::ranges::greater{}, [](const Worker* aWorker) {
+    return aWorker->Free().m_cpu;
+  });
+  std::vector<AdvisedWorker> candidates;
+  std::ranges::transform(
+    fitting, std::back_inserter(candidates), [](const Worker* aWorker) {
+      return IncarnationOf(*aWorker);
+    });
+  StepAdvice& advice = m_advice[aStep];
+  const std::vector<AdvisedWorker> asked =
+    advice.ChooseToAsk(candidates, kMaxAdvisedWorkers, m_env.m_loop.Now());
+  if (asked.empty()) {
+    return;
   }
-  return nullptr;
+  advice.OnRequested();
+  std::vector<std::string> ids;
+  std::ranges::transform(asked, std::back_inserter(ids), &AdvisedWorker::m_id);
+  // The validity begins when the response is created, before it arrives.
+  m_env.m_workers.Advise(
+    aStep,
+    ids,
+    [this, aStep, asked, sentAt = m_env.m_loop.Now(), alive = m_alive](
+      const AdviceResult& aResult) {
+      if (*alive) {
+        OnAdvice(aStep, asked, sentAt, aResult);
+      }
+    });
 }
 
 void
-Scheduler::RequestAdvice(const std::string& aStep, const std::string& aPool)
+Scheduler::OnAdvice(const std::string& aStep,
+                    const std::vector<AdvisedWorker>& aAsked,
+                    absl::Time aSentAt,
+                    const AdviceResult& aResult)
 {
-  std::vector<std::pair<std::int64_t, std::string>> workers;
-  for (const auto& [id, worker] : m_workers) {
-    if (worker.m_isListed && worker.m_report.m_pool == aPool &&
-        !worker.m_report.m_isDraining && worker.m_unansweredRenewals == 0) {
-      workers.emplace_back(-worker.Free().m_cpu, id);
-    }
+  const auto found = m_advice.find(aStep);
+  if (found == m_advice.end()) {
+    return;
   }
-  std::ranges::sort(workers);
-  workers.resize(std::min(workers.size(), kMaxAdvisedWorkers));
-  std::vector<std::string> ids;
-  std::ranges::transform(workers,
-                         std::back_inserter(ids),
-                         [](const auto& aRow) { return aRow.second; });
-  if (ids.empty()) {
+  if (!aResult.m_hasResponse) {
+    m_env.m_metrics.Count("bramleystall_job_retries_total",
+                          { { "reason", "advice_unanswered" } });
+    found->second.OnFailure(aSentAt + kAdviceRetryDelay);
     return;
   }
-  Advice& advice = m_advice[aStep];
-  advice.m_isRequested = true;
-  advice.m_requestedAt = m_env.m_loop.Now();
-  m_env.m_workers.Advise(
-    aStep, ids, [this, aStep, alive = m_alive](const AdviceResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      Advice& answered = m_advice[aStep];
-      answered.m_isRequested = false;
-      if (!aResult.m_hasResponse) {
-        m_env.m_metrics.Count("bramleystall_job_retries_total",
-                              { { "reason", "advice_unanswered" } });
-        return;
-      }
-      answered.m_tickets.clear();
-      for (const AdviceTicket& ticket : aResult.m_tickets) {
-        answered.m_tickets[ticket.m_workerId] = ticket.m_ticket;
-      }
-      // Counted from the request: the validity begins when the response is
-      // created, before it arrives.
-      answered.m_validUntil = answered.m_requestedAt + aResult.m_validFor;
-      RequestPlacement();
-    });
+  std::map<std::string, std::string> tickets;
+  for (const AdviceTicket& ticket : aResult.m_tickets) {
+    tickets[ticket.m_workerId] = ticket.m_ticket;
+  }
+  found->second.OnResponse(aAsked, tickets, aSentAt + aResult.m_validFor);
+  RequestPlacement();
+}
+
+AdvisedWorker
+Scheduler::IncarnationOf(const Worker& aWorker)
+{
+  return { aWorker.m_report.m_id, aWorker.m_startTimeMs };
+}
+
+void
+Scheduler::RejectTicket(const Task& aTask)
+{
+  const auto found = m_advice.find(absl::StrCat(
+    aTask.m_job->Id(), ".", aTask.m_occurrence, ".", aTask.m_step));
+  if (found != m_advice.end()) {
+    found->second.OnTicketRejected(aTask.m_worker,
+                                   m_env.m_loop.Now() + kAdviceRetryDelay);
+  }
+}
+
+void
+Scheduler::ForgetAdvice(const Job& aJob)
+{
+  const std::string prefix = absl::StrCat(aJob.Id(), ".");
+  const auto begin = m_advice.lower_bound(prefix);
+  const auto end = std::find_if(begin, m_advice.end(), [&](const auto& aEntry) {
+    return !aEntry.first.starts_with(prefix);
+  });
+  m_advice.erase(begin, end);
 }
 
 double
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -233,7 +233,7 @@
       worker->m_avoidUntil = m_env.m_loop.Now() + kNoRoomAvoidTime;
       break;
     case OrderOutcome::TicketRejected:
-      m_advice.clear();
+      RejectTicket(*task);
       break;
     case OrderOutcome::NotSent:
       MarkUnresponsive(*worker);
--- a/tests/fakes/fake_workers.cpp
+++ b/tests/fakes/fake_workers.cpp
@@ -423,12 +423,15 @@
                          const std::vector<std::string>& aWorkers,
                          AdviceCallback aCallback)
 {
-  CallAfter(kLatency, [aWorkers, callback = std::move(aCallback)] {
+  m_adviceRequests.push_back(aWorkers);
+  CallAfter(kLatency, [this, aWorkers, callback = std::move(aCallback)] {
     AdviceResult advice;
     advice.m_hasResponse = true;
     advice.m_validFor = absl::Seconds(2);
     for (const std::string& worker : aWorkers) {
-      advice.m_tickets.push_back({ worker, "ticket" });
+      if (!m_isAllowed || m_isAllowed(worker)) {
+        advice.m_tickets.push_back({ worker, "ticket" });
+      }
     }
     callback(advice);
   });
--- a/tests/fakes/fake_workers.h
+++ b/tests/fakes/fake_workers.h
@@ -187,6 +187,10 @@
   int m_delayedRenewals = 0;
   /** Time until such an order takes effect. */
   absl::Duration m_orderDelay = absl::Seconds(3);
+  /** Workers that the policy of all queues allows; all if unset. */
+  std::function<bool(const std::string& aWorkerId)> m_isAllowed;
+  /** The workers that each request for advice has named. */
+  std::vector<std::vector<std::string>> m_adviceRequests;
   /**
    * Time that the iteration of the daemon's event loop has taken when the
    * daemon reads the response to a lease renewal.
