Keep only the due occurrences of a scheduled job in memory

Cause: a job made the tasks of all its occurrences when it was read, and nothing bounded the sum over the jobs of a shard.

A job holds the tasks of open occurrences, those that are due and not finished; the stored progress names the next one and the open ones before it. An owner opens at most 100000 tasks and publishes how much memory its jobs may take; a submission beyond 48 MB is refused with 503 before it is stored.

--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -8,12 +8,20 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace bramleystall {
 
 using nlohmann::json;
 
+namespace {
+
+/** Approximate memory of a task's checkpoint and its place in lists. */
+constexpr std::size_t kTaskTextBytes = 100;
+
+}
+
 bool
 TaskName::Parse(const std::string& aText, TaskName& aName)
 {
@@ -27,28 +35,107 @@
          absl::SimpleAtoi(parts[3], &aName.m_index);
 }
 
+std::size_t
+LargestMemory(const JobRecord& aRecord)
+{
+  std::int64_t tasks = 0;
+  std::size_t texts = aRecord.m_payload.size();
+  for (const StepSpec& step : aRecord.m_steps) {
+    tasks += step.m_count;
+    texts += step.m_requiredLabel.size() + step.m_dataRack.size() +
+             step.m_image.size();
+  }
+  const std::int64_t open =
+    std::max(tasks,
+             std::min<std::int64_t>(Job::kMaxOpenTasks,
+                                    tasks * std::max(1, aRecord.m_repeats)));
+  return sizeof(Job) + texts + aRecord.m_steps.size() * sizeof(StepSpec) +
+         static_cast<std::size_t>(open) * (sizeof(Task) + kTaskTextBytes);
+}
+
 Job::Job(JobRecord aRecord)
   : m_record(std::move(aRecord))
 {
-  m_occurrences.resize(
-    static_cast<std::size_t>(std::max(1, m_record.m_repeats)));
-  for (int k = 0; k < OccurrenceCount(); ++k) {
-    Occurrence& occurrence = m_occurrences[static_cast<std::size_t>(k)];
-    occurrence.m_steps.resize(m_record.m_steps.size());
-    for (std::size_t s = 0; s < m_record.m_steps.size(); ++s) {
-      Step& step = occurrence.m_steps[s];
-      step.m_tasks.resize(
-        static_cast<std::size_t>(m_record.m_steps[s].m_count));
-      for (std::size_t i = 0; i < step.m_tasks.size(); ++i) {
-        Task& task = step.m_tasks[i];
-        task.m_job = this;
-        task.m_occurrence = k;
-        task.m_step = static_cast<int>(s);
-        task.m_index = static_cast<int>(i);
-      }
-      ++m_openSteps;
+  for (const StepSpec& step : m_record.m_steps) {
+    m_tasksPerOccurrence += step.m_count;
+  }
+  m_openSteps =
+    static_cast<std::int64_t>(m_record.m_steps.size()) * OccurrenceCount();
+}
+
+void
+Job::Open(int aOccurrence)
+{
+  Occurrence& occurrence = m_occurrences[aOccurrence];
+  occurrence.m_steps.resize(m_record.m_steps.size());
+  for (std::size_t s = 0; s < m_record.m_steps.size(); ++s) {
+    Step& step = occurrence.m_steps[s];
+    step.m_tasks.resize(static_cast<std::size_t>(m_record.m_steps[s].m_count));
+    for (std::size_t i = 0; i < step.m_tasks.size(); ++i) {
+      Task& task = step.m_tasks[i];
+      task.m_job = this;
+      task.m_occurrence = aOccurrence;
+      task.m_step = static_cast<int>(s);
+      task.m_index = static_cast<int>(i);
+    }
+  }
+}
+
+std::vector<int>
+Job::OpenOccurrences() const
+{
+  std::vector<int> open;
+  std::ranges::transform(m_occurrences,
+                         std::back_inserter(open),
+                         [](const auto& aEntry) { return aEntry.first; });
+  return open;
+}
+
+bool
+Job::MayOpenNext(std::int64_t aNowMs) const
+{
+  if (m_nextOccurrence >= OccurrenceCount() ||
+      aNowMs < DueMs(m_nextOccurrence)) {
+    return false;
+  }
+  return IsOpen(m_nextOccurrence) || m_occurrences.empty() ||
+         OpenTaskCount() + m_tasksPerOccurrence <= kMaxOpenTasks;
+}
+
+void
+Job::OpenNext()
+{
+  if (!IsOpen(m_nextOccurrence)) {
+    Open(m_nextOccurrence);
+  }
+  ++m_nextOccurrence;
+}
+
+bool
+Job::IsDone(const Occurrence& aOccurrence) const
+{
+  return std::ranges::all_of(aOccurrence.m_steps, [](const Step& aStep) {
+    return aStep.m_done == static_cast<int>(aStep.m_tasks.size());
+  });
+}
+
+std::vector<int>
+Job::DropFinished()
+{
+  std::vector<int> dropped;
+  for (const auto& [number, occurrence] : m_occurrences) {
+    const bool isPlaced =
+      std::ranges::any_of(occurrence.m_steps, [](const Step& aStep) {
+        return std::ranges::any_of(aStep.m_tasks, &Task::IsPlaced);
+      });
+    if (number < m_nextOccurrence && !isPlaced && IsDone(occurrence)) {
+      dropped.push_back(number);
     }
   }
+  for (const int number : dropped) {
+    m_occurrences.erase(number);
+  }
+  return dropped;
 }
 
 std::int64_t
@@ -63,7 +150,10 @@
 std::vector<Task>&
 Job::Tasks(int aOccurrence, int aStep)
 {
-  return m_occurrences[static_cast<std::size_t>(aOccurrence)]
+  if (!IsOpen(aOccurrence) && aOccurrence >= m_nextOccurrence) {
+    Open(aOccurrence);
+  }
+  return m_occurrences.at(aOccurrence)
     .m_steps[static_cast<std::size_t>(aStep)]
     .m_tasks;
 }
@@ -75,7 +165,8 @@
                        aName.m_occurrence < OccurrenceCount() &&
                        aName.m_step >= 0 &&
                        aName.m_step < static_cast<int>(m_record.m_steps.size());
-  if (!isKnown) {
+  if (!isKnown ||
+      (!IsOpen(aName.m_occurrence) && aName.m_occurrence < m_nextOccurrence)) {
     return nullptr;
   }
   std::vector<Task>& tasks = Tasks(aName.m_occurrence, aName.m_step);
@@ -104,6 +195,9 @@
 bool
 Job::IsStepDone(int aOccurrence, int aStep) const
 {
+  if (!IsOpen(aOccurrence)) {
+    return aOccurrence < m_nextOccurrence;
+  }
   const Step& step = StepAt(aOccurrence, aStep);
   return step.m_done == static_cast<int>(step.m_tasks.size());
 }
@@ -111,8 +205,8 @@
 bool
 Job::HasPlacedTask() const
 {
-  return std::ranges::any_of(m_occurrences, [](const Occurrence& aOccurrence) {
-    return std::ranges::any_of(aOccurrence.m_steps, [](const Step& aStep) {
+  return std::ranges::any_of(m_occurrences, [](const auto& aEntry) {
+    return std::ranges::any_of(aEntry.second.m_steps, [](const Step& aStep) {
       return std::ranges::any_of(aStep.m_tasks, &Task::IsPlaced);
     });
   });
@@ -133,7 +227,7 @@
     return;
   }
   aTask.m_phase = TaskPhase::Done;
-  Step& step = m_occurrences[static_cast<std::size_t>(aTask.m_occurrence)]
+  Step& step = m_occurrences.at(aTask.m_occurrence)
                  .m_steps[static_cast<std::size_t>(aTask.m_step)];
   ++step.m_done;
   if (step.m_done == static_cast<int>(step.m_tasks.size())) {
@@ -171,8 +265,8 @@
 {
   // Most jobs are chains of steps, so the number of unfinished steps
   // approximates the length of the critical path.
-  const int steps = static_cast<int>(m_record.m_steps.size());
-  return std::clamp(m_openSteps, 0, steps);
+  const auto steps = static_cast<std::int64_t>(m_record.m_steps.size());
+  return static_cast<int>(std::clamp<std::int64_t>(m_openSteps, 0, steps));
 }
 
 std::string
@@ -183,9 +277,17 @@
     return body.dump();
   }
   // One row [occurrence, step, index, is done, failed attempts, checkpoint] for
-  // each task that is done, has failed attempts or has a checkpoint.
+  // each task that is done, has failed attempts or has a checkpoint. Earlier
+  // occurrences than the next one that are not listed as open are done.
   json rows = json::array();
-  for (const Occurrence& occurrence : m_occurrences) {
+  json open = json::array();
+  for (const auto& [number, occurrence] : m_occurrences) {
+    if (number < m_nextOccurrence) {
+      if (IsDone(occurrence)) {
+        continue;
+      }
+      open.push_back(number);
+    }
     for (const Step& step : occurrence.m_steps) {
       for (const Task& task : step.m_tasks) {
         const bool isDone = task.m_phase == TaskPhase::Done;
@@ -202,15 +304,41 @@
     }
   }
   body["tasks"] = std::move(rows);
+  body["open"] = std::move(open);
+  body["next"] = m_nextOccurrence;
   body["workers"] = m_workers;
   return body.dump();
 }
 
+void
+Job::RestoreOccurrences(const json& aProgress)
+{
+  // Progress that an earlier version has written names no next occurrence.
+  const int next = aProgress.value("next", 0);
+  const auto open = aProgress.value("open", std::set<int>{});
+  const bool isValid =
+    next >= 0 && next <= OccurrenceCount() &&
+    (open.empty() || (*open.begin() >= 0 && *open.rbegin() < next));
+  if (!isValid) {
+    throw Error(ErrorCode::InvalidInput,
+                absl::StrCat("progress of job ",
+                             Id(),
+                             ": open occurrences must be below next, and next "
+                             "at most ",
+                             OccurrenceCount()));
+  }
+  m_nextOccurrence = next;
+  std::ranges::for_each(open, [this](int aNumber) { Open(aNumber); });
+  m_openSteps -= static_cast<std::int64_t>(m_record.m_steps.size()) *
+                 (next - static_cast<std::int64_t>(open.size()));
+}
+
 void
 Job::ApplyProgress(const std::string& aJson)
 {
   try {
     const json body = json::parse(aJson);
+    RestoreOccurrences(body);
     for (const json& row : body.value("tasks", json::array())) {
       Task* task = Find({ Id(),
                           row.at(0).get<int>(),
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -4,7 +4,12 @@
 #include "jobs/job_record.h"
 #include "jobs/task.h"
 
+#include <nlohmann/json_fwd.hpp>
+
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,10 +45,22 @@
   static bool Parse(const std::string& aText, TaskName& aName);
 };
 
-/** A job with the state of its tasks. It reads no clock and does no I/O. */
+/** Approximate memory in bytes that a job takes at most, with its tasks. */
+std::size_t
+LargestMemory(const JobRecord& aRecord);
+
+/**
+ * A job with the state of its tasks. It reads no clock and does no I/O.
+ *
+ * Only the tasks of open occurrences are in memory: of those that were opened
+ * in their order, or that a worker runs, and have not been dropped as finished.
+ */
 class Job
 {
 public:
+  /** Further occurrences are opened only up to this number of tasks. */
+  static constexpr int kMaxOpenTasks = 2000;
+
   explicit Job(JobRecord aRecord);
   Job(const Job&) = delete;
   Job& operator=(const Job&) = delete;
@@ -54,7 +71,25 @@
   bool IsFinal() const { return m_state >= JobState::Completed; }
   bool HasStarted() const { return m_state != JobState::Queued; }
 
-  int OccurrenceCount() const { return static_cast<int>(m_occurrences.size()); }
+  int OccurrenceCount() const { return std::max(1, m_record.m_repeats); }
+  /** Number of tasks in one occurrence. */
+  int TasksPerOccurrence() const { return m_tasksPerOccurrence; }
+  /** Number of tasks in memory. */
+  int OpenTaskCount() const
+  {
+    return m_tasksPerOccurrence * static_cast<int>(m_occurrences.size());
+  }
+  std::vector<int> OpenOccurrences() const;
+  /** Whether there is a next occurrence that is due at aNowMs, in ms since the
+   * Unix epoch, and the open ones leave room for it. */
+  bool MayOpenNext(std::int64_t aNowMs) const;
+  /** Opens the next occurrence. */
+  void OpenNext();
+  /**
+   * Removes the occurrences from memory that are done and have no placed task.
+   * Their tasks become invalid. Returns the removed occurrences.
+   */
+  std::vector<int> DropFinished();
   /** Due time of an occurrence in ms since the Unix epoch; 0 if immediate. */
   std::int64_t DueMs(int aOccurrence) const;
 
@@ -62,12 +97,15 @@
   {
     return m_record.m_steps[static_cast<std::size_t>(aTask.m_step)];
   }
+  /** Opens the occurrence if it is still to come. Throws std::out_of_range for
+   * one that was dropped. */
   std::vector<Task>& Tasks(int aOccurrence, int aStep);
   const std::vector<Task>& Tasks(int aOccurrence, int aStep) const
   {
     return StepAt(aOccurrence, aStep).m_tasks;
   }
-  /** Returns the named task, or null when the job has no such task. */
+  /** Returns the named task, or null when the job has no such task or its
+   * occurrence was dropped. Opens an occurrence that is still to come. */
   Task* Find(const TaskName& aName);
   std::string NameOf(const Task& aTask) const;
 
@@ -150,9 +188,18 @@
 
   const Step& StepAt(int aOccurrence, int aStep) const
   {
-    return m_occurrences[static_cast<std::size_t>(aOccurrence)]
+    return m_occurrences.at(aOccurrence)
       .m_steps[static_cast<std::size_t>(aStep)];
   }
+  bool IsOpen(int aOccurrence) const
+  {
+    return m_occurrences.contains(aOccurrence);
+  }
+  /** Opens an occurrence that is neither open nor dropped. */
+  void Open(int aOccurrence);
+  bool IsDone(const Occurrence& aOccurrence) const;
+  /** Restores which occurrences are open and which are done. */
+  void RestoreOccurrences(const nlohmann::json& aProgress);
 
   JobRecord m_record;
   JobState m_state = JobState::Queued;
@@ -161,9 +208,14 @@
   std::set<std::string> m_workers;
   std::set<std::string> m_recordedWorkers;
   int m_forgetCount = 0;
-  std::vector<Occurrence> m_occurrences;
+  /** The open occurrences. */
+  std::map<int, Occurrence> m_occurrences;
+  /** All earlier occurrences have been opened; those that are not open any more
+   * are done. */
+  int m_nextOccurrence = 0;
+  int m_tasksPerOccurrence = 0;
   /** Number of unfinished steps in all occurrences. */
-  int m_openSteps = 0;
+  std::int64_t m_openSteps = 0;
 };
 
 }
--- a/jobs/step_advice.cpp
+++ b/jobs/step_advice.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace bramleystall {
 
@@ -39,8 +38,8 @@
   const std::size_t reserved = std::min(unknown.size(), aMaxCount / 2);
   const std::size_t renewed = std::min(expired.size(), aMaxCount - reserved);
   expired.resize(renewed);
-  std::ranges::copy(unknown | std::views::take(aMaxCount - renewed),
-                    std::back_inserter(expired));
+  unknown.resize(std::min(unknown.size(), aMaxCount - renewed));
+  std::ranges::copy(unknown, std::back_inserter(expired));
   return expired;
 }
 
--- a/jobs/step_advice.h
+++ b/jobs/step_advice.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace bramleystall {
@@ -17,7 +18,12 @@
   /** Start of the incarnation, ms since the Unix epoch. */
   std::int64_t m_startTimeMs = 0;
 
-  auto operator<=>(const AdvisedWorker&) const = default;
+  bool operator==(const AdvisedWorker& aOther) const = default;
+  bool operator<(const AdvisedWorker& aOther) const
+  {
+    return std::tie(m_id, m_startTimeMs) <
+           std::tie(aOther.m_id, aOther.m_startTimeMs);
+  }
 };
 
 /**
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -361,7 +361,7 @@
     }
   }
   m_active.erase(aId);
-  ForgetAdvice(*found->second);
+  ForgetAdvice(absl::StrCat(aId, "."));
   m_changedJobs.erase(found->second.get());
   m_earlierJobs.erase(found->second.get());
   m_jobs.erase(found);
@@ -426,7 +426,7 @@
 {
   Store(aJob);
   m_active.erase(aJob.Id());
-  ForgetAdvice(aJob);
+  ForgetAdvice(absl::StrCat(aJob.Id(), "."));
   m_earlierJobs.erase(&aJob);
   const std::string state(NameOf(kJobStateNames, aJob.State()));
   m_env.m_metrics.Count("bramleystall_jobs_finished_total",
@@ -440,7 +440,7 @@
     LogPart::Jobs,
     absl::StrCat(
       "job finished; job=", aJob.Id(), " state=", state, " age_ms=", ageMs));
-  for (int k = 0; k < aJob.OccurrenceCount(); ++k) {
+  for (const int k : aJob.OpenOccurrences()) {
     for (std::size_t s = 0; s < aJob.Record().m_steps.size(); ++s) {
       for (Task& task : aJob.Tasks(k, static_cast<int>(s))) {
         if (task.m_isStartUnsent) {
@@ -495,6 +495,9 @@
     }
   }
   MeasureLoad(status);
+  for (const auto& [id, job] : m_jobs) {
+    status.m_memory += static_cast<std::int64_t>(LargestMemory(job->Record()));
+  }
   status.m_sequence = ++m_statusSequence;
   m_writer.Put(m_keys.Status(), EncodeShardStatus(status));
   After(kStatusInterval, [this] { PublishStatus(); });
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -254,6 +254,9 @@
                  Placement& aPlacement);
   const std::string& PoolOf(const Job& aJob) const;
   bool IsDue(const Job& aJob, int aOccurrence) const;
+  /** Opens the job's due occurrences, as far as there is memory for their
+   * tasks, and drops the finished ones. */
+  void OpenDueOccurrences(Job& aJob);
   /** Asks the advice service about workers that have room for a task of the
    * step, unless all answers are known or a request is in flight. */
   void RequestAdvice(const std::string& aStep,
@@ -267,8 +270,8 @@
   static AdvisedWorker IncarnationOf(const Worker& aWorker);
   /** The task's worker has rejected its ticket. */
   void RejectTicket(const Task& aTask);
-  /** Drops the advice about all steps of a job. */
-  void ForgetAdvice(const Job& aJob);
+  /** Drops the advice about the steps whose names begin with a prefix. */
+  void ForgetAdvice(const std::string& aPrefix);
 
   // Tasks.
   void StartTask(Task& aTask,
@@ -405,6 +408,8 @@
   std::map<std::string, ActiveJob> m_active;
   /** Jobs whose progress has to be written. */
   std::set<const Job*> m_changedJobs;
+  /** Tasks of all jobs that are in memory, as of the last placement. */
+  std::int64_t m_openTasks = 0;
   std::uint64_t m_nextOrder = 1;
   std::uint64_t m_lastMoment = 0;
   /** Wall-clock time in ms of the last placement, and its duration. */
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -98,6 +98,10 @@
       byPool[active.m_pool].push_back(&active);
     }
   }
+  m_openTasks = 0;
+  for (const auto& [id, job] : m_jobs) {
+    m_openTasks += job->OpenTaskCount();
+  }
   m_isStoreBehind = m_writer.IsBehind();
   std::map<std::string, std::vector<Worker*>> workers;
   for (auto& [id, worker] : m_workers) {
@@ -197,7 +201,8 @@
     Job& job = *rank.m_active->m_job;
     const int steps = static_cast<int>(job.Record().m_steps.size());
     const bool isWithheld = IsWithheld(aPool, rank.m_tier);
-    for (int k = 0; k < job.OccurrenceCount(); ++k) {
+    OpenDueOccurrences(job);
+    for (const int k : job.OpenOccurrences()) {
       if (!IsDue(job, k)) {
         continue;
       }
@@ -211,6 +216,21 @@
   }
 }
 
+void
+Scheduler::OpenDueOccurrences(Job& aJob)
+{
+  for (const int dropped : aJob.DropFinished()) {
+    ForgetAdvice(absl::StrCat(aJob.Id(), ".", dropped, "."));
+  }
+  const int perOccurrence = aJob.TasksPerOccurrence();
+  while (aJob.MayOpenNext(m_wallNowMs) &&
+         (m_openTasks == 0 || m_openTasks + perOccurrence <= kMaxOpenTasks)) {
+    const int before = aJob.OpenTaskCount();
+    aJob.OpenNext();
+    m_openTasks += aJob.OpenTaskCount() - before;
+  }
+}
+
 bool
 Scheduler::IsWithheld(const std::string& aPool, Tier aTier) const
 {
@@ -447,12 +467,11 @@
 }
 
 void
-Scheduler::ForgetAdvice(const Job& aJob)
+Scheduler::ForgetAdvice(const std::string& aPrefix)
 {
-  const std::string prefix = absl::StrCat(aJob.Id(), ".");
-  const auto begin = m_advice.lower_bound(prefix);
+  const auto begin = m_advice.lower_bound(aPrefix);
   const auto end = std::find_if(begin, m_advice.end(), [&](const auto& aEntry) {
-    return !aEntry.first.starts_with(prefix);
+    return !aEntry.first.starts_with(aPrefix);
   });
   m_advice.erase(begin, end);
 }
--- a/scheduler/scheduling_limits.h
+++ b/scheduler/scheduling_limits.h
@@ -89,6 +89,9 @@
 /** A task without progress for this long is moved to another worker. */
 inline constexpr absl::Duration kStallTimeout = absl::Milliseconds(1600);
 inline constexpr absl::Duration kStopRetryDelay = absl::Milliseconds(400);
+/** Tasks of a shard that are in memory at once, some 0.4 KB each. A larger
+ * single occurrence of a job is still opened if there are no others. */
+inline constexpr std::int64_t kMaxOpenTasks = 100'000;
 /** Attempt numbers of one term; each term begins a new range. */
 inline constexpr std::int64_t kAttemptsPerTerm = 1000;
 /** Most workers that one request to the advice service names. */
--- a/scheduler/shard_chooser.cpp
+++ b/scheduler/shard_chooser.cpp
@@ -26,7 +26,8 @@
 double
 ShardWeight(const ShardView& aView)
 {
-  if (aView.m_isSilent || aView.m_capacity <= 0) {
+  if (aView.m_isSilent || aView.m_capacity <= 0 ||
+      aView.m_memory >= kMaxShardMemory) {
     return 0;
   }
   return aView.m_capacity / std::max(1.0, aView.m_load / aView.m_capacity);
--- a/scheduler/shard_chooser.h
+++ b/scheduler/shard_chooser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -11,15 +12,21 @@
   /** See ShardStatus. */
   double m_capacity = 0;
   double m_load = 0;
+  std::int64_t m_memory = 0;
   /** The owner has published nothing for some time. */
   bool m_isSilent = false;
 };
 
+/** Memory in bytes that the jobs of a shard may take. Its owner has some 160 MB
+ * at least, and may own several shards for a while. */
+inline constexpr std::int64_t kMaxShardMemory = 48 * 1024 * 1024;
+
 /**
  * Share of the new jobs that a shard gets, relative to other shards: its
  * capacity, less as its backlog exceeds what it can run at once. Shards whose
  * machines run long-running tasks so get fewer other jobs, and a shard that has
- * fallen behind catches up. A silent shard gets none.
+ * fallen behind catches up. A silent shard and one whose memory is full get
+ * none.
  */
 double
 ShardWeight(const ShardView& aView);
--- a/scheduler/shard_status.cpp
+++ b/scheduler/shard_status.cpp
@@ -13,6 +13,7 @@
     { "pending", aStatus.m_pending },
     { "capacity", aStatus.m_capacity },
     { "load", aStatus.m_load },
+    { "memory", aStatus.m_memory },
     { "sequence", aStatus.m_sequence }
   }.dump();
 }
@@ -27,6 +28,8 @@
         body.at("pending").get<std::map<std::string, std::int64_t>>(),
       .m_capacity = body.at("capacity").get<double>(),
       .m_load = body.at("load").get<double>(),
+      // An earlier version does not publish it.
+      .m_memory = body.value("memory", std::int64_t{ 0 }),
       .m_sequence = body.at("sequence").get<std::int64_t>()
     };
   } catch (const json::exception&) {
--- a/scheduler/shard_status.h
+++ b/scheduler/shard_status.h
@@ -19,6 +19,8 @@
   double m_capacity = 0;
   /** Load of the placed and the waiting tasks of such jobs. */
   double m_load = 0;
+  /** Memory in bytes that the accepted jobs may take at most. */
+  std::int64_t m_memory = 0;
   /** Rises with each publication, so that a silent owner is noticed. */
   std::int64_t m_sequence = 0;
 };
--- a/scheduler/shard_status_reader.cpp
+++ b/scheduler/shard_status_reader.cpp
@@ -90,6 +90,7 @@
   for (const auto& [shard, known] : m_known) {
     m_views[shard] = { .m_capacity = known.m_status.m_capacity,
                        .m_load = known.m_status.m_load,
+                       .m_memory = known.m_status.m_memory,
                        .m_isSilent =
                          m_readAt >= known.m_changedAt + kSilenceTimeout };
   }
--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -5,6 +5,7 @@
 #include "core/json_fields.h"
 #include "core/log.h"
 #include "core/metrics.h"
+#include "jobs/job.h"
 #include "jobs/job_codec.h"
 #include "net/event_loop.h"
 #include "scheduler/shard_layout.h"
@@ -40,6 +41,10 @@
 constexpr int kMaxOpenCommits = 2;
 /** Age of the views of the shards at which a submission refreshes them. */
 constexpr absl::Duration kViewMaxAge = absl::Milliseconds(800);
+/** Memory of this daemon's submissions, in bytes and in the time below, from
+ * which on it reads how much memory the shards have left. */
+constexpr std::int64_t kMaxUnreadMemory = 256 * 1024;
+constexpr absl::Duration kMemoryViewMaxAge = absl::Seconds(1);
 /** Time for which read counts are reused. A count in a response may be at most
  * 2 s old, and the scheduler writes the counts every 0.8 s. */
 constexpr absl::Duration kPendingMaxAge = absl::Milliseconds(400);
@@ -166,8 +171,16 @@
     record.m_entryShard = m_layout()->OfJob(aId);
     const int shard = isLongRunning ? m_layout()->OfPool(aQueue.m_pool)
                                     : ChooseShardOf(aId, record.m_entryShard);
-    m_submissions.push_back(
-      { aId, EncodeJobRecord(record), shard, EntryKey(aId), aRespond });
+    Submission submission{
+      aId,      EncodeJobRecord(record),
+      shard,    EntryKey(aId),
+      aRespond, static_cast<std::int64_t>(LargestMemory(record))
+    };
+    if (!HasMemoryFor(submission)) {
+      RefuseUnlessStored(submission);
+      return;
+    }
+    m_submissions.push_back(std::move(submission));
   } catch (const Error& error) {
     LogInfo(
       LogPart::Server,
@@ -179,6 +192,40 @@
   FlushSubmissions();
 }
 
+bool
+JobRequestHandler::HasMemoryFor(const Submission& aSubmission)
+{
+  const absl::Time now = m_loop.Now();
+  if (m_shardMemory.TakenSince(now - kMemoryViewMaxAge) > kMaxUnreadMemory) {
+    m_shardStatus.Refresh(kViewMaxAge, [](bool) {});
+  }
+  const auto view = m_shardStatus.Views().find(aSubmission.m_shard);
+  const std::int64_t published =
+    view == m_shardStatus.Views().end() ? 0 : view->second.m_memory;
+  return m_shardMemory.Take(
+    aSubmission.m_shard, published, aSubmission.m_memory, now);
+}
+
+void
+JobRequestHandler::RefuseUnlessStored(const Submission& aSubmission)
+{
+  m_shardStatus.Refresh(kViewMaxAge, [](bool) {});
+  // An earlier attempt may have stored the job.
+  ReadKey(aSubmission.m_entryKey,
+          aSubmission.m_id,
+          aSubmission.m_respond,
+          [this, aSubmission](const StoreItem* aItem) {
+            if (aItem != nullptr) {
+              Accept(aSubmission, "known");
+              return;
+            }
+            Refuse(aSubmission.m_id,
+                   "shard_memory_full",
+                   kUnavailable,
+                   aSubmission.m_respond);
+          });
+}
+
 int
 JobRequestHandler::ChooseShardOf(const std::string& aId, int aFallback)
 {
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -5,6 +5,7 @@
 #include "jobs/job_record.h"
 #include "net/http_listener.h"
 #include "scheduler/job_keys.h"
+#include "scheduler/shard_memory.h"
 #include "scheduler/shard_status_reader.h"
 #include "store/key_value_store.h"
 
@@ -70,6 +71,8 @@
     /** Key of the job's entry in the directory. */
     std::string m_entryKey;
     HttpListener::Responder m_respond;
+    /** See LargestMemory. */
+    std::int64_t m_memory = 0;
   };
 
   void Submit(const QueueSpec& aQueue,
@@ -78,6 +81,10 @@
               const HttpListener::Responder& aRespond);
   /** Chooses the shard of a job whose tasks end. */
   int ChooseShardOf(const std::string& aId, int aFallback);
+  /** Whether the shard has memory for the job, which then counts as taken. */
+  bool HasMemoryFor(const Submission& aSubmission);
+  /** Refuses a job for which its shard has no memory, unless it is stored. */
+  void RefuseUnlessStored(const Submission& aSubmission);
   void FlushSubmissions();
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
   /**
@@ -135,6 +142,7 @@
   std::deque<Submission> m_submissions;
   int m_openCommits = 0;
   ShardStatusReader m_shardStatus;
+  ShardMemory m_shardMemory;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/tests/jobs/test_job.cpp
+++ b/tests/jobs/test_job.cpp
@@ -7,8 +7,14 @@
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
+#include <malloc.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <memory>
+#include <string>
+#include <vector>
 
 using namespace bramleystall;
 
@@ -100,6 +106,132 @@
   REQUIRE(job.State() == JobState::Completed);
 }
 
+namespace {
+
+/** A scheduled job of one task; occurrence K is due at K s after 1970. */
+JobRecord
+MakeScheduled(int aRepeats, int aTasks = 1)
+{
+  JobRecord record = JobCluster::MakeJob("job1", aTasks, 1);
+  record.m_repeats = aRepeats;
+  record.m_firstDueMs = 0;
+  record.m_intervalMs = 1000;
+  return record;
+}
+
+void
+OpenDue(Job& aJob, std::int64_t aNowMs)
+{
+  while (aJob.MayOpenNext(aNowMs)) {
+    aJob.OpenNext();
+  }
+}
+
+}
+
+// Guards against memory for occurrences that are still to come, with which a
+// few scheduled jobs stop their shard (rule LOST, review/7).
+TEST_CASE("Scheduled jobs take memory for due occurrences only", "[jobs]")
+{
+  constexpr std::size_t kJobs = 12;
+  const std::size_t before = mallinfo2().uordblks;
+  std::vector<std::unique_ptr<Job>> jobs;
+  jobs.reserve(kJobs);
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    jobs.push_back(std::make_unique<Job>(MakeScheduled(86'400)));
+  }
+  CHECK(mallinfo2().uordblks < before + 1024 * 1024);
+}
+
+// Guards against the same for occurrences that are all due at once, as after a
+// long outage.
+TEST_CASE("Due occurrences are opened as far as there is room", "[jobs]")
+{
+  constexpr std::int64_t kLongAfterMs = 1'000'000'000;
+  Job job(MakeScheduled(100'000, 900));
+  OpenDue(job, 500);
+  CHECK(job.OpenOccurrences() == std::vector{ 0 });
+  OpenDue(job, kLongAfterMs);
+  CHECK(job.OpenOccurrences() == std::vector{ 0, 1 });
+  for (Task& task : job.Tasks(0, 0)) {
+    job.MarkDone(task);
+  }
+  CHECK(job.DropFinished() == std::vector{ 0 });
+  OpenDue(job, kLongAfterMs);
+  CHECK(job.OpenOccurrences() == std::vector{ 1, 2 });
+  CHECK(job.Find({ "job1", 0, 0, 0 }) == nullptr);
+  CHECK(job.IsStepDone(0, 0));
+  CHECK_FALSE(job.IsStepDone(1, 0));
+}
+
+// Guards against dropping a task that a worker may still run.
+TEST_CASE("An occurrence with a placed task is not dropped", "[jobs]")
+{
+  Job job(MakeScheduled(2));
+  OpenDue(job, 0);
+  Task& task = job.Tasks(0, 0).front();
+  task.m_worker = "worker-0";
+  job.MarkDone(task);
+  CHECK(job.DropFinished().empty());
+  task.m_worker.clear();
+  CHECK(job.DropFinished().size() == 1);
+}
+
+// Guards against a next owner that runs finished occurrences again, or skips
+// open ones (rules TWICE and LOST), and against progress that grows with them.
+TEST_CASE("Progress tells finished occurrences from open ones", "[jobs]")
+{
+  Job job(MakeScheduled(1000));
+  OpenDue(job, 499'000);
+  std::size_t size = 0;
+  for (int k = 0; k < 500; ++k) {
+    if (k != 7) {
+      job.MarkDone(job.Tasks(k, 0).front());
+    }
+    if (k == 100) {
+      job.DropFinished();
+      size = job.EncodeProgress().size();
+    }
+  }
+  CHECK(job.EncodeProgress().size() < size);
+  // A worker has listed a task of an occurrence that is not open yet.
+  job.MarkDone(*job.Find({ "job1", 600, 0, 0 }));
+
+  Job copy(MakeScheduled(1000));
+  copy.ApplyProgress(job.EncodeProgress());
+  CHECK(copy.State() == JobState::Running);
+  CHECK(copy.Find({ "job1", 6, 0, 0 }) == nullptr);
+  REQUIRE(copy.Find({ "job1", 7, 0, 0 }) != nullptr);
+  CHECK(copy.Find({ "job1", 7, 0, 0 })->m_phase == TaskPhase::Waiting);
+  CHECK(copy.Find({ "job1", 600, 0, 0 })->m_phase == TaskPhase::Done);
+  copy.MarkDone(*copy.Find({ "job1", 7, 0, 0 }));
+  OpenDue(copy, 999'000);
+  for (const int k : copy.OpenOccurrences()) {
+    copy.MarkDone(copy.Tasks(k, 0).front());
+  }
+  CHECK(copy.State() == JobState::Completed);
+}
+
+// Guards against progress of an earlier version, which lists each finished
+// task, and against impossible values.
+TEST_CASE("Progress without or with impossible occurrences is handled",
+          "[jobs]")
+{
+  Job job(MakeScheduled(3));
+  job.ApplyProgress(
+    R"({"state":"running","tasks":[[0,0,0,1,[],""],[1,0,0,1,[],""]]})");
+  OpenDue(job, 2000);
+  CHECK(job.DropFinished() == std::vector{ 0, 1 });
+  CHECK(job.OpenOccurrences() == std::vector{ 2 });
+  const std::string text =
+    GENERATE(R"({"state":"running","next":4,"open":[]})",
+             R"({"state":"running","next":-1,"open":[]})",
+             R"({"state":"running","next":2,"open":[2]})",
+             R"({"state":"running","next":2,"open":[-1]})");
+  Job broken(MakeScheduled(3));
+  CHECK_THROWS_AS(broken.ApplyProgress(text), Error);
+}
+
 TEST_CASE("Malformed and unknown task names are rejected", "[jobs]")
 {
   TaskName name;
--- a/tests/jobs/test_step_advice.cpp
+++ b/tests/jobs/test_step_advice.cpp
@@ -19,6 +19,7 @@
 MakeWorkers(int aCount)
 {
   std::vector<AdvisedWorker> workers;
+  workers.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     workers.push_back({ "worker-" + std::to_string(i), 1 });
   }
@@ -32,7 +33,7 @@
     const std::map<std::string, std::string>& aTickets,
     absl::Time aNow = kNow)
 {
-  const auto asked = aAdvice.ChooseToAsk(aCandidates, 30, aNow);
+  auto asked = aAdvice.ChooseToAsk(aCandidates, 30, aNow);
   aAdvice.OnRequested();
   aAdvice.OnResponse(asked, aTickets, aNow + absl::Seconds(3));
   return asked;
--- a/tests/server/test_job_request_handler.cpp
+++ b/tests/server/test_job_request_handler.cpp
@@ -2,7 +2,9 @@
 #include "jobs/job_entry.h"
 #include "platform/wire_codec.h"
 #include "scheduler/job_keys.h"
+#include "scheduler/shard_chooser.h"
 #include "scheduler/shard_layout.h"
+#include "scheduler/shard_status.h"
 #include "server/job_request_handler.h"
 #include "tests/fakes/fake_store.h"
 
@@ -248,3 +250,27 @@
   REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 503);
   REQUIRE_FALSE(m_store.Has(kKeys.Job(kId)));
 }
+
+// Guards against accepting jobs that take more memory than the owner of their
+// shard has, and against denying one that was accepted (rule LOST, review/7).
+TEST_CASE_METHOD(JobRequestFixture,
+                 "A job for a shard without memory is refused unless stored",
+                 "[front]")
+{
+  const std::string other = "5c0e7a21d94b36f9";
+  REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
+  m_store.Set(
+    kKeys.Status(),
+    EncodeShardStatus(
+      { .m_capacity = 1, .m_memory = kMaxShardMemory, .m_sequence = 1 }));
+  REQUIRE(Send("GET", "/q/").m_status == 200);
+  const ListenerResponse response = Send("POST", "/q/" + other, kBody);
+  CHECK(response.m_status == 503);
+  CHECK(response.m_retryAfterS > 0);
+  CHECK_FALSE(m_store.Has(kKeys.Job(other)));
+  CHECK(Send("POST", "/q/" + kId, kBody).m_status == 200);
+  m_store.Set(kKeys.Status(),
+              EncodeShardStatus({ .m_capacity = 1, .m_sequence = 2 }));
+  Send("POST", "/q/" + other, kBody);
+  CHECK(Send("POST", "/q/" + other, kBody).m_status == 200);
+}
