Replace connections that may be silent after a time-out

Cause: after a time-out, a call took the next idle connection, which was as silent, and waited for its whole time-out again.

A fetcher can replace its connections when a request that was sent got no response; requests under way end by themselves. The store, the machine service and the advice service use that. Connections to workers stay: a worker may leave one order unanswered, and new connections there are expensive.

--- a/core/log.h
+++ b/core/log.h
@@ -20,9 +20,10 @@
   Jobs,
   Workers,
   Fleet,
+  Net,
 };
 
-inline constexpr EnumNames<LogPart, 11> kLogPartNames = { {
+inline constexpr EnumNames<LogPart, 12> kLogPartNames = { {
   { LogPart::Main, "main" },
   { LogPart::Store, "store" },
   { LogPart::Peers, "peers" },
@@ -34,6 +35,7 @@
   { LogPart::Jobs, "jobs" },
   { LogPart::Workers, "workers" },
   { LogPart::Fleet, "fleet" },
+  { LogPart::Net, "net" },
 } };
 
 enum class LogLevel
--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -18,6 +18,8 @@
 constexpr int kStoreConnections = 12;
 /** One for a pending lease renewal, and two for orders. */
 constexpr int kConnectionsPerWorker = 3;
+/** To the machine service and to the advice service each. */
+constexpr int kServiceConnections = 3;
 /** Largest request body. The configuration, once read, may set a lower limit.
  */
 constexpr std::size_t kMaxBodyBytes = 1U << 20U;
@@ -62,11 +64,14 @@
 JobDaemon::JobDaemon(std::string aSettingsPath, std::string aChartsFolder)
   : m_settingsPath(std::move(aSettingsPath))
   , m_settings(LoadJobSettings(m_settingsPath))
-  , m_storeFetcher(m_loop, kStoreConnections)
+  , m_storeFetcher(m_loop, kStoreConnections, AfterTimeout::ReplaceConnections)
   , m_workerFetcher(m_loop, kConnectionsPerWorker)
+  , m_serviceFetcher(m_loop,
+                     kServiceConnections,
+                     AfterTimeout::ReplaceConnections)
   , m_store(m_storeFetcher, m_settings.m_storeAddress)
-  , m_workers(m_workerFetcher, m_settings.m_adviceAddress)
-  , m_machines(m_workerFetcher, m_settings.m_machineAddress)
+  , m_workers(m_workerFetcher, m_serviceFetcher, m_settings.m_adviceAddress)
+  , m_machines(m_serviceFetcher, m_settings.m_machineAddress)
   , m_chartsFolder(std::move(aChartsFolder))
 {
   m_operatorMirror = std::make_unique<StoreMirror>(
--- a/daemon/job_daemon.h
+++ b/daemon/job_daemon.h
@@ -64,6 +64,7 @@
   EventLoop m_loop;
   HttpFetcher m_storeFetcher;
   HttpFetcher m_workerFetcher;
+  HttpFetcher m_serviceFetcher;
   KvStoreClient m_store;
   WorkerClient m_workers;
   MachineClient m_machines;
--- a/net/http_fetcher.cpp
+++ b/net/http_fetcher.cpp
@@ -1,5 +1,6 @@
 #include "net/http_fetcher.h"
 
+#include "core/log.h"
 #include "net/event_loop.h"
 
 #include <absl/strings/str_cat.h>
@@ -80,6 +81,7 @@
   FetchRequest m_request;
   Callback m_callback;
   FetchResult m_result;
+  Multi* m_multi = nullptr;
   CURL* m_easy = nullptr;
   curl_slist* m_headers = nullptr;
   /** At least one byte of the request may have left. */
@@ -100,12 +102,27 @@
   }
 };
 
+/** A set of connections with the transfers on them. */
 struct HttpFetcher::Multi
 {
+  Multi() = default;
+  Multi(const Multi&) = delete;
+  Multi& operator=(const Multi&) = delete;
+  ~Multi()
+  {
+    m_isClosing = true;
+    for (auto& [easy, transfer] : m_transfers) {
+      curl_multi_remove_handle(m_handle, easy);
+      curl_slist_free_all(transfer->m_headers);
+      curl_easy_cleanup(easy);
+    }
+    m_fetcher->m_loop.Cancel(m_timer);
+    curl_multi_cleanup(m_handle);
+  }
+
   CURLM* m_handle = nullptr;
   EventLoop::TimerId m_timer = 0;
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> m_transfers;
-  std::vector<CURL*> m_idleHandles;
   HttpFetcher* m_fetcher = nullptr;
   bool m_isClosing = false;
 
@@ -113,7 +130,7 @@
   {
     int running = 0;
     curl_multi_socket_action(m_handle, aSocket, aActions, &running);
-    m_fetcher->CompleteTransfers();
+    m_fetcher->CompleteTransfers(*this);
   }
 
   static int OnSocket(CURL*,
@@ -152,37 +169,40 @@
   }
 };
 
-HttpFetcher::HttpFetcher(EventLoop& aLoop, int aConnectionsPerHost)
+HttpFetcher::HttpFetcher(EventLoop& aLoop,
+                         int aConnectionsPerHost,
+                         AfterTimeout aAfterTimeout)
   : m_loop(aLoop)
-  , m_multi(std::make_unique<Multi>())
+  , m_connectionsPerHost(aConnectionsPerHost)
+  , m_afterTimeout(aAfterTimeout)
+  , m_multi(MakeMulti())
 {
-  m_multi->m_fetcher = this;
-  m_multi->m_handle = curl_multi_init();
-  CURLM* handle = m_multi->m_handle;
-  curl_multi_setopt(handle, CURLMOPT_SOCKETFUNCTION, Multi::OnSocket);
-  curl_multi_setopt(handle, CURLMOPT_SOCKETDATA, m_multi.get());
-  curl_multi_setopt(handle, CURLMOPT_TIMERFUNCTION, Multi::OnTimer);
-  curl_multi_setopt(handle, CURLMOPT_TIMERDATA, m_multi.get());
-  curl_multi_setopt(handle,
-                    CURLMOPT_MAX_HOST_CONNECTIONS,
-                    static_cast<long>(aConnectionsPerHost));
-  curl_multi_setopt(handle, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
 }
 
 HttpFetcher::~HttpFetcher()
 {
   *m_alive = false;
-  m_multi->m_isClosing = true;
-  for (auto& [easy, transfer] : m_multi->m_transfers) {
-    curl_multi_remove_handle(m_multi->m_handle, easy);
-    curl_slist_free_all(transfer->m_headers);
-    curl_easy_cleanup(easy);
-  }
-  for (CURL* easy : m_multi->m_idleHandles) {
-    curl_easy_cleanup(easy);
-  }
-  m_loop.Cancel(m_multi->m_timer);
-  curl_multi_cleanup(m_multi->m_handle);
+  m_replaced.clear();
+  m_multi.reset();
+  std::ranges::for_each(m_idleHandles, curl_easy_cleanup);
+}
+
+std::unique_ptr<HttpFetcher::Multi>
+HttpFetcher::MakeMulti()
+{
+  auto multi = std::make_unique<Multi>();
+  multi->m_fetcher = this;
+  multi->m_handle = curl_multi_init();
+  CURLM* handle = multi->m_handle;
+  curl_multi_setopt(handle, CURLMOPT_SOCKETFUNCTION, Multi::OnSocket);
+  curl_multi_setopt(handle, CURLMOPT_SOCKETDATA, multi.get());
+  curl_multi_setopt(handle, CURLMOPT_TIMERFUNCTION, Multi::OnTimer);
+  curl_multi_setopt(handle, CURLMOPT_TIMERDATA, multi.get());
+  curl_multi_setopt(handle,
+                    CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(m_connectionsPerHost));
+  curl_multi_setopt(handle, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
+  return multi;
 }
 
 void
@@ -194,13 +214,14 @@
   transfer->m_id = ++m_lastId;
   transfer->m_result.m_sentAt = m_loop.Now();
   CURL* easy = nullptr;
-  if (m_multi->m_idleHandles.empty()) {
+  if (m_idleHandles.empty()) {
     easy = curl_easy_init();
   } else {
-    easy = m_multi->m_idleHandles.back();
-    m_multi->m_idleHandles.pop_back();
+    easy = m_idleHandles.back();
+    m_idleHandles.pop_back();
   }
   transfer->m_easy = easy;
+  transfer->m_multi = m_multi.get();
   const FetchRequest& request = transfer->m_request;
   curl_easy_setopt(easy, CURLOPT_URL, request.m_url.c_str());
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -257,11 +278,21 @@
 void
 HttpFetcher::CheckStall(std::uint64_t aId, std::size_t aReceivedBefore)
 {
-  const auto found =
-    std::ranges::find(m_multi->m_transfers, aId, [](const auto& aEntry) {
+  const auto findIn = [aId](const Multi& aMulti) {
+    return std::ranges::find(aMulti.m_transfers, aId, [](const auto& aEntry) {
       return aEntry.second->m_id;
     });
-  if (found == m_multi->m_transfers.end()) {
+  };
+  Multi* multi = m_multi.get();
+  const auto isIn = [&findIn](const std::unique_ptr<Multi>& aMulti) {
+    return findIn(*aMulti) != aMulti->m_transfers.end();
+  };
+  const auto replaced = std::ranges::find_if(m_replaced, isIn);
+  if (replaced != m_replaced.end()) {
+    multi = replaced->get();
+  }
+  const auto found = findIn(*multi);
+  if (found == multi->m_transfers.end()) {
     return;
   }
   Transfer& transfer = *found->second;
@@ -269,7 +300,8 @@
     ScheduleStallCheck(transfer);
     return;
   }
-  auto node = m_multi->m_transfers.extract(found);
+  auto node = multi->m_transfers.extract(found);
+  OnTimeout(transfer);
   transfer.m_result.m_error =
     absl::StrCat("no data for ",
                  absl::FormatDuration(transfer.m_request.m_stallTimeout),
@@ -283,11 +315,11 @@
 HttpFetcher::Finish(std::unique_ptr<Transfer> aTransfer)
 {
   CURL* easy = aTransfer->m_easy;
-  curl_multi_remove_handle(m_multi->m_handle, easy);
+  curl_multi_remove_handle(aTransfer->m_multi->m_handle, easy);
   curl_slist_free_all(aTransfer->m_headers);
-  if (m_multi->m_idleHandles.size() < kMaxIdleHandles) {
+  if (m_idleHandles.size() < kMaxIdleHandles) {
     curl_easy_reset(easy);
-    m_multi->m_idleHandles.push_back(easy);
+    m_idleHandles.push_back(easy);
   } else {
     curl_easy_cleanup(easy);
   }
@@ -296,17 +328,50 @@
 }
 
 void
-HttpFetcher::CompleteTransfers()
+HttpFetcher::OnTimeout(const Transfer& aTransfer)
+{
+  if (m_afterTimeout == AfterTimeout::KeepConnections || !aTransfer.m_isSent ||
+      aTransfer.m_multi != m_multi.get()) {
+    return;
+  }
+  LogInfo(LogPart::Net,
+          absl::StrCat("no response on an open connection, using new ones; "
+                       "url=",
+                       aTransfer.m_request.m_url,
+                       " open_requests=",
+                       m_multi->m_transfers.size()));
+  m_replaced.push_back(std::exchange(m_multi, MakeMulti()));
+  ScheduleDrop();
+}
+
+void
+HttpFetcher::ScheduleDrop()
+{
+  // A set of connections must not be closed in one of its own callbacks.
+  m_loop.After(absl::ZeroDuration(), [this, alive = m_alive] {
+    if (*alive) {
+      std::erase_if(m_replaced, [](const std::unique_ptr<Multi>& aMulti) {
+        return aMulti->m_transfers.empty();
+      });
+    }
+  });
+}
+
+void
+HttpFetcher::CompleteTransfers(Multi& aMulti)
 {
   int left = 0;
-  while (CURLMsg* message = curl_multi_info_read(m_multi->m_handle, &left)) {
+  while (CURLMsg* message = curl_multi_info_read(aMulti.m_handle, &left)) {
     if (message->msg != CURLMSG_DONE) {
       continue;
     }
     CURL* easy = message->easy_handle;
     const CURLcode code = message->data.result;
-    auto node = m_multi->m_transfers.extract(easy);
+    auto node = aMulti.m_transfers.extract(easy);
     Transfer& transfer = *node.mapped();
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+      OnTimeout(transfer);
+    }
     if (code == CURLE_OK) {
       long status = 0;
       curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
@@ -318,6 +383,9 @@
     }
     Finish(std::move(node.mapped()));
   }
+  if (&aMulti != m_multi.get() && aMulti.m_transfers.empty()) {
+    ScheduleDrop();
+  }
 }
 
 }
--- a/net/http_fetcher.h
+++ b/net/http_fetcher.h
@@ -49,6 +49,17 @@
   bool HasResponse() const { return m_status != 0; }
 };
 
+/** What a request without a response on an open connection says of the other
+ * connections of its fetcher. */
+enum class AfterTimeout
+{
+  /** Nothing: servers may leave single requests unanswered, and new connections
+   * are expensive. */
+  KeepConnections,
+  /** They may have gone silent as well, so later requests use new ones. */
+  ReplaceConnections,
+};
+
 /**
  * HTTP/1.1 client on an event loop, based on libcurl's multi interface with
  * kept-alive connections.
@@ -60,7 +71,10 @@
 
   /** aConnectionsPerHost is the maximum number of connections to one host;
    * further requests wait for one of them. */
-  explicit HttpFetcher(EventLoop& aLoop, int aConnectionsPerHost);
+  explicit HttpFetcher(
+    EventLoop& aLoop,
+    int aConnectionsPerHost,
+    AfterTimeout aAfterTimeout = AfterTimeout::KeepConnections);
   ~HttpFetcher();
   HttpFetcher(const HttpFetcher&) = delete;
   HttpFetcher& operator=(const HttpFetcher&) = delete;
@@ -72,7 +86,13 @@
   struct Transfer;
   struct Multi;
 
-  void CompleteTransfers();
+  std::unique_ptr<Multi> MakeMulti();
+  void CompleteTransfers(Multi& aMulti);
+  /** Lets later requests use new connections, if a transfer without a response
+   * shows that the present ones may be silent. */
+  void OnTimeout(const Transfer& aTransfer);
+  /** Closes replaced connections without transfers soon. */
+  void ScheduleDrop();
   /** Ends a transfer that received nothing since the last check. */
   void CheckStall(std::uint64_t aId, std::size_t aReceivedBefore);
   void ScheduleStallCheck(const Transfer& aTransfer);
@@ -80,8 +100,15 @@
   void Finish(std::unique_ptr<Transfer> aTransfer);
 
   EventLoop& m_loop;
+  int m_connectionsPerHost;
+  AfterTimeout m_afterTimeout;
   std::uint64_t m_lastId = 0;
+  /** Idle handles for reuse; they own no connections. */
+  std::vector<void*> m_idleHandles;
+  /** The connections of new requests. */
   std::unique_ptr<Multi> m_multi;
+  /** Connections that are closed once their transfers have ended. */
+  std::vector<std::unique_ptr<Multi>> m_replaced;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/tests/platform/test_worker_client.cpp
+++ b/tests/platform/test_worker_client.cpp
@@ -21,7 +21,7 @@
   server.SetStatus(aStatus);
   EventLoop loop;
   HttpFetcher fetcher(loop, 1);
-  WorkerClient client(fetcher, "");
+  WorkerClient client(fetcher, fetcher, "");
   std::optional<OrderResult> result;
   client.Start({ .m_workerId = "w", .m_address = server.Address() },
                { .m_task = "job.0.0.0", .m_attempt = 1 },
@@ -67,7 +67,7 @@
 TEST_CASE("A renewal with recorded ends is sent once", "[worker_client]")
 {
   ClosingServer server;
-  WorkerClient client(server.Fetcher(), "");
+  WorkerClient client(server.Fetcher(), server.Fetcher(), "");
   const auto result =
     server.Call<LeaseOrderResult>([&](WorkerGateway::LeaseCallback aCallback) {
       client.RenewLease({ .m_workerId = "w", .m_address = server.Address() },
@@ -84,7 +84,7 @@
           "[worker_client]")
 {
   ClosingServer server;
-  WorkerClient client(server.Fetcher(), "");
+  WorkerClient client(server.Fetcher(), server.Fetcher(), "");
   const auto result =
     server.Call<OrderResult>([&](WorkerGateway::OrderCallback aCallback) {
       client.Start({ .m_workerId = "w", .m_address = server.Address() },
