--- a/tests/fakes/job_cluster.cpp
+++ b/tests/fakes/job_cluster.cpp
@@ -7,6 +7,7 @@
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <utility>
 
 namespace bramleystall {
@@ -241,8 +242,16 @@
 void
 JobCluster::Submit(const JobRecord& aRecord)
 {
+  // A test may have let the job be accepted some seconds ago.
+  const absl::Duration age =
+    absl::Now() - absl::FromUnixMillis(aRecord.m_acceptedAtMs);
+  const auto wholeAge = absl::Seconds(std::llround(absl::ToDoubleSeconds(age)));
+  JobRecord record = aRecord;
+  record.m_acceptedAtMs =
+    m_createdAtMs +
+    absl::ToInt64Milliseconds(m_loop.Now() - m_createdAt - wholeAge);
   m_store.Set(m_keys.Entry(aRecord.m_id), EncodeJobEntry({}));
-  m_store.Set(m_keys.Job(aRecord.m_id), EncodeJobRecord(aRecord));
+  m_store.Set(m_keys.Job(aRecord.m_id), EncodeJobRecord(record));
 }
 
 void
--- a/tests/fakes/job_cluster.h
+++ b/tests/fakes/job_cluster.h
@@ -10,6 +10,9 @@
 #include "tests/fakes/fake_store.h"
 #include "tests/fakes/fake_workers.h"
 
+#include <absl/time/clock.h>
+
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -54,7 +57,8 @@
   /** Number of daemons that hold the owner's lease. */
   int Owners() const;
 
-  /** Stores a job as a daemon does that accepts it from a caller. */
+  /** Stores a job as a daemon does that accepts it from a caller, now in
+   * simulated time: the ranks of jobs must not depend on real time. */
   void Submit(const JobRecord& aRecord);
   void CancelJob(const std::string& aId);
   /** State of a job in the store; empty when the store has none. */
@@ -93,6 +97,10 @@
   /** Delays of the orders of all daemons; without it, daemons that are added
    * send their orders at once. */
   DelayedWorkerGateway::DelayHook m_delays;
+  /** Start of the simulated time, and the time of day then, in ms since the
+   * Unix epoch. */
+  absl::Time m_createdAt = m_loop.Now();
+  std::int64_t m_createdAtMs = absl::ToUnixMillis(absl::Now());
   std::map<std::string, WorkerReport> m_reports;
   /** Reports of workers whose entries have expired. */
   std::map<std::string, WorkerReport> m_unlisted;
