Open earlier occurrences beside later ones that were opened out of order

A next owner that finds later occurrences of a large scheduled job running opens them at once. They are dropped only after the earlier ones have been opened, for which they left no room: the job stopped for good (rule LOST).

Only the occurrences before the next one count now. "Occurrences opened out of order take no room from the next one" failed before and passes now.

--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -98,8 +98,11 @@
       aNowMs < DueMs(m_nextOccurrence)) {
     return false;
   }
-  return IsOpen(m_nextOccurrence) || m_occurrences.empty() ||
-         OpenTaskCount() + m_tasksPerOccurrence <= kMaxOpenTasks;
+  // Later occurrences that were opened out of order are dropped only once the
+  // earlier ones have been opened, so they take no room from these.
+  const auto open = static_cast<int>(std::distance(
+    m_occurrences.begin(), m_occurrences.lower_bound(m_nextOccurrence)));
+  return open == 0 || (open + 1) * m_tasksPerOccurrence <= kMaxOpenTasks;
 }
 
 void
@@ -123,12 +126,12 @@
 Job::DropFinished()
 {
   std::vector<int> dropped;
+  const auto hasPlacedTask = [](const Step& aStep) {
+    return std::ranges::any_of(aStep.m_tasks, &Task::IsPlaced);
+  };
   for (const auto& [number, occurrence] : m_occurrences) {
-    const bool isPlaced =
-      std::ranges::any_of(occurrence.m_steps, [](const Step& aStep) {
-        return std::ranges::any_of(aStep.m_tasks, &Task::IsPlaced);
-      });
-    if (number < m_nextOccurrence && !isPlaced && IsDone(occurrence)) {
+    if (number < m_nextOccurrence && IsDone(occurrence) &&
+        std::ranges::none_of(occurrence.m_steps, hasPlacedTask)) {
       dropped.push_back(number);
     }
   }
--- a/tests/jobs/test_job.cpp
+++ b/tests/jobs/test_job.cpp
@@ -164,6 +164,29 @@
   CHECK_FALSE(job.IsStepDone(1, 0));
 }
 
+// Guards against a next owner that finds later occurrences running and has no
+// room for the earlier ones, for good (rule LOST).
+TEST_CASE("Occurrences opened out of order take no room from the next one",
+          "[jobs]")
+{
+  Job job(MakeScheduled(10, 900));
+  for (const int k : { 5, 7, 9 }) {
+    REQUIRE(job.Find({ "job1", k, 0, 0 }) != nullptr);
+    for (Task& task : job.Tasks(k, 0)) {
+      job.MarkDone(task);
+    }
+  }
+  for (int k = 0; k < 10; ++k) {
+    job.DropFinished();
+    REQUIRE(job.MayOpenNext(9000));
+    job.OpenNext();
+    for (Task& task : job.Tasks(k, 0)) {
+      job.MarkDone(task);
+    }
+  }
+  CHECK(job.State() == JobState::Completed);
+}
+
 // Guards against dropping a task that a worker may still run.
 TEST_CASE("An occurrence with a placed task is not dropped", "[jobs]")
 {
