Add types for tenants and count what each has placed

Cause: deployments with tenants need a configuration that holds them, records that name them, and a count of what each has on the workers.

Resources moves to core/, below both.

--- a/jobs/job_codec.cpp
+++ b/jobs/job_codec.cpp
@@ -85,6 +85,7 @@
                   { "payload", aRecord.m_payload },
                   { "steps", std::move(steps) },
                   { "max_attempts", aRecord.m_maxAttempts } };
+  SetUnlessDefault(record, "tenant", aRecord.m_tenant);
   SetUnlessDefault(record, "priority", aRecord.m_priority);
   SetUnlessDefault(record, "repeats", aRecord.m_repeats);
   SetUnlessDefault(record, "first_due_ms", aRecord.m_firstDueMs);
@@ -107,6 +108,7 @@
     std::ranges::transform(
       body.at("steps"), std::back_inserter(record.m_steps), DecodeStep);
     record.m_maxAttempts = body.at("max_attempts").get<int>();
+    record.m_tenant = body.value("tenant", "");
     record.m_priority = body.value("priority", 0);
     record.m_repeats = body.value("repeats", 0);
     record.m_firstDueMs = body.value("first_due_ms", std::int64_t{ 0 });
--- a/jobs/job_configuration.h
+++ b/jobs/job_configuration.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "tenants/tenant_directory.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +30,8 @@
   int m_objectiveSlackMs = 0;
   /** Tasks may run only on workers that the advice service approves. */
   bool m_needsAdvice = false;
+  /** Calls need no key of a tenant. */
+  bool m_isPublic = false;
 };
 
 struct PoolSpec
@@ -45,6 +50,8 @@
   std::vector<QueueSpec> m_queues;
   std::map<std::string, PoolSpec> m_pools;
   std::size_t m_maxBodyBytes = 0;
+  /** Unset if the deployment has no tenants; then no call needs a key. */
+  std::optional<TenantDirectory> m_tenants;
 
   /** Queue of the host with the longest matching path prefix, or null. */
   const QueueSpec* Match(const std::string& aHost,
--- a/jobs/step_spec.h
+++ b/jobs/step_spec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jobs/resources.h"
+#include "core/resources.h"
 
 #include <string>
 #include <vector>
--- a/jobs/worker.h
+++ b/jobs/worker.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "core/resources.h"
 #include "jobs/moment.h"
-#include "jobs/resources.h"
 #include "jobs/worker_report.h"
 
 #include <absl/time/time.h>
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -21,6 +21,9 @@
   std::string m_path;
   std::string m_host;
   std::string m_body;
+  /** Value of the header that identifies the caller's tenant; empty for none.
+   */
+  std::string m_apiKey;
 };
 
 struct ListenerResponse
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -17,6 +17,7 @@
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/shard_status.h"
 #include "store/store_mirror.h"
+#include "tenants/tenant_usage.h"
 
 #include <absl/time/time.h>
 #include <nlohmann/json_fwd.hpp>
@@ -423,6 +424,8 @@
   std::unordered_map<std::string, std::string> m_workerOfMachine;
   /** Capacity of the worker that was reported last. */
   Resources m_typicalWorker;
+  /** What each tenant has on the workers; see Assign and Release. */
+  TenantUsage m_tenantUsage;
   DemandEstimator m_demandEstimator;
   /** Workers with leases of a previous owner that have not responded yet. */
   std::set<std::string> m_unresolvedWorkers;
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -31,7 +31,9 @@
 {
   aTask.m_worker = aWorker.m_report.m_id;
   if (aWorker.m_tasks.insert(&aTask).second) {
-    aWorker.m_used.Add(OccupiedBy(aTask.m_job->Spec(aTask)));
+    const StepSpec& spec = aTask.m_job->Spec(aTask);
+    aWorker.m_used.Add(OccupiedBy(spec));
+    m_tenantUsage.Add(aTask.m_job->Record().m_tenant, spec.m_need);
   }
 }
 
@@ -65,7 +67,9 @@
   }
   KeepLateStart(aTask, reason);
   if (worker != nullptr && worker->m_tasks.erase(&aTask) > 0) {
-    worker->m_used.Subtract(OccupiedBy(aTask.m_job->Spec(aTask)));
+    const StepSpec& spec = aTask.m_job->Spec(aTask);
+    worker->m_used.Subtract(OccupiedBy(spec));
+    m_tenantUsage.Subtract(aTask.m_job->Record().m_tenant, spec.m_need);
   }
   aTask.m_worker.clear();
   aTask.m_isStartUnsent = false;
