--- a/tenants/tenant_usage.cpp
+++ b/tenants/tenant_usage.cpp
@@ -1,5 +1,8 @@
 #include "tenants/tenant_usage.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace bramleystall {
 
 void
@@ -30,4 +33,14 @@
   return found == m_entries.end() ? Resources{} : found->second.m_resources;
 }
 
+std::vector<std::string>
+TenantUsage::Tenants() const
+{
+  std::vector<std::string> names;
+  std::ranges::transform(m_entries,
+                         std::back_inserter(names),
+                         [](const auto& aEntry) { return aEntry.first; });
+  return names;
+}
+
 }
--- a/tenants/tenant_usage.h
+++ b/tenants/tenant_usage.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace bramleystall {
 
@@ -18,6 +19,9 @@
   /** Usage of a tenant; zero if it has no placed task. */
   Resources Of(const std::string& aTenant) const;
 
+  /** Names of the tenants that have placed tasks, in their order. */
+  std::vector<std::string> Tenants() const;
+
 private:
   struct Entry
   {
