Place jobs by the fair shares of their tenants

Cause: while one tenant sends seven times its usual load into a full pool, the jobs of all tenants miss their objectives.

Change: the ranking and the tiers move from Scheduler to scheduler/job_ranking, a decision without clock or store; PlacePool applies ShareOrder if jobs of several tenants are active and the configuration has tenants, else the previous order. Assign and Release count the usage by pool. The capacity that is shared is that of the listed workers without the long-running tasks. Gauges bramleystall_tenant_pool_usage and _share show each tenant's part.

--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -68,6 +68,7 @@
 Scheduler::~Scheduler()
 {
   *m_alive = false;
+  ClearShares();
 }
 
 void
@@ -286,15 +287,6 @@
   }
 }
 
-bool
-Scheduler::MayRunOnUnresolvedWorker(const Job& aJob) const
-{
-  return m_earlierJobs.contains(&aJob) &&
-         std::ranges::any_of(aJob.Workers(), [this](const std::string& aId) {
-           return m_unresolvedWorkers.contains(aId);
-         });
-}
-
 // Jobs.
 
 void
@@ -500,6 +492,7 @@
   }
   status.m_sequence = ++m_statusSequence;
   m_writer.Put(m_keys.Status(), EncodeShardStatus(status));
+  PublishShares();
   After(kStatusInterval, [this] { PublishStatus(); });
 }
 
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -10,6 +10,7 @@
 #include "jobs/worker.h"
 #include "scheduler/entry_sweeper.h"
 #include "scheduler/job_keys.h"
+#include "scheduler/job_ranking.h"
 #include "scheduler/late_starts.h"
 #include "scheduler/ownership.h"
 #include "scheduler/progress_writer.h"
@@ -17,6 +18,7 @@
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/shard_status.h"
 #include "store/store_mirror.h"
+#include "tenants/pool_usage.h"
 #include "tenants/tenant_usage.h"
 
 #include <absl/time/time.h>
@@ -37,6 +39,7 @@
 
 class EventLoop;
 class Metrics;
+class TenantShares;
 
 /**
  * Places the tasks of a shard's jobs on its workers while this daemon owns the
@@ -215,32 +218,37 @@
   // Placement.
   void RequestPlacement();
   void PlaceAll();
+  JobTier TierOf(const ActiveJob& aActive) const;
   void PlacePool(const std::string& aPool,
                  const std::vector<const ActiveJob*>& aJobs,
                  Placement& aPlacement);
-  /** Order in which jobs of one priority are placed. */
-  enum class Tier
-  {
-    LongRunning,
-    InTime,
-    /** In time only if it takes much less than its expected time. */
-    Doubtful,
-    Late,
-    /** Can no longer be completed early enough to be paid for. */
-    Overdue,
-  };
-  Tier TierOf(const ActiveJob& aActive) const;
+  bool HasSeveralTenants(const std::vector<const ActiveJob*>& aJobs) const;
+  /** Whether the job has work now that counts in its tenant's share. */
+  bool TakesPartInShares(const ActiveJob& aActive) const;
+  /** Capacity of a pool's listed workers beside their long-running tasks. */
+  Resources SharedCapacity(const std::string& aPool) const;
+  /** Requires a configuration with tenants. */
+  TenantShares MeasureShares(const std::string& aPool,
+                             const std::vector<const ActiveJob*>& aJobs) const;
+  /** Shows each tenant's usage and fair share as metrics. */
+  void PublishShares();
+  /** Sets these metrics to 0 when the shard has another owner. */
+  void ClearShares();
+  void PlaceJob(const std::string& aPool,
+                const ActiveJob& aActive,
+                JobTier aTier,
+                Placement& aPlacement);
   /**
    * Whether jobs of a tier give way to other pools that are short. They then
    * start only on workers with long-running tasks, which stay in their pool
    * anyway.
    */
-  bool IsWithheld(const std::string& aPool, Tier aTier) const;
+  bool IsWithheld(const std::string& aPool, JobTier aTier) const;
   void AddWaitingDemand(const std::string& aPool,
                         Job& aJob,
                         int aOccurrence,
                         int aStep,
-                        Tier aTier);
+                        JobTier aTier);
   void RecordArrival(const Job& aJob);
   double LoadOf(const Resources& aNeed) const;
   bool MayDisrupt(const Task& aTask) const;
@@ -297,6 +305,8 @@
                  std::int64_t aFence,
                  const OrderResult& aResult);
   void Assign(Task& aTask, Worker& aWorker);
+  /** Counts the tasks of a worker whose entry names another pool there. */
+  void MoveUsage(const Worker& aWorker, const std::string& aPool);
   /** Lets the task start elsewhere. The proof has to be about its current
    * attempt. */
   void Release(Task& aTask, const ReleaseProof& aProof);
@@ -426,6 +436,10 @@
   Resources m_typicalWorker;
   /** What each tenant has on the workers; see Assign and Release. */
   TenantUsage m_tenantUsage;
+  /** The same by pool, for fair shares. */
+  PoolUsage m_poolUsage;
+  /** Labels of the metrics of shares that are not 0. */
+  std::set<std::map<std::string, std::string>> m_shownShares;
   DemandEstimator m_demandEstimator;
   /** Workers with leases of a previous owner that have not responded yet. */
   std::set<std::string> m_unresolvedWorkers;
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -35,39 +35,6 @@
         });
 }
 
-const std::string&
-Scheduler::PoolOf(const Job& aJob) const
-{
-  const QueueSpec* queue = m_env.m_configuration().Find(aJob.Record().m_queue);
-  return queue == nullptr ? aJob.Record().m_pool : queue->m_pool;
-}
-
-Scheduler::ActiveJob
-Scheduler::MakeActive(Job& aJob) const
-{
-  const JobRecord& record = aJob.Record();
-  const QueueSpec* queue = m_env.m_configuration().Find(record.m_queue);
-  absl::Duration totalRunTime;
-  for (const StepSpec& step : record.m_steps) {
-    totalRunTime += m_demandEstimator.ExpectedRunTime(
-      record.m_queue, absl::Milliseconds(step.m_estimateMs));
-  }
-  ActiveJob active;
-  active.m_job = &aJob;
-  active.m_pool = queue == nullptr ? record.m_pool : queue->m_pool;
-  active.m_priority = queue == nullptr ? record.m_priority : queue->m_priority;
-  active.m_needsAdvice = queue != nullptr && queue->m_needsAdvice;
-  active.m_isLongRunning = record.m_steps.front().m_isLongRunning;
-  active.m_stepMs = absl::ToInt64Milliseconds(totalRunTime) /
-                    static_cast<std::int64_t>(record.m_steps.size());
-  active.m_objectiveMs =
-    record.m_acceptedAtMs +
-    absl::ToInt64Milliseconds(totalRunTime *
-                              (queue == nullptr ? 1.0 : queue->m_stretch)) +
-    (queue == nullptr ? 0 : queue->m_objectiveSlackMs);
-  return active;
-}
-
 void
 Scheduler::OnConfigurationChanged()
 {
@@ -173,44 +140,23 @@
 }
 
 void
-Scheduler::PlacePool(const std::string& aPool,
-                     const std::vector<const ActiveJob*>& aJobs,
-                     Placement& aPlacement)
+Scheduler::PlaceJob(const std::string& aPool,
+                    const ActiveJob& aActive,
+                    JobTier aTier,
+                    Placement& aPlacement)
 {
-  struct Rank
-  {
-    int m_priority;
-    Tier m_tier;
-    std::int64_t m_objectiveMs;
-    const ActiveJob* m_active;
-
-    auto Key() const
-    {
-      return std::tuple(
-        m_priority, m_tier, m_objectiveMs, m_active->m_job->Order());
+  Job& job = *aActive.m_job;
+  const int steps = static_cast<int>(job.Record().m_steps.size());
+  const bool isWithheld = IsWithheld(aPool, aTier);
+  OpenDueOccurrences(job);
+  for (const int k : job.OpenOccurrences()) {
+    if (!IsDue(job, k)) {
+      continue;
     }
-  };
-  std::vector<Rank> ranks;
-  ranks.reserve(aJobs.size());
-  for (const ActiveJob* active : aJobs) {
-    ranks.push_back(
-      { active->m_priority, TierOf(*active), active->m_objectiveMs, active });
-  }
-  std::ranges::sort(ranks, {}, &Rank::Key);
-  for (const Rank& rank : ranks) {
-    Job& job = *rank.m_active->m_job;
-    const int steps = static_cast<int>(job.Record().m_steps.size());
-    const bool isWithheld = IsWithheld(aPool, rank.m_tier);
-    OpenDueOccurrences(job);
-    for (const int k : job.OpenOccurrences()) {
-      if (!IsDue(job, k)) {
-        continue;
-      }
-      for (int s = 0; s < steps; ++s) {
-        if (!job.IsStepDone(k, s) && job.IsStepReady(k, s)) {
-          PlaceStep(*rank.m_active, k, s, isWithheld, aPlacement);
-          AddWaitingDemand(aPool, job, k, s, rank.m_tier);
-        }
+    for (int s = 0; s < steps; ++s) {
+      if (!job.IsStepDone(k, s) && job.IsStepReady(k, s)) {
+        PlaceStep(aActive, k, s, isWithheld, aPlacement);
+        AddWaitingDemand(aPool, job, k, s, aTier);
       }
     }
   }
@@ -231,46 +177,12 @@
   }
 }
 
-bool
-Scheduler::IsWithheld(const std::string& aPool, Tier aTier) const
-{
-  return aTier >= Tier::Late &&
-         std::ranges::any_of(m_shortPools, [&aPool](const std::string& aShort) {
-           return aShort != aPool;
-         });
-}
-
-Scheduler::Tier
-Scheduler::TierOf(const ActiveJob& aActive) const
-{
-  if (aActive.m_isLongRunning) {
-    return Tier::LongRunning;
-  }
-  // Jobs that can no longer be in time yield to those that still can.
-  const double expectedMs =
-    static_cast<double>(aActive.m_stepMs * aActive.m_job->RemainingStepCount());
-  const auto fits = [&](double aShare, std::int64_t aUntilMs) {
-    return m_wallNowMs + static_cast<std::int64_t>(aShare * expectedMs) <=
-           aUntilMs;
-  };
-  if (fits(kExpectedTimeShare, aActive.m_objectiveMs)) {
-    return Tier::InTime;
-  }
-  if (fits(kLeastTimeShare, aActive.m_objectiveMs)) {
-    return Tier::Doubtful;
-  }
-  const std::int64_t acceptedAtMs = aActive.m_job->Record().m_acceptedAtMs;
-  const std::int64_t lateUntilMs =
-    acceptedAtMs + kLateFactor * (aActive.m_objectiveMs - acceptedAtMs);
-  return fits(kLeastTimeShare, lateUntilMs) ? Tier::Late : Tier::Overdue;
-}
-
 void
 Scheduler::AddWaitingDemand(const std::string& aPool,
                             Job& aJob,
                             int aOccurrence,
                             int aStep,
-                            Tier aTier)
+                            JobTier aTier)
 {
   const StepSpec& spec = aJob.Record().m_steps[static_cast<std::size_t>(aStep)];
   const auto count = std::ranges::count(
@@ -284,9 +196,9 @@
     }
     demand.m_hasWaitingLongRunning |= count > 0;
   }
-  demand.m_hasWaitingInTime |= aTier == Tier::InTime && count > 0;
+  demand.m_hasWaitingInTime |= aTier == JobTier::InTime && count > 0;
   double& waiting =
-    aTier >= Tier::Late ? demand.m_lateWaitingLoad : demand.m_waitingLoad;
+    aTier >= JobTier::Late ? demand.m_lateWaitingLoad : demand.m_waitingLoad;
   waiting += static_cast<double>(count) * LoadOf(OccupiedBy(spec));
 }
 
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -33,7 +33,23 @@
   if (aWorker.m_tasks.insert(&aTask).second) {
     const StepSpec& spec = aTask.m_job->Spec(aTask);
     aWorker.m_used.Add(OccupiedBy(spec));
-    m_tenantUsage.Add(aTask.m_job->Record().m_tenant, spec.m_need);
+    const std::string& tenant = aTask.m_job->Record().m_tenant;
+    m_tenantUsage.Add(tenant, spec.m_need);
+    m_poolUsage.Add(
+      aWorker.m_report.m_pool, tenant, spec.m_isLongRunning, OccupiedBy(spec));
+  }
+}
+
+void
+Scheduler::MoveUsage(const Worker& aWorker, const std::string& aPool)
+{
+  for (const Task* task : aWorker.m_tasks) {
+    const StepSpec& spec = task->m_job->Spec(*task);
+    const std::string& tenant = task->m_job->Record().m_tenant;
+    const Resources need = OccupiedBy(spec);
+    m_poolUsage.Subtract(
+      aWorker.m_report.m_pool, tenant, spec.m_isLongRunning, need);
+    m_poolUsage.Add(aPool, tenant, spec.m_isLongRunning, need);
   }
 }
 
@@ -69,7 +85,10 @@
   if (worker != nullptr && worker->m_tasks.erase(&aTask) > 0) {
     const StepSpec& spec = aTask.m_job->Spec(aTask);
     worker->m_used.Subtract(OccupiedBy(spec));
-    m_tenantUsage.Subtract(aTask.m_job->Record().m_tenant, spec.m_need);
+    const std::string& tenant = aTask.m_job->Record().m_tenant;
+    m_tenantUsage.Subtract(tenant, spec.m_need);
+    m_poolUsage.Subtract(
+      worker->m_report.m_pool, tenant, spec.m_isLongRunning, OccupiedBy(spec));
   }
   aTask.m_worker.clear();
   aTask.m_isStartUnsent = false;
--- a/scheduler/scheduler_workers.cpp
+++ b/scheduler/scheduler_workers.cpp
@@ -35,6 +35,9 @@
   if (worker.m_fence == 0) {
     RaiseFence(worker);
   }
+  if (worker.m_report.m_pool != aReport.m_pool) {
+    MoveUsage(worker, aReport.m_pool);
+  }
   worker.m_report = aReport;
   worker.m_isListed = true;
   m_typicalWorker = aReport.m_capacity;
@@ -385,6 +388,15 @@
   }
 }
 
+bool
+Scheduler::MayRunOnUnresolvedWorker(const Job& aJob) const
+{
+  return m_earlierJobs.contains(&aJob) &&
+         std::ranges::any_of(aJob.Workers(), [this](const std::string& aId) {
+           return m_unresolvedWorkers.contains(aId);
+         });
+}
+
 void
 Scheduler::ClearExpiredLeases()
 {
