Test that usage follows a worker to another pool

Cause: no test covered a worker whose entry names another pool while its tasks run, or that was not listed when its tasks became known.

Change: a scheduler test with a worker that changes its pool and back.

--- a/tests/scheduler/test_scheduler_shares.cpp
+++ b/tests/scheduler/test_scheduler_shares.cpp
@@ -103,3 +103,26 @@
   CHECK(fixture.CountStarted("a", 10) == 3);
   CHECK(fixture.CountStarted("b", 10) == 3);
 }
+
+// Guards against usage that stays with a pool when the worker's entry names
+// another one before the tasks end: "a" would then count as above its share.
+TEST_CASE("Usage follows a worker to another pool", "[scheduler][tenants]")
+{
+  ShareFixture fixture;
+  fixture.SetTenants();
+  fixture.Start();
+  JobRecord earlier = JobCluster::MakeJob("earlier", 8, 1);
+  earlier.m_tenant = "a";
+  fixture.Submit(earlier);
+  fixture.m_loop.AdvanceBy(absl::Seconds(1));
+  WorkerReport moved = JobCluster::MakeReport(0);
+  moved.m_pool = "other";
+  fixture.m_scheduler->OnWorkerReport(moved);
+  fixture.m_loop.AdvanceBy(absl::Seconds(4));
+  fixture.m_scheduler->OnWorkerReport(JobCluster::MakeReport(0));
+  fixture.SubmitJobs("a", 10);
+  fixture.SubmitJobs("b", 10);
+  fixture.m_loop.AdvanceBy(absl::Seconds(1));
+  CHECK(fixture.CountStarted("a", 10) == 4);
+  CHECK(fixture.CountStarted("b", 10) == 4);
+}
