Keep the strict bounds of the flood test and list it as known to fail

Cause: the bounds for a single tenant, a single seed and for jobs that end before they are overdue had been set after a run that failed them.

Change: the test asserts what it was to show in the first place in a test case of its own.

--- a/tests/scheduler/test_share_contention.cpp
+++ b/tests/scheduler/test_share_contention.cpp
@@ -187,6 +187,34 @@
   return load;
 }
 
+/** What callers get of the same flood with shares and in the previous order. */
+struct FloodResult
+{
+  std::map<std::string, TenantResult> m_shared;
+  std::map<std::string, TenantResult> m_previous;
+
+  static TenantResult Sum(const std::map<std::string, TenantResult>& aResults)
+  {
+    TenantResult sum;
+    for (const auto& [name, result] : aResults) {
+      sum.Add(result);
+    }
+    return sum;
+  }
+};
+
+constexpr unsigned kSeeds = 10;
+
+FloodResult
+PlayFlood(unsigned aSeed)
+{
+  Load load = MakeFlood(aSeed);
+  FloodResult result{ .m_shared = Play(load), .m_previous = {} };
+  load.m_hasShares = false;
+  result.m_previous = Play(load);
+  return result;
+}
+
 }
 
 // Guards against a tenant that sends seven times its usual load for 6 s and so
@@ -194,46 +222,56 @@
 // against capacity that the shares leave unused.
 TEST_CASE("A flood costs the tenant that sends it", "[scheduler][tenants]")
 {
-  constexpr unsigned kSeeds = 10;
-  // A tenant's own burst may exceed its share for a moment.
-  constexpr double kLeastOfTenant = 0.95;
+  // Target of docs/design.md for other work in a flood.
   constexpr double kLeastOfOthers = 0.99;
-  // 2.5% fewer jobs are completed before they are overdue than in the previous
-  // order, late or in time; nearly all late ones are the flood's.
-  constexpr double kLeastUseful = 0.97;
   constexpr double kLeastRunTime = 0.99;
   TenantResult total;
   TenantResult totalBefore;
   TenantResult others;
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-    Load load = MakeFlood(seed);
-    const auto shared = Play(load);
-    load.m_hasShares = false;
-    const auto previous = Play(load);
-    for (const auto& [name, result] : shared) {
+    const FloodResult flood = PlayFlood(seed);
+    total.Add(FloodResult::Sum(flood.m_shared));
+    totalBefore.Add(FloodResult::Sum(flood.m_previous));
+    for (const auto& [name, result] : flood.m_shared) {
       const double share = result.InTimeShare();
-      const double before = previous.at(name).InTimeShare();
+      const double before = flood.m_previous.at(name).InTimeShare();
       INFO("seed " << seed << " " << name << " in time " << share << ", before "
                    << before);
-      total.Add(result);
-      totalBefore.Add(previous.at(name));
       if (name == "tenant0") {
         CHECK(share < before);
         continue;
       }
       others.Add(result);
       CHECK(share > before);
-      CHECK(share >= kLeastOfTenant);
     }
   }
   CHECK(others.InTimeShare() >= kLeastOfOthers);
   CHECK(total.m_sent == totalBefore.m_sent);
   CHECK(total.m_inTime >= totalBefore.m_inTime);
-  CHECK(total.m_useful >= kLeastUseful * totalBefore.m_useful);
   CHECK(static_cast<double>(total.m_runMs) >=
         kLeastRunTime * static_cast<double>(totalBefore.m_runMs));
 }
 
+// Guards against a flood that costs a single other tenant more than 2% of its
+// jobs, or all tenants together some of theirs. Known to fail (KNOWN-RED.txt).
+TEST_CASE("A flood costs no other tenant and not the whole",
+          "[scheduler][tenants]")
+{
+  constexpr double kLeastOfTenant = 0.98;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    const FloodResult flood = PlayFlood(seed);
+    INFO("seed " << seed);
+    for (const auto& [name, result] : flood.m_shared) {
+      INFO(name << " in time " << result.InTimeShare());
+      CHECK((name == "tenant0" || result.InTimeShare() >= kLeastOfTenant));
+    }
+    const TenantResult total = FloodResult::Sum(flood.m_shared);
+    const TenantResult totalBefore = FloodResult::Sum(flood.m_previous);
+    CHECK(total.m_inTime >= totalBefore.m_inTime);
+    CHECK(total.m_useful >= totalBefore.m_useful);
+  }
+}
+
 // Guards against shares that do not follow the weights while the pool is full.
 TEST_CASE("Weights of 1 to 3 give 1 to 3 of a full pool",
           "[scheduler][tenants]")
