Decode tenants and public routes of a configuration

Cause: deployments with tenants list them, with their keys, weights and caps, and mark queues as public; the decoder ignored both.

UpdateConfiguration, moved out of JobDaemon, keeps a process from going back to an older version, also when a new mirror reads one.

--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/log.h"
+#include "daemon/configuration_update.h"
 #include "platform/wire_codec.h"
 
 #include <absl/strings/str_cat.h>
@@ -147,16 +148,19 @@
 void
 JobDaemon::ApplyConfiguration(const StoreItem& aItem)
 {
-  JobConfiguration next = wire::DecodeConfiguration(aItem.m_value);
-  if (m_configuration && next.m_version <= m_configuration->m_version) {
+  if (!UpdateConfiguration(m_configuration, aItem.m_value)) {
     return;
   }
-  LogInfo(LogPart::Main,
-          absl::StrCat("configuration in force; version=",
-                       next.m_version,
-                       " queues=",
-                       next.m_queues.size()));
-  m_configuration = std::move(next);
+  LogInfo(
+    LogPart::Main,
+    absl::StrCat("configuration in force; version=",
+                 m_configuration->m_version,
+                 " queues=",
+                 m_configuration->m_queues.size(),
+                 m_configuration->m_tenants
+                   ? absl::StrCat(" tenants=",
+                                  m_configuration->m_tenants->Tenants().size())
+                   : ""));
   for (const auto& shard : m_shards) {
     shard->OnConfigurationChanged();
   }
