Pass the key of a request on to its handler

Cause: the handler of callers' requests has to know the key that they present.

Change: HttpListener reads it from the header that its owner names, Api-Key at the caller port, without the whitespace around it: libmicrohttpd keeps the whitespace behind a value (seen in the test: "other " instead of "other").

Result: the test with a listener on a loopback address passes: keys are passed on, and a request without the header gets none from the one before on its connection.

--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -106,6 +106,7 @@
            const HttpListener::Responder& aRespond) {
       m_jobRequestHandler->Handle(aRequest, aRespond);
     });
+  m_callerListener->SetApiKeyHeader(wire::kApiKeyHeader);
   m_readyListener = std::make_unique<HttpListener>(
     m_loop,
     m_settings.m_readyAddress,
--- a/net/http_listener.cpp
+++ b/net/http_listener.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "net/event_loop.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
@@ -80,6 +81,14 @@
       const char* host = MHD_lookup_connection_value(
         aConnection, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
       exchange->m_request.m_host = host == nullptr ? "" : host;
+      const char* apiKey =
+        self->m_apiKeyHeader.empty()
+          ? nullptr
+          : MHD_lookup_connection_value(
+              aConnection, MHD_HEADER_KIND, self->m_apiKeyHeader.c_str());
+      // libmicrohttpd keeps whitespace behind a value, which is no part of it.
+      exchange->m_request.m_apiKey = std::string(
+        absl::StripAsciiWhitespace(apiKey == nullptr ? "" : apiKey));
       *aState = exchange;
       return MHD_YES;
     }
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 struct MHD_Daemon;
 
@@ -59,6 +60,9 @@
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
 
+  /** Sets the name of the header that becomes ListenerRequest::m_apiKey. */
+  void SetApiKeyHeader(std::string aName) { m_apiKeyHeader = std::move(aName); }
+
   /** Closes each connection after its next response, from now on. */
   void CloseConnectionsAfterResponse() { m_closesAfterResponse = true; }
 
@@ -79,6 +83,8 @@
   EventLoop& m_loop;
   std::size_t m_maxBodyBytes;
   Handler m_handler;
+  /** Empty for none. */
+  std::string m_apiKeyHeader;
   bool m_closesAfterResponse = false;
   bool m_hasStoppedAccepting = false;
   bool m_isRunScheduled = false;
