Keep the tenant of a job in its directory entry

Cause: whether a caller may read or cancel a job has to be known from the entry alone, also after the job has ended and its record is gone.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_replace.h>
 #include <boost/histogram.hpp>
 
+#include <set>
 #include <utility>
 
 namespace bramleystall {
@@ -116,6 +117,8 @@
   std::map<SeriesKey, std::uint64_t> m_counters;
   std::map<SeriesKey, double> m_gauges;
   std::map<SeriesKey, DurationSeries> m_durations;
+  /** Values in use of each label that BoundedLabelValue limits. */
+  std::map<std::string, std::set<std::string>> m_boundedValues;
 };
 
 Metrics::Metrics()
@@ -156,6 +159,23 @@
   ++series.m_count;
 }
 
+std::string
+Metrics::BoundedLabelValue(const std::string& aLabel,
+                           const std::string& aValue,
+                           std::size_t aMaxValues)
+{
+  const std::lock_guard lock(m_mutex);
+  std::set<std::string>& values = m_registry->m_boundedValues[aLabel];
+  if (values.contains(aValue)) {
+    return aValue;
+  }
+  if (values.size() >= aMaxValues) {
+    return "other";
+  }
+  values.insert(aValue);
+  return aValue;
+}
+
 std::uint64_t
 Metrics::CounterValue(const std::string& aName,
                       const MetricLabels& aLabels) const
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -2,6 +2,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -39,6 +40,15 @@
                const MetricLabels& aLabels,
                absl::Duration aDuration);
 
+  /**
+   * Value to use for a label whose values are not known in advance: aValue, or
+   * "other" if the label already has aMaxValues other ones. Keeps the number of
+   * series bounded.
+   */
+  std::string BoundedLabelValue(const std::string& aLabel,
+                                const std::string& aValue,
+                                std::size_t aMaxValues);
+
   /** Value of a counter; 0 when it was never incremented. */
   std::uint64_t CounterValue(const std::string& aName,
                              const MetricLabels& aLabels = {}) const;
--- a/jobs/job_codec.cpp
+++ b/jobs/job_codec.cpp
@@ -86,6 +86,7 @@
                   { "steps", std::move(steps) },
                   { "max_attempts", aRecord.m_maxAttempts } };
   SetUnlessDefault(record, "tenant", aRecord.m_tenant);
+  SetUnlessDefault(record, "public", aRecord.m_isPublic);
   SetUnlessDefault(record, "priority", aRecord.m_priority);
   SetUnlessDefault(record, "repeats", aRecord.m_repeats);
   SetUnlessDefault(record, "first_due_ms", aRecord.m_firstDueMs);
@@ -109,6 +110,7 @@
       body.at("steps"), std::back_inserter(record.m_steps), DecodeStep);
     record.m_maxAttempts = body.at("max_attempts").get<int>();
     record.m_tenant = body.value("tenant", "");
+    record.m_isPublic = body.value("public", false);
     record.m_priority = body.value("priority", 0);
     record.m_repeats = body.value("repeats", 0);
     record.m_firstDueMs = body.value("first_due_ms", std::int64_t{ 0 });
--- a/jobs/job_entry.cpp
+++ b/jobs/job_entry.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job_entry.h"
 
+#include "jobs/job_record.h"
+
 #include <nlohmann/json.hpp>
 
 namespace bramleystall {
@@ -10,9 +12,16 @@
 
 constexpr const char* kShardField = "shard";
 constexpr const char* kStateField = "state";
+constexpr const char* kTenantField = "tenant";
 
 }
 
+std::string
+TenantOfEntry(const JobRecord& aRecord)
+{
+  return aRecord.m_isPublic ? "" : aRecord.m_tenant;
+}
+
 std::string
 EncodeJobEntry(const JobEntry& aEntry)
 {
@@ -20,6 +29,9 @@
   if (aEntry.m_finalState) {
     body[kStateField] = NameOf(kJobStateNames, *aEntry.m_finalState);
   }
+  if (!aEntry.m_tenant.empty()) {
+    body[kTenantField] = aEntry.m_tenant;
+  }
   return body.dump();
 }
 
@@ -36,6 +48,13 @@
   }
   JobEntry entry;
   entry.m_shard = shard->get<int>();
+  const auto tenant = body.find(kTenantField);
+  if (tenant != body.end()) {
+    if (!tenant->is_string()) {
+      return std::nullopt;
+    }
+    entry.m_tenant = tenant->get<std::string>();
+  }
   const auto state = body.find(kStateField);
   if (state == body.end()) {
     return entry;
--- a/jobs/job_entry.h
+++ b/jobs/job_entry.h
@@ -7,6 +7,8 @@
 
 namespace bramleystall {
 
+struct JobRecord;
+
 /**
  * Entry of a job in the directory of all jobs. It is stored with the job's
  * record, outlasts it by the retention time and makes the job's id unique.
@@ -17,8 +19,15 @@
   int m_shard = 0;
   /** Final state; unset while the job has a record. */
   std::optional<JobState> m_finalState;
+  /** Tenant that alone may read and cancel the job; empty if there is none. */
+  std::string m_tenant;
 };
 
+/** Tenant that the entry of a job names; none for a job of a public queue,
+ * since its caller may ask for it without a key. */
+std::string
+TenantOfEntry(const JobRecord& aRecord);
+
 std::string
 EncodeJobEntry(const JobEntry& aEntry);
 
--- a/jobs/job_record.h
+++ b/jobs/job_record.h
@@ -15,6 +15,8 @@
   std::string m_queue;
   /** Name of the tenant that submitted the job; empty for none. */
   std::string m_tenant;
+  /** Submitted to a public queue, so that its entry names no tenant. */
+  bool m_isPublic = false;
   /** Pool of the queue at submission; used when the queue was removed. */
   std::string m_pool;
   /** Time at which the job was accepted, in ms since the Unix epoch. */
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -1,17 +1,13 @@
 #include "scheduler/scheduler.h"
 
-#include "core/clock.h"
 #include "core/error.h"
 #include "core/log.h"
-#include "core/metrics.h"
 #include "jobs/job_codec.h"
-#include "jobs/job_entry.h"
 #include "jobs/placement.h"
 #include "net/event_loop.h"
 #include "scheduler/scheduling_limits.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -376,83 +372,6 @@
   }
 }
 
-void
-Scheduler::Cancel(Job& aJob)
-{
-  if (aJob.IsFinal()) {
-    return;
-  }
-  aJob.MarkCancelled();
-  FinishJob(aJob);
-}
-
-void
-Scheduler::Store(Job& aJob)
-{
-  m_changedJobs.insert(&aJob);
-  if (m_changedJobs.size() == 1) {
-    After(absl::ZeroDuration(), [this] { PutChangedJobs(); });
-  }
-}
-
-void
-Scheduler::PutChangedJobs()
-{
-  for (const Job* job : m_changedJobs) {
-    if (job->IsFinal() && !job->HasPlacedTask()) {
-      Archive(*job);
-    } else if (job->IsFinal() || job->IsProgressKnown()) {
-      m_writer.Put(m_keys.Progress(job->Id()), job->EncodeProgress());
-    }
-  }
-  m_changedJobs.clear();
-}
-
-void
-Scheduler::Archive(const Job& aJob)
-{
-  const std::string& id = aJob.Id();
-  const keys::ShardKeys entryKeys(aJob.Record().m_entryShard);
-  const JobEntry entry{ .m_shard = m_keys.Shard(),
-                        .m_finalState = aJob.State() };
-  m_writer.Replace(
-    m_keys.Progress(id),
-    { .m_put = StorePut{ entryKeys.Entry(id), EncodeJobEntry(entry) },
-      .m_removals = { m_keys.Job(id), m_keys.Cancel(id) } });
-}
-
-void
-Scheduler::FinishJob(Job& aJob)
-{
-  Store(aJob);
-  m_active.erase(aJob.Id());
-  ForgetAdvice(absl::StrCat(aJob.Id(), "."));
-  m_earlierJobs.erase(&aJob);
-  const std::string state(NameOf(kJobStateNames, aJob.State()));
-  m_env.m_metrics.Count("bramleystall_jobs_finished_total",
-                        { { "state", state } });
-  const std::int64_t ageMs =
-    ToMillis(absl::Now()) - aJob.Record().m_acceptedAtMs;
-  m_env.m_metrics.Observe("bramleystall_job_duration_seconds",
-                          { { "state", state } },
-                          absl::Milliseconds(ageMs));
-  LogInfo(
-    LogPart::Jobs,
-    absl::StrCat(
-      "job finished; job=", aJob.Id(), " state=", state, " age_ms=", ageMs));
-  for (const int k : aJob.OpenOccurrences()) {
-    for (std::size_t s = 0; s < aJob.Record().m_steps.size(); ++s) {
-      for (Task& task : aJob.Tasks(k, static_cast<int>(s))) {
-        if (task.m_isStartUnsent) {
-          ReleaseUnsent(task);
-        } else if (task.IsPlaced() && task.m_phase != TaskPhase::Stopping) {
-          StopTask(task);
-        }
-      }
-    }
-  }
-}
-
 Task*
 Scheduler::FindTask(const std::string& aName)
 {
