Check the tenant of each request to the job interface

Cause: with tenants, requests without a valid key were run, and every caller could read and cancel all jobs.

Change: after the queue is found, CallerIdentity decides by the configuration in effect which tenant calls, or that the response is 401, without a store call. State and cancel of another tenant's job get 410, with the body of an unknown job; a submission with its id gets 409, wherever the stored entry is found. A step whose task or gang exceeds the tenant's whole cap gets 400 with the reason, unless the job is stored already. Accepted, cancelled and refused requests are counted and logged with the tenant. Refusals before or because of the key write one log line a second for each reason, and a path that is no job id is no longer logged, since callers that we do not control choose it.

The test fixture moves to tests/fakes, since two tests use it.

Result: the new tests and those of the handler pass.

--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -2,13 +2,15 @@
 
 #include "core/clock.h"
 #include "core/error.h"
-#include "core/json_fields.h"
 #include "core/log.h"
 #include "core/metrics.h"
+#include "jobs/cap_check.h"
 #include "jobs/job.h"
 #include "jobs/job_codec.h"
 #include "net/event_loop.h"
 #include "scheduler/shard_layout.h"
+#include "server/http_statuses.h"
+#include "tenants/tenant_labels.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -24,15 +26,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kMethodNotAllowed = 405;
-constexpr int kGone = 410;
-constexpr int kContentTooLarge = 413;
-constexpr int kUnavailable = 503;
-constexpr int kOutcomeUnknown = 504;
-
 constexpr std::size_t kIdLength = 16;
 /** Transaction entries of a job: the condition that it has no entry yet, the
  * entry and the record. */
@@ -45,11 +38,11 @@
  * which on it reads how much memory the shards have left. */
 constexpr std::int64_t kMaxUnreadMemory = 256 * 1024;
 constexpr absl::Duration kMemoryViewMaxAge = absl::Seconds(1);
-/** Time for which read counts are reused. A count in a response may be at most
- * 2 s old, and the scheduler writes the counts every 0.8 s. */
-constexpr absl::Duration kPendingMaxAge = absl::Milliseconds(400);
 /** Retry-After, in seconds, of a response with status 503. */
 constexpr int kRetryAfterS = 1;
+/** Least time between two log lines about requests that were refused for one
+ * reason before their key was checked; untrusted callers may send many. */
+constexpr absl::Duration kRefusalLogInterval = absl::Seconds(1);
 
 bool
 IsJobId(const std::string& aText)
@@ -60,6 +53,19 @@
          });
 }
 
+/** Describes a step that exceeds the whole cap of the job's tenant. */
+std::optional<std::string>
+DescribeImpossibleStep(const JobConfiguration& aConfiguration,
+                       const JobRecord& aRecord)
+{
+  const TenantSpec* tenant =
+    aConfiguration.m_tenants
+      ? aConfiguration.m_tenants->FindByName(aRecord.m_tenant)
+      : nullptr;
+  return tenant == nullptr ? std::nullopt
+                           : DescribeStepAboveCap(aRecord.m_steps, *tenant);
+}
+
 }
 
 JobRequestHandler::JobRequestHandler(EventLoop& aLoop,
@@ -89,41 +95,53 @@
 {
   const JobConfiguration* configuration = m_configuration();
   if (configuration == nullptr) {
-    Refuse("", "no_configuration", kUnavailable, aRespond);
+    RefuseUnidentified("no_configuration", kUnavailable, aRespond);
     return;
   }
   if (m_layout() == nullptr) {
-    Refuse("", "no_layout", kUnavailable, aRespond);
+    RefuseUnidentified("no_layout", kUnavailable, aRespond);
     return;
   }
   const QueueSpec* queue =
     configuration->Match(aRequest.m_host, aRequest.m_path);
   if (queue == nullptr) {
-    Refuse("", "unknown_queue", kNotFound, aRespond);
+    RefuseUnidentified("unknown_queue", kNotFound, aRespond);
+    return;
+  }
+  const auto caller =
+    CallerIdentity::Identify(*configuration, *queue, aRequest.m_apiKey);
+  if (!caller) {
+    RefuseUnidentified(aRequest.m_apiKey.empty() ? "missing_key"
+                                                 : "unknown_key",
+                       kUnauthorized,
+                       aRespond);
     return;
   }
-  const std::string id = aRequest.m_path.substr(queue->m_prefix.size());
-  if (id.empty() && aRequest.m_method == "GET") {
-    RespondWithPendingCount(queue->m_name, aRespond);
+  const JobCall call{ aRequest.m_path.substr(queue->m_prefix.size()),
+                      *caller,
+                      aRespond };
+  if (call.m_id.empty() && aRequest.m_method == "GET") {
+    RespondWithPendingCount(queue->m_name, call);
     return;
   }
-  if (!IsJobId(id)) {
-    Refuse(id, "bad_job_id", kBadRequest, aRespond);
+  if (!IsJobId(call.m_id)) {
+    // The path may have any text, so it is not logged as an id.
+    Refuse({ "", call.m_caller, aRespond }, "bad_job_id", kBadRequest);
     return;
   }
   if (aRequest.m_method == "POST") {
     if (configuration->m_maxBodyBytes > 0 &&
         aRequest.m_body.size() > configuration->m_maxBodyBytes) {
-      Refuse(id, "body_too_large", kContentTooLarge, aRespond);
+      Refuse(call, "body_too_large", kContentTooLarge);
       return;
     }
-    Submit(*queue, id, aRequest.m_body, aRespond);
+    Submit(*configuration, *queue, call, aRequest.m_body);
   } else if (aRequest.m_method == "GET") {
-    RespondWithState(id, aRespond);
+    RespondWithState(call);
   } else if (aRequest.m_method == "DELETE") {
-    Cancel(id, aRespond);
+    Cancel(call);
   } else {
-    Refuse(id, "bad_method", kMethodNotAllowed, aRespond);
+    Refuse(call, "bad_method", kMethodNotAllowed);
   }
 }
 
@@ -134,32 +152,76 @@
 }
 
 void
-JobRequestHandler::Refuse(const std::string& aId,
+JobRequestHandler::Refuse(const JobCall& aCall,
                           const char* aReason,
                           int aStatus,
-                          const HttpListener::Responder& aRespond)
+                          const std::string& aDetail)
+{
+  const std::string& tenant = aCall.m_caller.Tenant();
+  m_metrics.Count("bramleystall_job_refusals_total",
+                  WithTenant(m_metrics, { { "reason", aReason } }, tenant));
+  LogInfo(LogPart::Server,
+          absl::StrCat("request refused; job=",
+                       aCall.m_id,
+                       " reason=",
+                       aReason,
+                       " status=",
+                       aStatus,
+                       TenantField(tenant),
+                       aDetail.empty() ? "" : " detail=",
+                       aDetail));
+  SendRefusal(aReason, aStatus, aDetail, aCall.m_respond);
+}
+
+void
+JobRequestHandler::RefuseUnidentified(const char* aReason,
+                                      int aStatus,
+                                      const HttpListener::Responder& aRespond)
 {
   m_metrics.Count("bramleystall_job_refusals_total", { { "reason", aReason } });
-  LogInfo(
-    LogPart::Server,
-    absl::StrCat(
-      "request refused; job=", aId, " reason=", aReason, " status=", aStatus));
+  LogThrottle& throttle =
+    m_refusalLogs.try_emplace(aReason, kRefusalLogInterval).first->second;
+  if (const auto count = throttle.Count(m_loop.Now())) {
+    LogInfo(LogPart::Server,
+            absl::StrCat("request refused; reason=",
+                         aReason,
+                         " status=",
+                         aStatus,
+                         " count=",
+                         *count));
+  }
+  SendRefusal(aReason, aStatus, "", aRespond);
+}
+
+void
+JobRequestHandler::SendRefusal(const char* aReason,
+                               int aStatus,
+                               const std::string& aDetail,
+                               const HttpListener::Responder& aRespond)
+{
+  // A job of another tenant looks like one that does not exist.
+  json body = { { "error", aStatus == kGone ? "unknown_job" : aReason } };
+  if (!aDetail.empty()) {
+    body["detail"] = aDetail;
+  }
   ListenerResponse response;
   response.m_status = aStatus;
-  response.m_body = json{ { "error", aReason } }.dump();
+  response.m_body = body.dump();
   response.m_retryAfterS = aStatus == kUnavailable ? kRetryAfterS : 0;
   aRespond(std::move(response));
 }
 
 void
-JobRequestHandler::Submit(const QueueSpec& aQueue,
-                          const std::string& aId,
-                          const std::string& aBody,
-                          const HttpListener::Responder& aRespond)
+JobRequestHandler::Submit(const JobConfiguration& aConfiguration,
+                          const QueueSpec& aQueue,
+                          const JobCall& aCall,
+                          const std::string& aBody)
 {
   try {
-    JobRecord record = m_codec.m_decodeJob(aId, aBody);
+    JobRecord record = m_codec.m_decodeJob(aCall.m_id, aBody);
     record.m_queue = aQueue.m_name;
+    record.m_tenant = aCall.m_caller.Tenant();
+    record.m_isPublic = aQueue.m_isPublic;
     record.m_pool = aQueue.m_pool;
     record.m_priority = aQueue.m_priority;
     record.m_maxAttempts = aQueue.m_maxAttempts;
@@ -168,25 +230,35 @@
       std::ranges::any_of(record.m_steps, [](const StepSpec& aStep) {
         return aStep.m_isLongRunning;
       });
-    record.m_entryShard = m_layout()->OfJob(aId);
-    const int shard = isLongRunning ? m_layout()->OfPool(aQueue.m_pool)
-                                    : ChooseShardOf(aId, record.m_entryShard);
+    record.m_entryShard = m_layout()->OfJob(aCall.m_id);
+    const int shard = isLongRunning
+                        ? m_layout()->OfPool(aQueue.m_pool)
+                        : ChooseShardOf(aCall.m_id, record.m_entryShard);
     Submission submission{
-      aId,      EncodeJobRecord(record),
-      shard,    EntryKey(aId),
-      aRespond, static_cast<std::int64_t>(LargestMemory(record))
+      aCall,
+      EncodeJobRecord(record),
+      shard,
+      EntryKey(aCall.m_id),
+      EncodeJobEntry({ .m_shard = shard, .m_tenant = TenantOfEntry(record) }),
+      static_cast<std::int64_t>(LargestMemory(record))
     };
+    if (const auto detail = DescribeImpossibleStep(aConfiguration, record)) {
+      RefuseUnlessStored(submission, "step_exceeds_cap", kBadRequest, *detail);
+      return;
+    }
     if (!HasMemoryFor(submission)) {
-      RefuseUnlessStored(submission);
+      m_shardStatus.Refresh(kViewMaxAge, [](bool) {});
+      RefuseUnlessStored(submission, "shard_memory_full", kUnavailable);
       return;
     }
     m_submissions.push_back(std::move(submission));
   } catch (const Error& error) {
-    LogInfo(
-      LogPart::Server,
-      absl::StrCat(
-        "cannot decode the submitted job; job=", aId, " error=", error.what()));
-    Refuse(aId, "bad_submission", kBadRequest, aRespond);
+    LogInfo(LogPart::Server,
+            absl::StrCat("cannot decode the submitted job; job=",
+                         aCall.m_id,
+                         " error=",
+                         error.what()));
+    Refuse(aCall, "bad_submission", kBadRequest);
     return;
   }
   FlushSubmissions();
@@ -207,23 +279,22 @@
 }
 
 void
-JobRequestHandler::RefuseUnlessStored(const Submission& aSubmission)
+JobRequestHandler::RefuseUnlessStored(const Submission& aSubmission,
+                                      const char* aReason,
+                                      int aStatus,
+                                      const std::string& aDetail)
 {
-  m_shardStatus.Refresh(kViewMaxAge, [](bool) {});
   // An earlier attempt may have stored the job.
-  ReadKey(aSubmission.m_entryKey,
-          aSubmission.m_id,
-          aSubmission.m_respond,
-          [this, aSubmission](const StoreItem* aItem) {
-            if (aItem != nullptr) {
-              Accept(aSubmission, "known");
-              return;
-            }
-            Refuse(aSubmission.m_id,
-                   "shard_memory_full",
-                   kUnavailable,
-                   aSubmission.m_respond);
-          });
+  ReadKey(
+    aSubmission.m_entryKey,
+    aSubmission.m_call,
+    [this, aSubmission, aReason, aStatus, aDetail](const StoreItem* aItem) {
+      if (aItem != nullptr) {
+        AcceptStored(aSubmission, *aItem, "known");
+        return;
+      }
+      Refuse(aSubmission.m_call, aReason, aStatus, aDetail);
+    });
 }
 
 int
@@ -250,16 +321,17 @@
       Submission& next = m_submissions.front();
       const bool isAlreadyInBatch =
         std::ranges::any_of(batch, [&](const Submission& aOther) {
-          return aOther.m_id == next.m_id;
+          return aOther.m_call.m_id == next.m_call.m_id;
         });
       if (isAlreadyInBatch) {
         break;
       }
       transaction.m_conditions.push_back({ next.m_entryKey, 0 });
+      transaction.m_puts.push_back({ next.m_entryKey, next.m_entry, 0 });
       transaction.m_puts.push_back(
-        { next.m_entryKey, EncodeJobEntry({ .m_shard = next.m_shard }), 0 });
-      transaction.m_puts.push_back(
-        { keys::ShardKeys(next.m_shard).Job(next.m_id), next.m_record, 0 });
+        { keys::ShardKeys(next.m_shard).Job(next.m_call.m_id),
+          next.m_record,
+          0 });
       batch.push_back(std::move(next));
       m_submissions.pop_front();
     }
@@ -285,12 +357,12 @@
         Accept(submission, "stored");
         break;
       case CommitStatus::Conflict: {
-        const bool isStored = std::ranges::any_of(
+        const auto stored = std::ranges::find_if(
           aResult.m_current, [&submission](const StoreItem& aItem) {
             return aItem.m_key == submission.m_entryKey && aItem.m_revision > 0;
           });
-        if (isStored) {
-          Accept(submission, "known");
+        if (stored != aResult.m_current.end()) {
+          AcceptStored(submission, *stored, "known");
         } else {
           m_submissions.push_back(std::move(submission));
         }
@@ -298,18 +370,16 @@
       }
       case CommitStatus::LeaseGone:
       case CommitStatus::NotApplied:
-        Refuse(submission.m_id,
-               "store_unavailable",
-               kUnavailable,
-               submission.m_respond);
+        Refuse(submission.m_call, "store_unavailable", kUnavailable);
         break;
       case CommitStatus::Unknown:
         m_metrics.Count("bramleystall_job_retries_total",
                         { { "reason", "acceptance_unknown" } });
         ReadBack(submission.m_entryKey,
-                 submission.m_id,
-                 submission.m_respond,
-                 [this, submission] { Accept(submission, "read_back"); });
+                 submission.m_call,
+                 [this, submission](const StoreItem& aItem) {
+                   AcceptStored(submission, aItem, "read_back");
+                 });
         break;
     }
   }
@@ -318,218 +388,72 @@
 
 void
 JobRequestHandler::ReadBack(const std::string& aKey,
-                            const std::string& aId,
-                            const HttpListener::Responder& aRespond,
-                            std::function<void()> aOnStored)
-{
-  m_store.Get(
-    aKey,
-    [this, aId, aRespond, onStored = std::move(aOnStored), alive = m_alive](
-      const ReadResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      if (aResult.m_status == ReadStatus::Ok && !aResult.m_items.empty()) {
-        onStored();
-        return;
-      }
-      // The store may still apply the write, so the outcome is unknown. The
-      // caller may repeat the request with the same id.
-      Refuse(aId, "outcome_unknown", kOutcomeUnknown, aRespond);
-    });
-}
-
-void
-JobRequestHandler::Accept(const Submission& aSubmission, const char* aHow)
+                            const JobCall& aCall,
+                            std::function<void(const StoreItem&)> aOnStored)
 {
-  m_metrics.Count("bramleystall_jobs_accepted_total", { { "how", aHow } });
-  LogInfo(LogPart::Server,
-          absl::StrCat("job accepted; job=", aSubmission.m_id, " how=", aHow));
-  aSubmission.m_respond({ .m_status = kOk, .m_body = "{}" });
+  m_store.Get(aKey,
+              [this, aCall, onStored = std::move(aOnStored), alive = m_alive](
+                const ReadResult& aResult) {
+                if (!*alive) {
+                  return;
+                }
+                if (aResult.m_status == ReadStatus::Ok &&
+                    !aResult.m_items.empty()) {
+                  onStored(aResult.m_items.front());
+                  return;
+                }
+                // The store may still apply the write, so the outcome is
+                // unknown. The caller may repeat the request with the same id.
+                Refuse(aCall, "outcome_unknown", kOutcomeUnknown);
+              });
 }
 
 void
-JobRequestHandler::ReadKey(const std::string& aKey,
-                           const std::string& aId,
-                           const HttpListener::Responder& aRespond,
-                           std::function<void(const StoreItem* aItem)> aOnRead)
+JobRequestHandler::AcceptStored(const Submission& aSubmission,
+                                const StoreItem& aEntry,
+                                const char* aHow)
 {
-  m_store.Get(
-    aKey,
-    [this, aId, aRespond, onRead = std::move(aOnRead), alive = m_alive](
-      const ReadResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      if (aResult.m_status != ReadStatus::Ok) {
-        Refuse(aId, "store_unavailable", kUnavailable, aRespond);
-        return;
-      }
-      onRead(aResult.m_items.empty() ? nullptr : &aResult.m_items.front());
-    });
-}
-
-void
-JobRequestHandler::RespondWithState(const std::string& aId,
-                                    const HttpListener::Responder& aRespond)
-{
-  const auto respond = [this, aRespond](JobState aState) {
-    aRespond({ .m_status = kOk,
-               .m_body = m_codec.m_encodeState(
-                 std::string(NameOf(kJobStateNames, aState))) });
-  };
-  FindEntry(
-    aId,
-    aRespond,
-    [this, aId, aRespond, respond](const JobEntry& aEntry, std::int64_t) {
-      if (aEntry.m_finalState) {
-        respond(*aEntry.m_finalState);
-        return;
-      }
-      RespondWithProgress(
-        aId, aEntry.m_shard, aRespond, [this, aId, aRespond, respond] {
-          // The job may have ended after its entry was read.
-          FindEntry(
-            aId, aRespond, [respond](const JobEntry& aLatest, std::int64_t) {
-              respond(aLatest.m_finalState.value_or(JobState::Queued));
-            });
-        });
-    });
-}
-
-void
-JobRequestHandler::RespondWithProgress(const std::string& aId,
-                                       int aShard,
-                                       const HttpListener::Responder& aRespond,
-                                       std::function<void()> aOnNone)
-{
-  ReadKey(
-    keys::ShardKeys(aShard).Progress(aId),
-    aId,
-    aRespond,
-    [this, aId, aRespond, onNone = std::move(aOnNone)](const StoreItem* aItem) {
-      if (aItem == nullptr) {
-        onNone();
-        return;
-      }
-      const json body = json::parse(aItem->m_value, nullptr, false);
-      const std::string state = StringField(body, "state");
-      if (state.empty()) {
-        LogError(
-          LogPart::Server,
-          absl::StrCat("cannot parse the stored progress of a job; job=", aId));
-        Refuse(aId, "unreadable_progress", kUnavailable, aRespond);
-        return;
-      }
-      aRespond({ .m_status = kOk, .m_body = m_codec.m_encodeState(state) });
-    });
-}
-
-void
-JobRequestHandler::FindEntry(
-  const std::string& aId,
-  const HttpListener::Responder& aRespond,
-  std::function<void(const JobEntry& aEntry, std::int64_t aRevision)> aOnFound)
-{
-  ReadKey(EntryKey(aId),
-          aId,
-          aRespond,
-          [this, aId, aRespond, onFound = std::move(aOnFound)](
-            const StoreItem* aItem) {
-            if (aItem == nullptr) {
-              Refuse(aId, "unknown_job", kGone, aRespond);
-              return;
-            }
-            const auto entry = DecodeJobEntry(aItem->m_value);
-            if (!entry) {
-              LogError(LogPart::Server,
-                       absl::StrCat(
-                         "cannot parse the stored entry of a job; job=", aId));
-              Refuse(aId, "unreadable_entry", kUnavailable, aRespond);
-              return;
-            }
-            onFound(*entry, aItem->m_revision);
-          });
-}
-
-void
-JobRequestHandler::Cancel(const std::string& aId,
-                          const HttpListener::Responder& aRespond)
-{
-  FindEntry(
-    aId,
-    aRespond,
-    [this, aId, aRespond](const JobEntry& aEntry, std::int64_t aRevision) {
-      if (aEntry.m_finalState) {
-        // Nothing is left to cancel; the job keeps its state.
-        aRespond({ .m_status = kOk, .m_body = "{}" });
-        return;
-      }
-      WriteCancel(aId, aEntry.m_shard, aRevision, aRespond);
-    });
-}
-
-void
-JobRequestHandler::WriteCancel(const std::string& aId,
-                               int aShard,
-                               std::int64_t aEntryRevision,
-                               const HttpListener::Responder& aRespond)
-{
-  StoreTransaction transaction;
-  transaction.m_conditions = { { EntryKey(aId), aEntryRevision } };
-  transaction.m_puts = { { keys::ShardKeys(aShard).Cancel(aId), "{}", 0 } };
-  m_store.Commit(
-    transaction,
-    [this, aId, aShard, aRespond, alive = m_alive](
-      const CommitResult& aResult) {
-      if (!*alive) {
-        return;
-      }
-      switch (aResult.m_status) {
-        case CommitStatus::Applied:
-          ConfirmCancel(aId, aRespond);
-          break;
-        case CommitStatus::Conflict:
-          // The entry of a live job changes only when the job ends.
-          Cancel(aId, aRespond);
-          break;
-        case CommitStatus::LeaseGone:
-        case CommitStatus::NotApplied:
-          Refuse(aId, "store_unavailable", kUnavailable, aRespond);
-          break;
-        case CommitStatus::Unknown:
-          ReadBack(keys::ShardKeys(aShard).Cancel(aId),
-                   aId,
-                   aRespond,
-                   [this, aId, aRespond] { ConfirmCancel(aId, aRespond); });
-          break;
-      }
-    });
+  const auto entry = DecodeJobEntry(aEntry.m_value);
+  if (entry && !aSubmission.m_call.m_caller.MayAccess(*entry)) {
+    Refuse(aSubmission.m_call, "id_of_other_tenant", kIdConflict);
+    return;
+  }
+  Accept(aSubmission, aHow);
 }
 
 void
-JobRequestHandler::ConfirmCancel(const std::string& aId,
-                                 const HttpListener::Responder& aRespond)
+JobRequestHandler::Accept(const Submission& aSubmission, const char* aHow)
 {
-  LogInfo(LogPart::Server, absl::StrCat("job cancelled; job=", aId));
-  m_metrics.Count("bramleystall_jobs_cancelled_total");
-  aRespond({ .m_status = kOk, .m_body = "{}" });
+  const std::string& tenant = aSubmission.m_call.m_caller.Tenant();
+  m_metrics.Count("bramleystall_jobs_accepted_total",
+                  WithTenant(m_metrics, { { "how", aHow } }, tenant));
+  LogInfo(LogPart::Server,
+          absl::StrCat("job accepted; job=",
+                       aSubmission.m_call.m_id,
+                       " how=",
+                       aHow,
+                       TenantField(tenant)));
+  aSubmission.m_call.m_respond({ .m_status = kOk, .m_body = "{}" });
 }
 
 void
-JobRequestHandler::RespondWithPendingCount(
-  const std::string& aQueue,
-  const HttpListener::Responder& aRespond)
+JobRequestHandler::ReadKey(const std::string& aKey,
+                           const JobCall& aCall,
+                           std::function<void(const StoreItem* aItem)> aOnRead)
 {
-  m_shardStatus.Refresh(kPendingMaxAge, [this, aQueue, aRespond](bool aIsRead) {
-    if (!aIsRead) {
-      Refuse("", "store_unavailable", kUnavailable, aRespond);
-      return;
-    }
-    aRespond(
-      { .m_status = kOk,
-        .m_body = m_codec.m_encodePending(m_shardStatus.PendingIn(aQueue)) });
-  });
+  m_store.Get(aKey,
+              [this, aCall, onRead = std::move(aOnRead), alive = m_alive](
+                const ReadResult& aResult) {
+                if (!*alive) {
+                  return;
+                }
+                if (aResult.m_status != ReadStatus::Ok) {
+                  Refuse(aCall, "store_unavailable", kUnavailable);
+                  return;
+                }
+                onRead(aResult.m_items.empty() ? nullptr
+                                               : &aResult.m_items.front());
+              });
 }
 
 }
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/log_throttle.h"
 #include "jobs/job_configuration.h"
 #include "jobs/job_entry.h"
 #include "jobs/job_record.h"
@@ -7,6 +8,7 @@
 #include "scheduler/job_keys.h"
 #include "scheduler/shard_memory.h"
 #include "scheduler/shard_status_reader.h"
+#include "server/job_call.h"
 #include "store/key_value_store.h"
 
 #include <absl/time/time.h>
@@ -14,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -64,74 +67,85 @@
 private:
   struct Submission
   {
-    std::string m_id;
+    JobCall m_call;
     std::string m_record;
     /** Shard that stores the job's record and schedules the job. */
     int m_shard = 0;
-    /** Key of the job's entry in the directory. */
+    /** Key and value of the job's entry in the directory. */
     std::string m_entryKey;
-    HttpListener::Responder m_respond;
+    std::string m_entry;
     /** See LargestMemory. */
     std::int64_t m_memory = 0;
   };
 
-  void Submit(const QueueSpec& aQueue,
-              const std::string& aId,
-              const std::string& aBody,
-              const HttpListener::Responder& aRespond);
+  void Submit(const JobConfiguration& aConfiguration,
+              const QueueSpec& aQueue,
+              const JobCall& aCall,
+              const std::string& aBody);
   /** Chooses the shard of a job whose tasks end. */
   int ChooseShardOf(const std::string& aId, int aFallback);
   /** Whether the shard has memory for the job, which then counts as taken. */
   bool HasMemoryFor(const Submission& aSubmission);
-  /** Refuses a job for which its shard has no memory, unless it is stored. */
-  void RefuseUnlessStored(const Submission& aSubmission);
+  /** Refuses a job that cannot be accepted now, unless it is stored already. */
+  void RefuseUnlessStored(const Submission& aSubmission,
+                          const char* aReason,
+                          int aStatus,
+                          const std::string& aDetail = "");
   void FlushSubmissions();
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
   /**
-   * Resolves a write without a response: calls back when the key that it sets
-   * is there. Otherwise refuses the request itself, with an unknown outcome.
+   * Resolves a write without a response: calls back with the key that it sets
+   * when that is there. Otherwise refuses the request itself, with an unknown
+   * outcome.
    */
   void ReadBack(const std::string& aKey,
-                const std::string& aId,
-                const HttpListener::Responder& aRespond,
-                std::function<void()> aOnStored);
+                const JobCall& aCall,
+                std::function<void(const StoreItem& aItem)> aOnStored);
+  /** Accepts a job whose entry is stored, unless its id belongs to another
+   * tenant's job. */
+  void AcceptStored(const Submission& aSubmission,
+                    const StoreItem& aEntry,
+                    const char* aHow);
   void Accept(const Submission& aSubmission, const char* aHow);
   /** Reads a key of a job; calls back with null when there is none. Refuses the
    * request itself when the store is unavailable. */
   void ReadKey(const std::string& aKey,
-               const std::string& aId,
-               const HttpListener::Responder& aRespond,
+               const JobCall& aCall,
                std::function<void(const StoreItem* aItem)> aOnRead);
-  void RespondWithState(const std::string& aId,
-                        const HttpListener::Responder& aRespond);
+  void RespondWithState(const JobCall& aCall);
   /** Responds with the stored progress of a job that has a record; calls
    * aOnNone instead when there is no progress. */
-  void RespondWithProgress(const std::string& aId,
+  void RespondWithProgress(const JobCall& aCall,
                            int aShard,
-                           const HttpListener::Responder& aRespond,
                            std::function<void()> aOnNone);
   /**
-   * Reads the entry of a job. Refuses the request itself when there is none or
-   * the store is unavailable.
+   * Reads the entry of a job. Refuses the request itself when there is none,
+   * the job belongs to another tenant, or the store is unavailable.
    */
-  void FindEntry(const std::string& aId,
-                 const HttpListener::Responder& aRespond,
+  void FindEntry(const JobCall& aCall,
                  std::function<void(const JobEntry& aEntry,
                                     std::int64_t aRevision)> aOnFound);
-  void Cancel(const std::string& aId, const HttpListener::Responder& aRespond);
-  void WriteCancel(const std::string& aId,
+  void Cancel(const JobCall& aCall);
+  void WriteCancel(const JobCall& aCall,
                    int aShard,
-                   std::int64_t aEntryRevision,
-                   const HttpListener::Responder& aRespond);
-  void ConfirmCancel(const std::string& aId,
-                     const HttpListener::Responder& aRespond);
-  void RespondWithPendingCount(const std::string& aQueue,
-                               const HttpListener::Responder& aRespond);
+                   std::int64_t aEntryRevision);
+  void ConfirmCancel(const JobCall& aCall);
+  void RespondWithPendingCount(const std::string& aQueue, const JobCall& aCall);
   std::string EntryKey(const std::string& aId) const;
-  void Refuse(const std::string& aId,
+  /** Refuses a request of a caller that may use the queue. */
+  void Refuse(const JobCall& aCall,
               const char* aReason,
               int aStatus,
-              const HttpListener::Responder& aRespond);
+              const std::string& aDetail = "");
+  /** Refuses a request before its key was checked or because of the key. Limits
+   * the log lines. */
+  void RefuseUnidentified(const char* aReason,
+                          int aStatus,
+                          const HttpListener::Responder& aRespond);
+  void SendRefusal(const char* aReason,
+                   int aStatus,
+                   const std::string& aDetail,
+                   const HttpListener::Responder& aRespond);
 
   EventLoop& m_loop;
   KeyValueStore& m_store;
@@ -143,6 +157,8 @@
   int m_openCommits = 0;
   ShardStatusReader m_shardStatus;
   ShardMemory m_shardMemory;
+  /** By reason. */
+  std::map<std::string, LogThrottle> m_refusalLogs;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/server/job_request_handler_queries.cpp
@@ -0,0 +1,186 @@
+// The part of the handler that responds about stored jobs and cancels them. See
+// job_request_handler.h.
+
+#include "server/job_request_handler.h"
+
+#include "core/json_fields.h"
+#include "core/log.h"
+#include "core/metrics.h"
+#include "jobs/job.h"
+#include "scheduler/job_keys.h"
+#include "server/http_statuses.h"
+#include "tenants/tenant_labels.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace bramleystall {
+
+namespace {
+
+using nlohmann::json;
+
+/** Time for which read counts are reused. A count in a response may be at most
+ * 2 s old, and the scheduler writes the counts every 0.8 s. */
+constexpr absl::Duration kPendingMaxAge = absl::Milliseconds(400);
+
+}
+
+void
+JobRequestHandler::RespondWithState(const JobCall& aCall)
+{
+  const auto respond = [this, aCall](JobState aState) {
+    aCall.m_respond({ .m_status = kOk,
+                      .m_body = m_codec.m_encodeState(
+                        std::string(NameOf(kJobStateNames, aState))) });
+  };
+  FindEntry(
+    aCall, [this, aCall, respond](const JobEntry& aEntry, std::int64_t) {
+      if (aEntry.m_finalState) {
+        respond(*aEntry.m_finalState);
+        return;
+      }
+      RespondWithProgress(aCall, aEntry.m_shard, [this, aCall, respond] {
+        // The job may have ended after its entry was read.
+        FindEntry(aCall, [respond](const JobEntry& aLatest, std::int64_t) {
+          respond(aLatest.m_finalState.value_or(JobState::Queued));
+        });
+      });
+    });
+}
+
+void
+JobRequestHandler::RespondWithProgress(const JobCall& aCall,
+                                       int aShard,
+                                       std::function<void()> aOnNone)
+{
+  ReadKey(keys::ShardKeys(aShard).Progress(aCall.m_id),
+          aCall,
+          [this, aCall, onNone = std::move(aOnNone)](const StoreItem* aItem) {
+            if (aItem == nullptr) {
+              onNone();
+              return;
+            }
+            const json body = json::parse(aItem->m_value, nullptr, false);
+            const std::string state = StringField(body, "state");
+            if (state.empty()) {
+              LogError(
+                LogPart::Server,
+                absl::StrCat("cannot parse the stored progress of a job; job=",
+                             aCall.m_id));
+              Refuse(aCall, "unreadable_progress", kUnavailable);
+              return;
+            }
+            aCall.m_respond(
+              { .m_status = kOk, .m_body = m_codec.m_encodeState(state) });
+          });
+}
+
+void
+JobRequestHandler::FindEntry(
+  const JobCall& aCall,
+  std::function<void(const JobEntry& aEntry, std::int64_t aRevision)> aOnFound)
+{
+  ReadKey(EntryKey(aCall.m_id),
+          aCall,
+          [this, aCall, onFound = std::move(aOnFound)](const StoreItem* aItem) {
+            if (aItem == nullptr) {
+              Refuse(aCall, "unknown_job", kGone);
+              return;
+            }
+            const auto entry = DecodeJobEntry(aItem->m_value);
+            if (!entry) {
+              LogError(
+                LogPart::Server,
+                absl::StrCat("cannot parse the stored entry of a job; job=",
+                             aCall.m_id));
+              Refuse(aCall, "unreadable_entry", kUnavailable);
+              return;
+            }
+            if (!aCall.m_caller.MayAccess(*entry)) {
+              Refuse(aCall, "job_of_other_tenant", kGone);
+              return;
+            }
+            onFound(*entry, aItem->m_revision);
+          });
+}
+
+void
+JobRequestHandler::Cancel(const JobCall& aCall)
+{
+  FindEntry(aCall,
+            [this, aCall](const JobEntry& aEntry, std::int64_t aRevision) {
+              if (aEntry.m_finalState) {
+                // Nothing is left to cancel; the job keeps its state.
+                aCall.m_respond({ .m_status = kOk, .m_body = "{}" });
+                return;
+              }
+              WriteCancel(aCall, aEntry.m_shard, aRevision);
+            });
+}
+
+void
+JobRequestHandler::WriteCancel(const JobCall& aCall,
+                               int aShard,
+                               std::int64_t aEntryRevision)
+{
+  const std::string key = keys::ShardKeys(aShard).Cancel(aCall.m_id);
+  StoreTransaction transaction;
+  transaction.m_conditions = { { EntryKey(aCall.m_id), aEntryRevision } };
+  transaction.m_puts = { { key, "{}", 0 } };
+  m_store.Commit(
+    transaction,
+    [this, aCall, key, alive = m_alive](const CommitResult& aResult) {
+      if (!*alive) {
+        return;
+      }
+      switch (aResult.m_status) {
+        case CommitStatus::Applied:
+          ConfirmCancel(aCall);
+          break;
+        case CommitStatus::Conflict:
+          // The entry of a live job changes only when the job ends.
+          Cancel(aCall);
+          break;
+        case CommitStatus::LeaseGone:
+        case CommitStatus::NotApplied:
+          Refuse(aCall, "store_unavailable", kUnavailable);
+          break;
+        case CommitStatus::Unknown:
+          ReadBack(key, aCall, [this, aCall](const StoreItem&) {
+            ConfirmCancel(aCall);
+          });
+          break;
+      }
+    });
+}
+
+void
+JobRequestHandler::ConfirmCancel(const JobCall& aCall)
+{
+  const std::string& tenant = aCall.m_caller.Tenant();
+  LogInfo(LogPart::Server,
+          absl::StrCat("job cancelled; job=", aCall.m_id, TenantField(tenant)));
+  m_metrics.Count("bramleystall_jobs_cancelled_total",
+                  WithTenant(m_metrics, {}, tenant));
+  aCall.m_respond({ .m_status = kOk, .m_body = "{}" });
+}
+
+void
+JobRequestHandler::RespondWithPendingCount(const std::string& aQueue,
+                                           const JobCall& aCall)
+{
+  m_shardStatus.Refresh(kPendingMaxAge, [this, aQueue, aCall](bool aIsRead) {
+    if (!aIsRead) {
+      Refuse(aCall, "store_unavailable", kUnavailable);
+      return;
+    }
+    aCall.m_respond(
+      { .m_status = kOk,
+        .m_body = m_codec.m_encodePending(m_shardStatus.PendingIn(aQueue)) });
+  });
+}
+
+}
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -213,6 +213,7 @@
 void
 FakeStoreClient::Get(const std::string& aKey, ReadCallback aCallback)
 {
+  ++m_callCount;
   CallAfter(kLatency, [this, aKey, callback = std::move(aCallback)] {
     if (!IsReachable() || m_isKeyReadCut) {
       CallAfter(FailureTime(), [callback] { callback({}); });
@@ -232,6 +233,7 @@
                       const std::string& aAfter,
                       ReadCallback aCallback)
 {
+  ++m_callCount;
   CallAfter(kLatency, [this, aPrefix, aAfter, callback = std::move(aCallback)] {
     if (!IsReachable()) {
       CallAfter(FailureTime(), [callback] { callback({}); });
@@ -294,6 +296,7 @@
                         CommitCallback aCallback)
 {
   ++m_commitCount;
+  ++m_callCount;
   if (m_isCommitStalled && m_isCommitStalled(aTransaction)) {
     return;
   }
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -96,6 +96,8 @@
    */
   std::function<bool(const StoreTransaction&)> m_isCommitStalled;
   int m_commitCount = 0;
+  /** Number of calls of Get, List and Commit. */
+  int m_callCount = 0;
   /** Number of items that List has returned, and their bytes on the wire. */
   std::size_t m_listedItems = 0;
   std::size_t m_listedBytes = 0;
--- a/tests/server/test_job_request_handler.cpp
+++ b/tests/server/test_job_request_handler.cpp
@@ -1,18 +1,13 @@
-#include "core/metrics.h"
 #include "jobs/job_entry.h"
-#include "platform/wire_codec.h"
 #include "scheduler/job_keys.h"
 #include "scheduler/shard_chooser.h"
 #include "scheduler/shard_layout.h"
 #include "scheduler/shard_status.h"
-#include "server/job_request_handler.h"
-#include "tests/fakes/fake_store.h"
+#include "tests/fakes/job_request_fixture.h"
+#include "tests/fakes/quiet_log.h"
 
-#include <boost/log/core.hpp>
 #include <catch2/catch.hpp>
 
-#include <optional>
-
 using namespace bramleystall;
 
 namespace {
@@ -21,62 +16,16 @@
 const keys::ShardKeys kKeys(0);
 const std::string kBody = R"({"spec":"text","phases":[{"count":1}]})";
 
-struct JobRequestFixture
-{
-  JobRequestFixture()
-  {
-    boost::log::core::get()->set_logging_enabled(false);
-    QueueSpec queue;
-    queue.m_name = "quotes";
-    queue.m_host = "h";
-    queue.m_prefix = "/q/";
-    queue.m_pool = "counter";
-    JobConfiguration configuration;
-    configuration.m_queues = { queue };
-    configuration.m_maxBodyBytes = 500;
-    m_configuration = configuration;
-  }
-  ~JobRequestFixture() { boost::log::core::get()->set_logging_enabled(true); }
-
-  /** Sends a request and returns its response, which must come within 3 s of
-   * simulated time. */
-  ListenerResponse Send(const std::string& aMethod,
-                        const std::string& aPath,
-                        const std::string& aBody = "")
-  {
-    std::optional<ListenerResponse> response;
-    m_handler.Handle({ aMethod, aPath, "h", aBody },
-                     [&response](ListenerResponse aResponse) {
-                       response = std::move(aResponse);
-                     });
-    m_loop.AdvanceBy(absl::Seconds(3));
-    REQUIRE(response);
-    return *response;
-  }
-
-  EventLoop m_loop{ EventLoop::ClockMode::Simulated };
-  FakeStore m_store{ m_loop };
-  FakeStoreClient m_client{ m_loop, m_store };
-  Metrics m_metrics;
-  std::optional<JobConfiguration> m_configuration;
-  std::optional<ShardLayout> m_layout{ ShardLayout() };
-  JobRequestHandler m_handler{
-    m_loop,
-    m_client,
-    m_metrics,
-    { .m_decodeJob = wire::DecodeSubmission,
-      .m_encodeState = wire::EncodeJobState,
-      .m_encodePending = wire::EncodePendingCount },
-    [this] { return m_configuration ? &*m_configuration : nullptr; },
-    [this] { return m_layout ? &*m_layout : nullptr; }
-  };
-};
+struct QuietRequestFixture
+  : QuietLog
+  , JobRequestFixture
+{};
 
 }
 
 // Guards against an accepted job that is not stored, and against a repeated
 // submission that overwrites its record.
-TEST_CASE_METHOD(JobRequestFixture, "An accepted job is stored", "[front]")
+TEST_CASE_METHOD(QuietRequestFixture, "An accepted job is stored", "[front]")
 {
   REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
   REQUIRE(m_store.Has(kKeys.Job(kId)));
@@ -88,7 +37,7 @@
 
 // Guards against a job being reported as accepted or refused while the outcome
 // of its write is unknown, after the response of the store was lost.
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "A submission whose commit response was lost is read back",
                  "[front]")
 {
@@ -105,7 +54,7 @@
 }
 
 // Guards against a cancellation that is confirmed but not stored.
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "A cancel is stored before its response",
                  "[front]")
 {
@@ -118,7 +67,7 @@
 
 // Guards against a cancel that is stored, but reported as unknown, after the
 // response of the store was lost.
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "A cancel whose commit response was lost is read back",
                  "[front]")
 {
@@ -130,7 +79,7 @@
 
 // Guards against a job that is unknown or runs again once its record was
 // removed at its end.
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "An ended job keeps its state and its id",
                  "[front]")
 {
@@ -148,7 +97,7 @@
 
 // Guards against a malformed stored document that ends the process or is shown
 // as a state.
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "An unreadable document of a job is refused",
                  "[front]")
 {
@@ -169,7 +118,7 @@
 
 // Guards against an invalid request that is accepted or gets the status of
 // another error.
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "Invalid requests get a specific status",
                  "[front]")
 {
@@ -185,7 +134,7 @@
 
 // Guards against a long-running job that callers cannot query or cancel: its
 // record is in the shard of its pool, not in the shard that its id maps to.
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "A long-running job is found through its entry",
                  "[front]")
 {
@@ -226,7 +175,7 @@
 
 // Guards against a count that omits the jobs of a shard or includes the jobs of
 // another queue.
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "A queue's waiting jobs are counted",
                  "[front]")
 {
@@ -242,7 +191,7 @@
 
 // Guards against a job that is stored in the wrong shard because the layout is
 // not known yet.
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "No job is accepted before the layout is known",
                  "[front]")
 {
@@ -253,7 +202,7 @@
 
 // Guards against accepting jobs that take more memory than the owner of their
 // shard has, and against denying one that was accepted (rule LOST, review/7).
-TEST_CASE_METHOD(JobRequestFixture,
+TEST_CASE_METHOD(QuietRequestFixture,
                  "A job for a shard without memory is refused unless stored",
                  "[front]")
 {
