Test daemons against crowds of untrusted clients

Untrusted clients terminated a process in a trial. These tests start real processes with lowered limits in their settings and let a crowd of incomplete or oversized requests, or of connections without one, meet each port. Each checks that the process lives, that its peak memory and descriptors stay below the settings' limits, and that an ordinary request then succeeds while the crowd's connections are open. The job daemon gets its configuration and layout from a small stand-in of the key-value store.

--- /dev/null
+++ b/tests/daemon/test_untrusted_job_clients.cpp
@@ -0,0 +1,225 @@
+#include "consul/http_client.h"
+#include "tests/fakes/child_process.h"
+#include "tests/fakes/crowd_check.h"
+#include "tests/fakes/crowd_scenarios.h"
+#include "tests/fakes/kv_store_stand_in.h"
+#include "tests/support/temporary_folder.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+
+using namespace bramleystall;
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint16_t kCallerPort = 27400;
+constexpr std::uint16_t kReadyPort = 27401;
+constexpr absl::Duration kStartTimeout = absl::Seconds(30);
+constexpr const char* kHost = "jobs.example";
+
+/** A job daemon with a configuration and a layout, and the stand-in that it
+ * gets them from. */
+class JobDaemonFixture
+{
+public:
+  explicit JobDaemonFixture(CrowdBounds aBounds)
+    : m_bounds(aBounds)
+  {
+    m_store.Put("op/config", Configuration().dump());
+    m_process = std::make_unique<ChildProcess>(
+      BuiltProgram("bramleystalld"),
+      std::vector<std::string>{
+        "--jobs",
+        absl::StrCat("--settings=",
+                     m_folder.Write("settings.json", Settings().dump())) });
+    WaitUntilReady();
+  }
+
+  /** Status of an ordinary submission. */
+  int Submit()
+  {
+    ClientRequest request;
+    request.m_method = "POST";
+    request.m_url = absl::StrCat("http://127.0.0.1:",
+                                 kCallerPort,
+                                 "/batch/",
+                                 absl::Hex(++m_lastJob, absl::kZeroPad16));
+    request.m_headers = { absl::StrCat("Host: ", kHost) };
+    request.m_body =
+      R"({"phases":[{"count":1,"cpu":100,"mem_mb":10,"estimate_ms":100}]})";
+    return StatusWithRetries(request);
+  }
+
+  /** Status of the readiness port. */
+  static int Ready()
+  {
+    ClientRequest request;
+    request.m_url = absl::StrCat("http://127.0.0.1:", kReadyPort, "/ready");
+    return StatusWithRetries(request);
+  }
+
+  void Check(const CrowdScenario& aScenario, std::uint16_t aPort)
+  {
+    CheckCrowd(*m_process, m_bounds, aScenario, aPort, [this] {
+      return Submit() == 200;
+    });
+  }
+
+private:
+  static json Configuration()
+  {
+    return { { "version", 1 },
+             { "routes",
+               { { { "name", "batch" },
+                   { "host", kHost },
+                   { "prefix", "/batch/" },
+                   { "service", "pool" } } } },
+             { "services", { { { "name", "pool" } } } },
+             { "limits",
+               { { "max_header_bytes", 16'384 },
+                 { "max_body_bytes", kLegalBodyBytes },
+                 { "header_timeout_ms", 3'000 },
+                 { "idle_timeout_ms", 15'000 } } } };
+  }
+
+  json Settings() const
+  {
+    return { { "daemon", "entry-0" },
+             { "data_centre", "dc1" },
+             { "listen",
+               { { "callers", absl::StrCat("127.0.0.1:", kCallerPort) },
+                 { "ready", absl::StrCat("127.0.0.1:", kReadyPort) } } },
+             { "store", m_store.Address() },
+             { "machines", m_store.Address() },
+             { "grace_ms", 6'000 },
+             { "max_worker_lease_ms", 8'000 },
+             { "stop_ms", 500 },
+             { "job_retention_s", 600 },
+             { "notice_ms", 5'000 },
+             { "move_s", 10 },
+             { "upkeep_s", 60 },
+             { "machine_turn_ms", 2'000 },
+             { "machine_orders_per_s", 2 },
+             { "machine_reads_per_s", 10 },
+             { "cores", 0.5 },
+             { "link_mbps", 100 },
+             { "memory_mb", m_bounds.m_memoryMb },
+             { "max_fds", m_bounds.m_maxDescriptors } };
+  }
+
+  void WaitUntilReady()
+  {
+    const absl::Time end = absl::Now() + kStartTimeout;
+    while (Ready() != 200) {
+      INFO(m_process->Output());
+      REQUIRE(absl::Now() < end);
+      absl::SleepFor(absl::Milliseconds(50));
+    }
+  }
+
+  CrowdBounds m_bounds;
+  KvStoreStandIn m_store;
+  TemporaryFolder m_folder;
+  std::unique_ptr<ChildProcess> m_process;
+  std::uint64_t m_lastJob = 0;
+};
+
+CrowdScenarios
+SubmissionCrowds()
+{
+  return CrowdScenarios(absl::StrCat(
+    "POST /batch/00000000000000ff HTTP/1.1\r\nHost: ", kHost, "\r\n"));
+}
+
+}
+
+// Guards against a job daemon that untrusted clients terminate, or make exceed
+// its memory or its descriptors, or keep from serving ordinary callers. Each
+// crowd meets a process of its own, since the peak memory never falls.
+TEST_CASE("Incomplete bodies of legal size leave a job daemon usable",
+          "[daemon][process][untrusted]")
+{
+  JobDaemonFixture daemon(kMemoryBounds);
+  const CrowdScenarios crowds = SubmissionCrowds();
+  SECTION("whole")
+  {
+    daemon.Check(crowds.WholeBodies(), kCallerPort);
+  }
+  SECTION("in pieces")
+  {
+    daemon.Check(crowds.BodiesInPieces(), kCallerPort);
+  }
+  SECTION("large chunks")
+  {
+    daemon.Check(crowds.LargeChunks(), kCallerPort);
+  }
+  SECTION("small chunks")
+  {
+    daemon.Check(crowds.SmallChunks(), kCallerPort);
+  }
+  CHECK(JobDaemonFixture::Ready() != 0);
+}
+
+TEST_CASE("Bodies over the limit leave a job daemon usable",
+          "[daemon][process][untrusted]")
+{
+  JobDaemonFixture daemon(kMemoryBounds);
+  const CrowdScenarios crowds = SubmissionCrowds();
+  SECTION("announced")
+  {
+    daemon.Check(crowds.AnnouncedOversize(), kCallerPort);
+  }
+  SECTION("unannounced")
+  {
+    daemon.Check(crowds.UnannouncedOversize(), kCallerPort);
+  }
+  CHECK(JobDaemonFixture::Ready() != 0);
+}
+
+TEST_CASE("Connections beyond the descriptors leave a job daemon usable",
+          "[daemon][process][untrusted]")
+{
+  JobDaemonFixture daemon(kDescriptorBounds);
+  const CrowdScenarios crowds = SubmissionCrowds();
+  SECTION("silent")
+  {
+    daemon.Check(crowds.SilentConnections(), kCallerPort);
+  }
+  SECTION("half a request")
+  {
+    daemon.Check(crowds.HalfHeads(), kCallerPort);
+  }
+  CHECK(JobDaemonFixture::Ready() != 0);
+}
+
+// The readiness port has limits of its own, so that a crowd there costs the
+// callers nothing.
+TEST_CASE("A crowd at the readiness port leaves a job daemon usable",
+          "[daemon][process][untrusted]")
+{
+  const CrowdScenarios crowds = SubmissionCrowds();
+  SECTION("bodies")
+  {
+    JobDaemonFixture(kMemoryBounds).Check(crowds.WholeBodies(), kReadyPort);
+  }
+  SECTION("oversize")
+  {
+    JobDaemonFixture(kMemoryBounds)
+      .Check(crowds.UnannouncedOversize(), kReadyPort);
+  }
+  SECTION("silent connections")
+  {
+    JobDaemonFixture(kDescriptorBounds)
+      .Check(crowds.SilentConnections(), kReadyPort);
+  }
+  SECTION("half requests")
+  {
+    JobDaemonFixture(kDescriptorBounds).Check(crowds.HalfHeads(), kReadyPort);
+  }
+}
--- a/tests/fakes/deployment.cpp
+++ b/tests/fakes/deployment.cpp
@@ -141,15 +141,15 @@
   };
   nlohmann::json peers = listen(m_firstPort + kPeerOffset + number);
   peers["seeds"] = seeds;
-  const nlohmann::json settings = {
-    { "daemon", absl::StrCat("entry-", aDaemon) },
-    { "data_centre", DataCentreOf(aDaemon) },
-    { "callers", listen(m_firstPort + number) },
-    { "admin", listen(m_firstPort + kAdminOffset + number) },
-    { "peers", peers },
-    { "platform", { { "url", m_platformUrl } } },
-    { "log", { { "level", "error" } } }
-  };
+  nlohmann::json settings = { { "daemon", absl::StrCat("entry-", aDaemon) },
+                              { "data_centre", DataCentreOf(aDaemon) },
+                              { "callers", listen(m_firstPort + number) },
+                              { "admin",
+                                listen(m_firstPort + kAdminOffset + number) },
+                              { "peers", peers },
+                              { "platform", { { "url", m_platformUrl } } },
+                              { "log", { { "level", "error" } } } };
+  settings.update(m_addedSettings);
   m_folder.Write(absl::StrCat("entry-", aDaemon, ".json"), settings.dump());
 }
 
--- a/tests/fakes/deployment.h
+++ b/tests/fakes/deployment.h
@@ -39,6 +39,12 @@
    */
   int AddVms(int aScale);
 
+  /** Adds fields to the settings of the daemons that are started later. */
+  void AddSettings(const nlohmann::json& aFields)
+  {
+    m_addedSettings.update(aFields);
+  }
+
   void StartDaemons();
 
   /** Starts a daemon whose process has ended. */
@@ -85,6 +91,7 @@
   std::size_t m_daemonCount;
   Configuration m_configuration;
   std::string m_platformUrl;
+  nlohmann::json m_addedSettings = nlohmann::json::object();
   TemporaryFolder m_folder;
   std::unique_ptr<ChildProcess> m_platform;
   std::unique_ptr<ChildProcess> m_target;
