Read the limits of the process from the settings

A process is killed over its memory_mb, and it may open max_fds descriptors, but a daemon knew neither. Both programs now read memory_mb, max_fds and request_read_timeout_ms. They are optional; the defaults are those of the smallest VM and 30 s.

--- a/core/daemon_settings.cpp
+++ b/core/daemon_settings.cpp
@@ -77,6 +77,11 @@
     ValueOf(kLogFormatNames, log.value("format", "text")).value();
   settings.m_drainTimeout =
     ReadMillis(aJson, "drain_timeout_ms", settings.m_drainTimeout);
+  ProcessLimits& limits = settings.m_limits;
+  limits.m_memoryMb = aJson.value("memory_mb", limits.m_memoryMb);
+  limits.m_maxDescriptors = aJson.value("max_fds", limits.m_maxDescriptors);
+  limits.m_requestReadTimeout =
+    ReadMillis(aJson, "request_read_timeout_ms", limits.m_requestReadTimeout);
   return settings;
 }
 
--- a/core/daemon_settings.h
+++ b/core/daemon_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/log.h"
+#include "core/process_limits.h"
 
 #include <absl/time/time.h>
 
@@ -65,6 +66,7 @@
   LogFormat m_logFormat = LogFormat::Text;
   /** Longest wait for requests in flight during a graceful shutdown. */
   absl::Duration m_drainTimeout = absl::Seconds(65);
+  ProcessLimits m_limits;
 };
 
 /** Reads the settings. Throws Error (InvalidInput) with one line for each
--- a/core/job_settings.cpp
+++ b/core/job_settings.cpp
@@ -59,6 +59,46 @@
   return ReadNumber(aObject, aName) * aUnit;
 }
 
+/** An optional setting that is a number of aMinimum or more; fractions are
+ * dropped. */
+std::int64_t
+ReadLimit(const json& aObject,
+          const std::string& aName,
+          std::int64_t aDefault,
+          std::int64_t aMinimum)
+{
+  const auto found = aObject.find(aName);
+  if (found == aObject.end()) {
+    return aDefault;
+  }
+  // The upper bound keeps the conversion to an integer defined.
+  constexpr double kMaximum = 1e9;
+  const double value = found->is_number() ? found->get<double>() : -1;
+  if (value < static_cast<double>(aMinimum) || value > kMaximum) {
+    ThrowInvalidInput(absl::StrCat(
+      "'", aName, "' must be a number of ", aMinimum, " to 1000000000"));
+  }
+  return static_cast<std::int64_t>(value);
+}
+
+ProcessLimits
+ReadProcessLimits(const json& aObject)
+{
+  ProcessLimits limits;
+  limits.m_memoryMb = ReadLimit(
+    aObject, "memory_mb", limits.m_memoryMb, ProcessLimits::kMinMemoryMb);
+  limits.m_maxDescriptors = ReadLimit(aObject,
+                                      "max_fds",
+                                      limits.m_maxDescriptors,
+                                      ProcessLimits::kMinDescriptors);
+  limits.m_requestReadTimeout = absl::Milliseconds(
+    ReadLimit(aObject,
+              "request_read_timeout_ms",
+              absl::ToInt64Milliseconds(limits.m_requestReadTimeout),
+              ProcessLimits::kMinRequestReadTimeoutMs));
+  return limits;
+}
+
 }
 
 JobSettings
@@ -94,6 +134,7 @@
   settings.m_machineReadsPerSecond = ReadNumber(body, "machine_reads_per_s");
   settings.m_cores = ReadNumber(body, "cores");
   settings.m_linkMbps = ReadNumber(body, "link_mbps");
+  settings.m_limits = ReadProcessLimits(body);
   return settings;
 }
 
--- a/core/job_settings.h
+++ b/core/job_settings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/process_limits.h"
+
 #include <absl/time/time.h>
 
 #include <string>
@@ -40,6 +42,7 @@
    * link in Mbit/s. */
   double m_cores = 0;
   double m_linkMbps = 0;
+  ProcessLimits m_limits;
   /** Minimum time between orders of two owners to the same machine. */
   absl::Duration m_machineTurn;
 };
--- a/tests/core/test_daemon_settings.cpp
+++ b/tests/core/test_daemon_settings.cpp
@@ -168,3 +168,30 @@
     LoadToolSettings(folder.Write("tool.json", settings.dump())),
     Catch::Contains("/admin/0: value \"127.0.0.1:0\""));
 }
+
+// Guards against limits of the process that are read into the wrong member, or
+// under which a daemon cannot serve any request.
+TEST_CASE("The limits of the daemon's process are optional and checked",
+          "[settings]")
+{
+  const TemporaryFolder folder;
+  json settings = MakeValidSettings();
+  const auto load = [&] {
+    return LoadDaemonSettings(folder.Write("settings.json", settings.dump()))
+      .m_limits;
+  };
+  CHECK(load().m_memoryMb == 160);
+  CHECK(load().m_maxDescriptors == 4100);
+  settings.update({ { "memory_mb", 512 },
+                    { "max_fds", 8192 },
+                    { "request_read_timeout_ms", 10'000 } });
+  CHECK(load().m_memoryMb == 512);
+  CHECK(load().m_maxDescriptors == 8192);
+  CHECK(load().m_requestReadTimeout == absl::Seconds(10));
+  for (const char* name :
+       { "memory_mb", "max_fds", "request_read_timeout_ms" }) {
+    const std::string error =
+      ErrorAfter([name](json& aSettings) { aSettings[name] = 1; });
+    CHECK(error.starts_with(std::string("/") + name));
+  }
+}
--- a/tests/core/test_job_settings.cpp
+++ b/tests/core/test_job_settings.cpp
@@ -1,6 +1,7 @@
 #include "core/error.h"
 #include "core/job_settings.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -66,3 +67,32 @@
   }
   REQUIRE_THROWS_AS(ParseJobSettings("{"), Error);
 }
+
+// Guards against a deployment without the limits that does not start, and
+// against limits under which a daemon cannot serve any request.
+TEST_CASE("The limits of the process are optional and checked",
+          "[job_settings]")
+{
+  nlohmann::json settings = MakeValidSettings();
+  const ProcessLimits defaults = ParseJobSettings(settings.dump()).m_limits;
+  CHECK(defaults.m_memoryMb == 160);
+  CHECK(defaults.m_maxDescriptors == 4100);
+  CHECK(defaults.m_requestReadTimeout == absl::Seconds(30));
+  settings["memory_mb"] = 512.0;
+  settings["max_fds"] = 8192;
+  settings["request_read_timeout_ms"] = 10'000;
+  const ProcessLimits limits = ParseJobSettings(settings.dump()).m_limits;
+  CHECK(limits.m_memoryMb == 512);
+  CHECK(limits.m_maxDescriptors == 8192);
+  CHECK(limits.m_requestReadTimeout == absl::Seconds(10));
+  for (const char* name :
+       { "memory_mb", "max_fds", "request_read_timeout_ms" }) {
+    for (const nlohmann::json& value :
+         { nlohmann::json(0), nlohmann::json(-1), nlohmann::json("160") }) {
+      nlohmann::json wrong = settings;
+      wrong[name] = value;
+      REQUIRE_THROWS_WITH(ParseJobSettings(wrong.dump()),
+                          Catch::Contains(absl::StrCat("'", name, "'")));
+    }
+  }
+}
