Serve requests within a budget of memory and descriptors

The listeners kept every incomplete request until it was complete or its connection idle, so 300 callers that stop one byte short took 117 MB of a process that may have 64. Each listener now enters its connections in a ConnectionTable, which holds the bodies, reports what each connection holds to the RequestBudget, and carries out its evictions: it frees the body and shuts the socket down. A declared length over the limit gets 413 on the headers. A request without room gets 503 with Retry-After before its body is read, or its connection is closed, and the readiness check is 503 for a second. Incomplete requests end after request_read_timeout_ms. The readiness port and the admin port have reserves of their own. The body limit of the job interface is that of the configuration in effect. Receive buffers are limited, since bytes that were not read count, too. Refusals, drops, bytes and connections are metrics; log lines are limited to one a second for each reason.

A body without a declared length is read up to four times its limit and discarded, so that its client receives the 413, as the request path did before; beyond that its connection is closed.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -62,17 +62,22 @@
 }
 
 RequestPathSettings
-MakeRequestPathSettings(const CallerSettings& aSettings,
+MakeRequestPathSettings(const DaemonSettings& aDaemonSettings,
                         const std::string& aChartsFolder)
 {
+  const CallerSettings& callers = aDaemonSettings.m_callers;
+  const ProcessLimits& limits = aDaemonSettings.m_limits;
   RequestPathSettings settings;
-  settings.m_listenAddress = aSettings.m_listen.m_address;
-  settings.m_listenPort = aSettings.m_listen.m_port;
-  settings.m_httpThreads = aSettings.m_threads;
-  settings.m_maxRequestBytes = aSettings.m_maxRequestBytes;
-  settings.m_maxResponseBytes = aSettings.m_maxResponseBytes;
+  settings.m_listenAddress = callers.m_listen.m_address;
+  settings.m_listenPort = callers.m_listen.m_port;
+  settings.m_httpThreads = callers.m_threads;
+  settings.m_maxRequestBytes = callers.m_maxRequestBytes;
+  settings.m_maxResponseBytes = callers.m_maxResponseBytes;
   settings.m_requestAttemptChart =
     absl::StrCat(aChartsFolder, "/request_attempt.json");
+  settings.m_limits =
+    RequestBudgetLimits::ForProcess(limits.m_memoryMb, limits.m_maxDescriptors);
+  settings.m_readTimeout = limits.m_requestReadTimeout;
   return settings;
 }
 
@@ -202,7 +207,7 @@
   , m_store(MakeConsulSettings(m_settings.m_platform), &m_metrics)
   , m_vmList(MakeConsulSettings(m_settings.m_platform), &m_metrics)
   , m_vmControl(MakeConsulSettings(m_settings.m_platform), &m_metrics)
-  , m_requestPath(MakeRequestPathSettings(m_settings.m_callers, aChartsFolder),
+  , m_requestPath(MakeRequestPathSettings(m_settings, aChartsFolder),
                   { [this](const std::string& aId, ClaimCallback aDone) {
                      m_node.Claim(aId, std::move(aDone));
                    },
@@ -415,6 +420,7 @@
   while (!aStop.stop_requested()) {
     RecordReadiness();
     UpdateProbedVms();
+    m_admin.Tick();
     absl::SleepFor(kHousekeepingInterval);
   }
 }
@@ -461,7 +467,7 @@
 bool
 Daemon::Impl::IsReady() const
 {
-  return !m_isStopping && m_node.IsReady() &&
+  return !m_isStopping && !m_requestPath.IsRefusing() && m_node.IsReady() &&
          m_documents.CurrentConfiguration() &&
          m_documents.CurrentFleetDocument();
 }
--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -20,9 +20,14 @@
 constexpr int kConnectionsPerWorker = 3;
 /** To the machine service and to the advice service each. */
 constexpr int kServiceConnections = 3;
-/** Largest request body. The configuration, once read, may set a lower limit.
- */
+/** Largest request body without a configuration, or if it sets no limit. */
 constexpr std::size_t kMaxBodyBytes = 1U << 20U;
+/** Memory of the readiness port's connections together: for each a buffer of 16
+ * KiB and 8 KiB of overhead. Its requests have no body. */
+constexpr RequestBudgetLimits kReadyLimits{
+  .m_bytes = kMaxOperatorConnections * 24 * 1024,
+  .m_connections = kMaxOperatorConnections
+};
 /** Without a response from the store for this time the daemon is not ready. */
 constexpr absl::Duration kStoreResponseTimeout = absl::Milliseconds(2500);
 /** The process ends this long before the kill signal in any case. */
@@ -99,16 +104,26 @@
     [this] { return m_layout ? &*m_layout : nullptr; });
   m_callerListener = std::make_unique<HttpListener>(
     m_loop,
-    m_settings.m_callerAddress,
-    kMaxBodyBytes,
+    HttpListenerSettings{ .m_address = m_settings.m_callerAddress,
+                          .m_name = "callers",
+                          .m_limits = CallerLimits(),
+                          .m_readTimeout =
+                            m_settings.m_limits.m_requestReadTimeout,
+                          .m_maxBodyBytes = [this] { return MaxBodyBytes(); } },
+    m_metrics,
     [this](const ListenerRequest& aRequest,
            const HttpListener::Responder& aRespond) {
       m_jobRequestHandler->Handle(aRequest, aRespond);
     });
   m_readyListener = std::make_unique<HttpListener>(
     m_loop,
-    m_settings.m_readyAddress,
-    kMaxBodyBytes,
+    HttpListenerSettings{ .m_address = m_settings.m_readyAddress,
+                          .m_name = "ready",
+                          .m_limits = kReadyLimits,
+                          .m_readTimeout =
+                            m_settings.m_limits.m_requestReadTimeout,
+                          .m_maxBodyBytes = [] { return std::size_t{ 0 }; } },
+    m_metrics,
     [this](const ListenerRequest& aRequest,
            const HttpListener::Responder& aRespond) {
       HandleReady(aRequest, aRespond);
@@ -241,11 +256,27 @@
 bool
 JobDaemon::IsReady() const
 {
-  return !m_isStopping && m_configuration.has_value() && m_layout.has_value() &&
+  return !m_isStopping && !m_callerListener->IsRefusing() &&
+         m_configuration.has_value() && m_layout.has_value() &&
          m_loop.Now() <
            m_operatorMirror->LastResponseAt() + kStoreResponseTimeout;
 }
 
+RequestBudgetLimits
+JobDaemon::CallerLimits() const
+{
+  return RequestBudgetLimits::ForProcess(m_settings.m_limits.m_memoryMb,
+                                         m_settings.m_limits.m_maxDescriptors);
+}
+
+std::size_t
+JobDaemon::MaxBodyBytes() const
+{
+  return m_configuration && m_configuration->m_maxBodyBytes > 0
+           ? m_configuration->m_maxBodyBytes
+           : kMaxBodyBytes;
+}
+
 void
 JobDaemon::HandleReady(const ListenerRequest& aRequest,
                        const HttpListener::Responder& aRespond)
@@ -262,6 +293,7 @@
 {
   try {
     m_settings = LoadJobSettings(m_settingsPath);
+    m_callerListener->SetLimits(CallerLimits());
     LogInfo(LogPart::Main, "settings reloaded.");
   } catch (const Error& error) {
     LogError(
--- a/daemon/job_daemon.h
+++ b/daemon/job_daemon.h
@@ -54,6 +54,10 @@
   void HandleReady(const ListenerRequest& aRequest,
                    const HttpListener::Responder& aRespond);
   bool IsReady() const;
+  /** Limits of the callers' connections. */
+  RequestBudgetLimits CallerLimits() const;
+  /** Largest request body in bytes by the configuration in effect. */
+  std::size_t MaxBodyBytes() const;
   void Reload();
   void Shutdown();
   void ExitWhenIdle();
--- a/dispatch/refusal_reason.h
+++ b/dispatch/refusal_reason.h
@@ -24,9 +24,11 @@
   /** The caller disconnected while the request was queued. */
   CallerDisconnected,
   ShuttingDown,
+  /** Open requests take all the memory or connections that they may. */
+  NoRoom,
 };
 
-inline constexpr EnumNames<RefusalReason, 13> kRefusalReasonNames = { {
+inline constexpr EnumNames<RefusalReason, 14> kRefusalReasonNames = { {
   { RefusalReason::Malformed, "malformed" },
   { RefusalReason::UnknownService, "unknown_service" },
   { RefusalReason::TooLarge, "too_large" },
@@ -40,6 +42,7 @@
   { RefusalReason::ServiceRemoved, "service_removed" },
   { RefusalReason::CallerDisconnected, "caller_disconnected" },
   { RefusalReason::ShuttingDown, "shutting_down" },
+  { RefusalReason::NoRoom, "no_room" },
 } };
 
 }
--- a/net/http_listener.cpp
+++ b/net/http_listener.cpp
@@ -2,11 +2,11 @@
 
 #include "core/error.h"
 #include "net/event_loop.h"
+#include "net/listener_callbacks.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
-#include <microhttpd.h>
 #include <netinet/in.h>
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -19,10 +19,18 @@
 
 /** Time after which an idle connection is closed. */
 constexpr unsigned kIdleTimeoutS = 30;
-constexpr unsigned kMaxConnections = 2000;
+/** The budget allows 2,000 connections; evicted ones are open until the library
+ * has handled their shutdown. */
+constexpr unsigned kMaxConnections = 2064;
 /** Buffer size of one connection; the default of 32 KiB is not needed. */
 constexpr std::size_t kConnectionMemoryBytes = 16384;
 
+constexpr absl::Duration kTickInterval = absl::Seconds(1);
+/** Retry-After of a refused request. */
+constexpr int kRetryAfterS = 1;
+
+const ListenerResponse kTooLarge{ 413, R"({"error":"the body is too large"})" };
+
 sockaddr_in
 ParseAddress(const std::string& aAddress)
 {
@@ -49,10 +57,10 @@
 {
   HttpListener* m_listener = nullptr;
   MHD_Connection* m_connection = nullptr;
+  ConnectionTable::Connection* m_entry = nullptr;
   ListenerRequest m_request;
   ListenerResponse m_response;
   std::size_t m_id = 0;
-  bool m_isTooLarge = false;
   bool m_isDispatched = false;
   bool m_isSuspended = false;
   bool m_hasResponse = false;
@@ -75,25 +83,27 @@
       exchange = new Exchange;
       exchange->m_listener = self;
       exchange->m_connection = aConnection;
+      exchange->m_entry = &EntryOf(aConnection);
       exchange->m_request.m_method = aMethod;
       exchange->m_request.m_path = aUrl;
       const char* host = MHD_lookup_connection_value(
         aConnection, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
       exchange->m_request.m_host = host == nullptr ? "" : host;
       *aState = exchange;
-      return MHD_YES;
+      return Admit(*exchange);
     }
     if (*aDataSize > 0) {
-      if (exchange->m_request.m_body.size() + *aDataSize >
-          self->m_maxBodyBytes) {
-        exchange->m_isTooLarge = true;
-      } else {
-        exchange->m_request.m_body.append(aData, *aDataSize);
-      }
+      const Admission admission = self->m_connections.Append(
+        *exchange->m_entry, aData, *aDataSize, self->m_maxBodyBytes());
       *aDataSize = 0;
-      return MHD_YES;
+      return admission == Admission::Admitted ? MHD_YES : MHD_NO;
     }
     if (!exchange->m_isDispatched) {
+      auto body = self->m_connections.Complete(*exchange->m_entry);
+      if (!body) {
+        return MHD_NO;
+      }
+      exchange->m_request.m_body = std::move(*body);
       self->Dispatch(*exchange);
       if (!exchange->m_hasResponse) {
         exchange->m_isSuspended = true;
@@ -104,6 +114,52 @@
     return QueueResponse(*exchange);
   }
 
+  /** Decides on a request whose headers were read. */
+  static MHD_Result Admit(Exchange& aExchange)
+  {
+    HttpListener& self = *aExchange.m_listener;
+    const std::uint64_t length = DeclaredLength(aExchange.m_connection);
+    if (length > self.m_maxBodyBytes()) {
+      self.m_connections.CountRefusal(ListenerRefusal::LengthOverLimit);
+      return Refuse(aExchange, kTooLarge);
+    }
+    const ListenerRequest& request = aExchange.m_request;
+    switch (self.m_connections.AdmitRequest(
+      *aExchange.m_entry,
+      sizeof(Exchange) + request.m_path.size() + request.m_host.size(),
+      length)) {
+      case Admission::Admitted:
+        return MHD_YES;
+      case Admission::Refused:
+        self.m_connections.CountRefusal(ListenerRefusal::NoRoom);
+        return Refuse(aExchange,
+                      { .m_status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                        .m_body = R"({"error":"too many requests are open"})",
+                        .m_retryAfterS = kRetryAfterS });
+      case Admission::Closed:
+        break;
+    }
+    return MHD_NO;
+  }
+
+  static MHD_Result Refuse(Exchange& aExchange, ListenerResponse aResponse)
+  {
+    aExchange.m_response = std::move(aResponse);
+    aExchange.m_isDispatched = true;
+    aExchange.m_hasResponse = true;
+    return QueueResponse(aExchange);
+  }
+
+  /** The result is the initial state of the request. */
+  static void* OnUri(void* aSelf,
+                     const char* /*aUri*/,
+                     MHD_Connection* aConnection)
+  {
+    static_cast<HttpListener*>(aSelf)->m_connections.BeginRequest(
+      EntryOf(aConnection));
+    return nullptr;
+  }
+
   static MHD_Result QueueResponse(Exchange& aExchange)
   {
     const ListenerResponse& response = aExchange.m_response;
@@ -140,7 +196,9 @@
   {
     auto* exchange = static_cast<Exchange*>(*aState);
     if (exchange != nullptr) {
-      static_cast<HttpListener*>(aSelf)->m_openExchanges.erase(exchange->m_id);
+      auto* self = static_cast<HttpListener*>(aSelf);
+      self->m_openExchanges.erase(exchange->m_id);
+      self->m_connections.FinishRequest(*exchange->m_entry);
       delete exchange;
       *aState = nullptr;
     }
@@ -148,14 +206,21 @@
 };
 
 HttpListener::HttpListener(EventLoop& aLoop,
-                           const std::string& aAddress,
-                           std::size_t aMaxBodyBytes,
+                           HttpListenerSettings aSettings,
+                           Metrics& aMetrics,
                            Handler aHandler)
   : m_loop(aLoop)
-  , m_maxBodyBytes(aMaxBodyBytes)
+  , m_maxBodyBytes(std::move(aSettings.m_maxBodyBytes))
+  , m_connections(
+      { .m_listener = aSettings.m_name,
+        .m_limits = aSettings.m_limits,
+        .m_bufferBytes = kConnectionMemoryBytes,
+        .m_readTimeout = aSettings.m_readTimeout,
+        .m_idleTimeout = absl::Seconds(static_cast<int>(kIdleTimeoutS)) },
+      aMetrics)
   , m_handler(std::move(aHandler))
 {
-  const sockaddr_in address = ParseAddress(aAddress);
+  const sockaddr_in address = ParseAddress(aSettings.m_address);
   m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
                               0,
                               nullptr,
@@ -167,6 +232,12 @@
                               MHD_OPTION_NOTIFY_COMPLETED,
                               Callbacks::OnCompleted,
                               this,
+                              MHD_OPTION_NOTIFY_CONNECTION,
+                              NotifyConnection,
+                              &m_connections,
+                              MHD_OPTION_URI_LOG_CALLBACK,
+                              Callbacks::OnUri,
+                              this,
                               MHD_OPTION_CONNECTION_TIMEOUT,
                               kIdleTimeoutS,
                               MHD_OPTION_CONNECTION_LIMIT,
@@ -178,18 +249,22 @@
                               MHD_OPTION_END);
   if (m_daemon == nullptr) {
     throw Error(ErrorCode::Unavailable,
-                absl::StrCat("cannot listen on ", aAddress));
+                absl::StrCat("cannot listen on ", aSettings.m_address));
   }
+  LimitReceiveBuffers(
+    MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd);
   const MHD_DaemonInfo* info =
     MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
   m_epollDescriptor = info->epoll_fd;
   m_loop.Watch(
     m_epollDescriptor, EPOLLIN, [this](std::uint32_t) { RunDaemon(); });
+  TickConnections();
 }
 
 HttpListener::~HttpListener()
 {
   m_loop.Unwatch(m_epollDescriptor);
+  m_loop.Cancel(m_tickTimer);
   if (m_isRunScheduled) {
     m_loop.Cancel(m_runTimer);
   }
@@ -225,6 +300,13 @@
   }
 }
 
+void
+HttpListener::TickConnections()
+{
+  m_connections.Tick();
+  m_tickTimer = m_loop.After(kTickInterval, [this] { TickConnections(); });
+}
+
 void
 HttpListener::ScheduleRun()
 {
@@ -242,8 +324,8 @@
 HttpListener::Dispatch(Exchange& aExchange)
 {
   aExchange.m_isDispatched = true;
-  if (aExchange.m_isTooLarge) {
-    aExchange.m_response = { 413, R"({"error":"the body is too large"})" };
+  if (m_connections.IsTooLarge(*aExchange.m_entry)) {
+    aExchange.m_response = kTooLarge;
     aExchange.m_hasResponse = true;
     return;
   }
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/connection_table.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -12,6 +14,7 @@
 namespace bramleystall {
 
 class EventLoop;
+class Metrics;
 
 /** A complete request as read by the listener. */
 struct ListenerRequest
@@ -35,6 +38,20 @@
   int m_retryAfterS = 0;
 };
 
+struct HttpListenerSettings
+{
+  /** "IP:PORT". */
+  std::string m_address;
+  /** Name in metrics and logs. */
+  std::string m_name;
+  /** Limits of all connections of the listener together. */
+  RequestBudgetLimits m_limits;
+  absl::Duration m_readTimeout = ProcessLimits().m_requestReadTimeout;
+  /** Largest body in bytes, asked for each request. A request with a larger one
+   * gets the status 413, before its body is read if the length is declared. */
+  std::function<std::size_t()> m_maxBodyBytes;
+};
+
 /**
  * HTTP/1.1 server on an event loop, based on libmicrohttpd. The handler is
  * called once a request is complete and may respond immediately or later.
@@ -46,14 +63,11 @@
   using Responder = std::function<void(ListenerResponse)>;
   using Handler = std::function<void(ListenerRequest, Responder)>;
 
-  /**
-   * Listens on "IP:PORT". A request with a body of more than aMaxBodyBytes gets
-   * the status 413. Throws Error: InvalidInput if the address is malformed,
-   * Unavailable if it cannot be used.
-   */
+  /** Starts to listen. aMetrics outlives the object. Throws Error: InvalidInput
+   * if the address is malformed, Unavailable if it cannot be used. */
   HttpListener(EventLoop& aLoop,
-               const std::string& aAddress,
-               std::size_t aMaxBodyBytes,
+               HttpListenerSettings aSettings,
+               Metrics& aMetrics,
                Handler aHandler);
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
@@ -68,16 +82,28 @@
   /** Number of requests that wait for their response. */
   std::size_t OpenRequests() const { return m_openExchanges.size(); }
 
+  void SetLimits(RequestBudgetLimits aLimits)
+  {
+    m_connections.SetLimits(aLimits);
+  }
+
+  /** Whether a request was refused within the last second because the limits
+   * of the listener were reached. */
+  bool IsRefusing() const { return m_connections.IsRefusing(); }
+
 private:
   struct Exchange;
   struct Callbacks;
 
   void Dispatch(Exchange& aExchange);
+  void TickConnections();
   void RunDaemon();
   void ScheduleRun();
 
   EventLoop& m_loop;
-  std::size_t m_maxBodyBytes;
+  std::function<std::size_t()> m_maxBodyBytes;
+  ConnectionTable m_connections;
+  std::uint64_t m_tickTimer = 0;
   Handler m_handler;
   bool m_closesAfterResponse = false;
   bool m_hasStoppedAccepting = false;
--- a/server/admin_server.cpp
+++ b/server/admin_server.cpp
@@ -2,9 +2,9 @@
 
 #include "core/error.h"
 #include "core/log.h"
+#include "net/listener_callbacks.h"
 
 #include <absl/strings/str_cat.h>
-#include <microhttpd.h>
 #include <nlohmann/json.hpp>
 
 #include <arpa/inet.h>
@@ -22,15 +22,27 @@
 /** A hook may wait for the store; several threads keep one slow request from
  * blocking the health check. */
 constexpr unsigned kThreads = 4;
-constexpr unsigned kMaxConnections = 64;
+/** Evicted connections are open until the library has handled their shutdown;
+ * each thread may get all connections. */
+constexpr unsigned kMaxConnections = 2 * kMaxOperatorConnections * kThreads;
 constexpr unsigned kIdleTimeoutSeconds = 15;
+/** Buffer size of one connection, the library's default. */
+constexpr std::size_t kConnectionMemoryBytes = 32U << 10U;
+/** Memory of all connections together: their buffers with 4 KiB of overhead,
+ * and 16 bodies of the largest size. */
+constexpr std::size_t kMaxConnectionBytes =
+  kMaxOperatorConnections * (kConnectionMemoryBytes + 4096) +
+  16 * kMaxAdminBodyBytes;
 constexpr std::string_view kExplainPrefix = "/v1/explain/";
 
 /** Request whose body is being received. */
 struct PendingRequest
 {
+  ConnectionTable::Connection* m_connection = nullptr;
   std::string m_body;
   bool m_isTooLarge = false;
+  /** The budget has no room for the request. */
+  bool m_isRefused = false;
 };
 
 int
@@ -93,6 +105,7 @@
   std::uint16_t m_port;
   AdminHooks m_hooks;
   Metrics& m_metrics;
+  ConnectionTable m_connections;
   MHD_Daemon* m_daemon = nullptr;
 
   Route FindRoute(const std::string& aMethod,
@@ -102,6 +115,14 @@
   AdminResponse Respond(const std::string& aMethod,
                         const std::string& aPath,
                         const PendingRequest& aRequest) const;
+  /** Responds to a request whose body was read or is not read. */
+  MHD_Result SendResponse(MHD_Connection* aConnection,
+                          const char* aMethod,
+                          const char* aUrl,
+                          const PendingRequest& aRequest) const;
+  static void* HandleUri(void* aSelf,
+                         const char* aUri,
+                         MHD_Connection* aConnection);
   static MHD_Result HandleAccess(void* aSelf,
                                  MHD_Connection* aConnection,
                                  const char* aUrl,
@@ -183,6 +204,10 @@
         MHD_HTTP_CONTENT_TOO_LARGE,
         ErrorCode::InvalidInput,
         absl::StrCat("body too large, expected at most ", kMaxAdminBodyBytes));
+    } else if (aRequest.m_isRefused) {
+      response = MakeError(MHD_HTTP_SERVICE_UNAVAILABLE,
+                           ErrorCode::Unavailable,
+                           "too many requests are open");
     } else if (!isAllowed) {
       response =
         MakeError(MHD_HTTP_METHOD_NOT_ALLOWED,
@@ -215,24 +240,59 @@
                                 std::size_t* aDataSize,
                                 void** aRequest)
 {
+  auto* const self = static_cast<Impl*>(aSelf);
+  ConnectionTable& table = self->m_connections;
   auto* request = static_cast<PendingRequest*>(*aRequest);
   if (!request) {
     // The first call of a request follows its headers and has no body data.
-    *aRequest = new PendingRequest;
-    return MHD_YES;
+    request = new PendingRequest{ .m_connection = &EntryOf(aConnection) };
+    *aRequest = request;
+    const std::uint64_t length = DeclaredLength(aConnection);
+    if (length > kMaxAdminBodyBytes) {
+      table.CountRefusal(ListenerRefusal::LengthOverLimit);
+      request->m_isTooLarge = true;
+      return self->SendResponse(aConnection, aMethod, aUrl, *request);
+    }
+    const Admission admission = table.AdmitRequest(
+      *request->m_connection, sizeof(PendingRequest), length);
+    if (admission == Admission::Refused) {
+      table.CountRefusal(ListenerRefusal::NoRoom);
+      request->m_isRefused = true;
+      return self->SendResponse(aConnection, aMethod, aUrl, *request);
+    }
+    return admission == Admission::Admitted ? MHD_YES : MHD_NO;
   }
   if (*aDataSize > 0) {
-    request->m_isTooLarge =
-      request->m_isTooLarge ||
-      request->m_body.size() + *aDataSize > kMaxAdminBodyBytes;
-    if (!request->m_isTooLarge) {
-      request->m_body.append(aData, *aDataSize);
-    }
+    const Admission admission = table.Append(
+      *request->m_connection, aData, *aDataSize, kMaxAdminBodyBytes);
     *aDataSize = 0;
-    return MHD_YES;
+    return admission == Admission::Admitted ? MHD_YES : MHD_NO;
   }
-  const auto* self = static_cast<const Impl*>(aSelf);
-  const AdminResponse response = self->Respond(aMethod, aUrl, *request);
+  request->m_isTooLarge = table.IsTooLarge(*request->m_connection);
+  auto body = table.Complete(*request->m_connection);
+  if (!body) {
+    return MHD_NO;
+  }
+  request->m_body = std::move(*body);
+  return self->SendResponse(aConnection, aMethod, aUrl, *request);
+}
+
+void*
+AdminServer::Impl::HandleUri(void* aSelf,
+                             const char* /*aUri*/,
+                             MHD_Connection* aConnection)
+{
+  static_cast<Impl*>(aSelf)->m_connections.BeginRequest(EntryOf(aConnection));
+  return nullptr;
+}
+
+MHD_Result
+AdminServer::Impl::SendResponse(MHD_Connection* aConnection,
+                                const char* aMethod,
+                                const char* aUrl,
+                                const PendingRequest& aRequest) const
+{
+  const AdminResponse response = Respond(aMethod, aUrl, aRequest);
   MHD_Response* const mhdResponse =
     MHD_create_response_from_buffer(response.m_body.size(),
                                     const_cast<char*>(response.m_body.data()),
@@ -242,9 +302,12 @@
   }
   MHD_add_response_header(
     mhdResponse, MHD_HTTP_HEADER_CONTENT_TYPE, response.m_contentType.c_str());
+  if (aRequest.m_isRefused) {
+    MHD_add_response_header(mhdResponse, MHD_HTTP_HEADER_RETRY_AFTER, "1");
+  }
   if (response.m_status == MHD_HTTP_METHOD_NOT_ALLOWED) {
     const std::string methods =
-      self->FindRoute(aMethod, aUrl, request->m_body).m_allowedMethods;
+      FindRoute(aMethod, aUrl, aRequest.m_body).m_allowedMethods;
     MHD_add_response_header(
       mhdResponse, MHD_HTTP_HEADER_ALLOW, methods.c_str());
   }
@@ -255,20 +318,35 @@
 }
 
 void
-AdminServer::Impl::HandleCompleted(void* /*aSelf*/,
+AdminServer::Impl::HandleCompleted(void* aSelf,
                                    MHD_Connection* /*aConnection*/,
                                    void** aRequest,
                                    MHD_RequestTerminationCode /*aCode*/)
 {
-  delete static_cast<PendingRequest*>(*aRequest);
-  *aRequest = nullptr;
+  const std::unique_ptr<PendingRequest> request(
+    static_cast<PendingRequest*>(std::exchange(*aRequest, nullptr)));
+  if (request) {
+    static_cast<Impl*>(aSelf)->m_connections.FinishRequest(
+      *request->m_connection);
+  }
 }
 
 AdminServer::AdminServer(const std::string& aAddress,
                          std::uint16_t aPort,
                          AdminHooks aHooks,
                          Metrics& aMetrics)
-  : m_impl(new Impl{ aAddress, aPort, std::move(aHooks), aMetrics })
+  : m_impl(
+      new Impl{ aAddress,
+                aPort,
+                std::move(aHooks),
+                aMetrics,
+                { { .m_listener = "admin",
+                    .m_limits = { .m_bytes = kMaxConnectionBytes,
+                                  .m_connections = kMaxOperatorConnections },
+                    .m_bufferBytes = kConnectionMemoryBytes,
+                    .m_idleTimeout =
+                      absl::Seconds(static_cast<int>(kIdleTimeoutSeconds)) },
+                  aMetrics } })
 {
 }
 
@@ -304,6 +382,14 @@
                      kMaxConnections,
                      MHD_OPTION_CONNECTION_TIMEOUT,
                      kIdleTimeoutSeconds,
+                     MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                     kConnectionMemoryBytes,
+                     MHD_OPTION_NOTIFY_CONNECTION,
+                     &NotifyConnection,
+                     &m_impl->m_connections,
+                     MHD_OPTION_URI_LOG_CALLBACK,
+                     &Impl::HandleUri,
+                     m_impl.get(),
                      MHD_OPTION_NOTIFY_COMPLETED,
                      &Impl::HandleCompleted,
                      m_impl.get(),
@@ -315,6 +401,15 @@
                              ": ",
                              std::string(std::strerror(errno))));
   }
+  LimitReceiveBuffers(
+    MHD_get_daemon_info(m_impl->m_daemon, MHD_DAEMON_INFO_LISTEN_FD)
+      ->listen_fd);
+}
+
+void
+AdminServer::Tick()
+{
+  m_impl->m_connections.Tick();
 }
 
 void
--- a/server/admin_server.h
+++ b/server/admin_server.h
@@ -63,6 +63,10 @@
    * IPv4 address, Unavailable when the port is in use. */
   void Start();
 
+  /** Closes connections whose request is incomplete for too long; to be called
+   * at least once a second. */
+  void Tick();
+
   /** Stops the server and waits for requests in progress. */
   void Stop();
 
--- a/server/caller_server.cpp
+++ b/server/caller_server.cpp
@@ -1,21 +1,20 @@
 #include "server/caller_server.h"
 
-#include "core/error.h"
 #include "core/log.h"
+#include "net/listener_callbacks.h"
 #include "server/caller_watch.h"
+#include "server/listen_socket.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
-#include <linux/filter.h>
-#include <microhttpd.h>
 #include <netdb.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
+#include <algorithm>
 #include <atomic>
 #include <utility>
 
@@ -23,8 +22,10 @@
 
 namespace {
 
-constexpr int kListenBacklog = 1024;
-constexpr unsigned kMaxConnections = 4096;
+// The budget allows 2,000 connections; evicted ones are open until the library
+// has handled their shutdown. Each thread gets this limit, since the threads
+// accept unevenly.
+constexpr unsigned kMaxConnections = 2064;
 // Time after which a connection without traffic is closed. Suspended
 // connections are exempt.
 constexpr unsigned kIdleTimeoutSeconds = 60;
@@ -32,104 +33,19 @@
 // dropped; a caller is about 3 ms away.
 constexpr absl::Duration kHandshakeTime = absl::Milliseconds(20);
 constexpr std::size_t kConnectionMemoryBytes = 64U << 10U;
-// A body above the limit is read and discarded so that the caller receives the
-// 413. Beyond this multiple of the limit the connection is closed.
-constexpr std::size_t kMaxDiscardedFactor = 4;
+constexpr const char* kTooLargeDetail = "the body is too large";
 
 /** State of one request on one connection. */
 struct RequestContext
 {
   HttpRequest m_request;
+  ConnectionTable::Connection* m_connection = nullptr;
   bool m_hasReadHeaders = false;
-  bool m_isTooLarge = false;
-  std::size_t m_bodyBytes = 0;
   std::shared_ptr<CallerExchange> m_exchange;
   /** Owns the bytes that libmicrohttpd is sending. */
   HttpResponse m_response;
 };
 
-/** Owns a socket and closes it unless it is released. */
-class Socket
-{
-public:
-  explicit Socket(int aDescriptor)
-    : m_descriptor(aDescriptor)
-  {
-  }
-  ~Socket()
-  {
-    if (m_descriptor >= 0) {
-      close(m_descriptor);
-    }
-  }
-  Socket(const Socket&) = delete;
-  Socket& operator=(const Socket&) = delete;
-  int Get() const { return m_descriptor; }
-  int Release() { return std::exchange(m_descriptor, -1); }
-
-private:
-  int m_descriptor;
-};
-
-[[noreturn]] void
-ThrowListenError(const CallerServerSettings& aSettings)
-{
-  throw Error(ErrorCode::Unavailable,
-              absl::StrCat("server: cannot listen on ",
-                           aSettings.m_listenAddress,
-                           ":",
-                           aSettings.m_listenPort));
-}
-
-int
-OpenListenSocket(const CallerServerSettings& aSettings)
-{
-  addrinfo hints{};
-  hints.ai_socktype = SOCK_STREAM;
-  hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV | AI_PASSIVE;
-  addrinfo* found = nullptr;
-  const std::string port = absl::StrCat(aSettings.m_listenPort);
-  if (getaddrinfo(
-        aSettings.m_listenAddress.c_str(), port.c_str(), &hints, &found) != 0) {
-    ThrowListenError(aSettings);
-  }
-  const std::unique_ptr<addrinfo, decltype(&freeaddrinfo)> address(
-    found, freeaddrinfo);
-  Socket listener(
-    socket(address->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  const int on = 1;
-  setsockopt(listener.Get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind(listener.Get(), address->ai_addr, address->ai_addrlen) != 0 ||
-      listen(listener.Get(), kListenBacklog) != 0) {
-    ThrowListenError(aSettings);
-  }
-  return listener.Release();
-}
-
-/** Makes the kernel drop new connections to a listening socket. Callers
- * retransmit their SYN and then find the port closed. The filter drops only TCP
- * segments with the SYN flag, so that handshakes in progress complete. */
-void
-IgnoreNewConnections(int aListener)
-{
-  constexpr unsigned kFlagsOffset = 13;
-  constexpr unsigned kSyn = 0x02;
-  constexpr unsigned kWholeSegment = 0xffffffff;
-  std::array<sock_filter, 4> dropSyn = { {
-    BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
-    BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSyn, 0, 1),
-    BPF_STMT(BPF_RET | BPF_K, 0),
-    BPF_STMT(BPF_RET | BPF_K, kWholeSegment),
-  } };
-  const sock_fprog program = { static_cast<unsigned short>(dropSyn.size()),
-                               dropSyn.data() };
-  setsockopt(aListener,
-             SOL_SOCKET,
-             SO_ATTACH_FILTER,
-             &program,
-             static_cast<socklen_t>(sizeof program));
-}
-
 MHD_Result
 AppendHeader(void* aHeaders,
              MHD_ValueKind,
@@ -163,13 +79,17 @@
   return absl::AsciiStrToLower(aHost.substr(0, colon));
 }
 
-/** Value of Content-Length; 0 when it is absent or not a number. */
-std::uint64_t
-DeclaredLength(const HttpHeaders& aHeaders)
+/** Memory of the headers in bytes; many short ones take more than they carry.
+ */
+std::size_t
+HeaderMemory(const HttpHeaders& aHeaders)
 {
-  const std::string* const text = FindHeader(aHeaders, "Content-Length");
-  std::uint64_t length = 0;
-  return text && absl::SimpleAtoi(*text, &length) ? length : 0;
+  std::size_t bytes =
+    sizeof(RequestContext) + aHeaders.capacity() * sizeof(aHeaders.front());
+  for (const auto& [name, value] : aHeaders) {
+    bytes += name.capacity() + value.capacity();
+  }
+  return bytes;
 }
 
 MHD_Result
@@ -202,20 +122,32 @@
 {
   CallerServerSettings m_settings;
   CallerServerHooks m_hooks;
+  ConnectionTable m_connections;
   CallerWatch m_watch;
   MHD_Daemon* m_daemon = nullptr;
   int m_port = 0;
   std::atomic<std::uint64_t> m_nextId = 1;
   std::atomic<int> m_openExchanges = 0;
 
-  Impl(CallerServerSettings aSettings, CallerServerHooks aHooks)
+  Impl(CallerServerSettings aSettings,
+       CallerServerHooks aHooks,
+       Metrics& aMetrics)
     : m_settings(std::move(aSettings))
     , m_hooks(std::move(aHooks))
+    , m_connections({ .m_listener = "callers",
+                      .m_limits = m_settings.m_limits,
+                      .m_bufferBytes = kConnectionMemoryBytes,
+                      .m_readTimeout = m_settings.m_readTimeout,
+                      .m_idleTimeout =
+                        absl::Seconds(static_cast<int>(kIdleTimeoutSeconds)) },
+                    aMetrics)
     , m_watch([this](std::uint64_t aId) { return m_hooks.m_onHangUp(aId); })
   {
   }
 
-  static void* OnUri(void* aSelf, const char* aUri, MHD_Connection*);
+  static void* OnUri(void* aSelf,
+                     const char* aUri,
+                     MHD_Connection* aConnection);
   static MHD_Result OnAccess(void* aSelf,
                              MHD_Connection* aConnection,
                              const char* aUrl,
@@ -237,17 +169,18 @@
                          RequestContext& aContext,
                          const char* aMethod,
                          const char* aVersion);
-  MHD_Result ReadBody(RequestContext& aContext,
-                      const char* aData,
-                      std::size_t& aSize) const;
   MHD_Result DispatchRequest(MHD_Connection* aConnection,
                              RequestContext& aContext);
 };
 
 void*
-CallerServer::Impl::OnUri(void*, const char* aUri, MHD_Connection*)
+CallerServer::Impl::OnUri(void* aSelf,
+                          const char* aUri,
+                          MHD_Connection* aConnection)
 {
   auto* const context = new RequestContext; // Freed by OnCompleted.
+  context->m_connection = &EntryOf(aConnection);
+  static_cast<Impl*>(aSelf)->m_connections.BeginRequest(*context->m_connection);
   context->m_request.m_target = OriginForm(aUri);
   return context;
 }
@@ -260,8 +193,13 @@
 {
   const std::unique_ptr<RequestContext> context(
     static_cast<RequestContext*>(std::exchange(*aContext, nullptr)));
-  if (context && context->m_exchange) {
-    --static_cast<Impl*>(aSelf)->m_openExchanges;
+  if (!context) {
+    return;
+  }
+  auto& self = *static_cast<Impl*>(aSelf);
+  self.m_connections.FinishRequest(*context->m_connection);
+  if (context->m_exchange) {
+    --self.m_openExchanges;
   }
 }
 
@@ -282,12 +220,20 @@
     return self.ReadHeaders(aConnection, context, aMethod, aVersion);
   }
   if (*aSize > 0) {
-    return self.ReadBody(context, aData, *aSize);
-  }
-  if (context.m_isTooLarge) {
-    return self.Reject(aConnection, context, 413, "the body is too large");
+    const Admission admission = self.m_connections.Append(
+      *context.m_connection, aData, *aSize, self.m_settings.m_maxRequestBytes);
+    *aSize = 0;
+    return admission == Admission::Admitted ? MHD_YES : MHD_NO;
   }
   if (!context.m_exchange) {
+    if (self.m_connections.IsTooLarge(*context.m_connection)) {
+      return self.Reject(aConnection, context, 413, kTooLargeDetail);
+    }
+    auto body = self.m_connections.Complete(*context.m_connection);
+    if (!body) {
+      return MHD_NO;
+    }
+    context.m_request.m_body = std::move(*body);
     return self.DispatchRequest(aConnection, context);
   }
   auto response = context.m_exchange->TakeResponse();
@@ -330,27 +276,22 @@
   if (hosts == 1) {
     request.m_host = HostWithoutPort(*FindHeader(request.m_headers, "Host"));
   }
-  if (DeclaredLength(request.m_headers) > m_settings.m_maxRequestBytes) {
-    return Reject(aConnection, aContext, 413, "the body is too large");
+  const std::uint64_t length = DeclaredLength(aConnection);
+  if (length > m_settings.m_maxRequestBytes) {
+    m_connections.CountRefusal(ListenerRefusal::LengthOverLimit);
+    return Reject(aConnection, aContext, 413, kTooLargeDetail);
   }
-  return MHD_YES;
-}
-
-MHD_Result
-CallerServer::Impl::ReadBody(RequestContext& aContext,
-                             const char* aData,
-                             std::size_t& aSize) const
-{
-  const std::size_t limit = m_settings.m_maxRequestBytes;
-  aContext.m_bodyBytes += aSize;
-  if (aContext.m_bodyBytes > limit) {
-    aContext.m_isTooLarge = true;
-    std::string().swap(aContext.m_request.m_body);
-  } else {
-    aContext.m_request.m_body.append(aData, aSize);
+  switch (m_connections.AdmitRequest(
+    *aContext.m_connection, HeaderMemory(request.m_headers), length)) {
+    case Admission::Admitted:
+      return MHD_YES;
+    case Admission::Refused:
+      m_connections.CountRefusal(ListenerRefusal::NoRoom);
+      return Reject(aConnection, aContext, 503, "too many requests are open");
+    case Admission::Closed:
+      break;
   }
-  aSize = 0;
-  return aContext.m_bodyBytes > limit * kMaxDiscardedFactor ? MHD_NO : MHD_YES;
+  return MHD_NO;
 }
 
 MHD_Result
@@ -377,8 +318,10 @@
 }
 
 CallerServer::CallerServer(CallerServerSettings aSettings,
-                           CallerServerHooks aHooks)
-  : m_impl(std::make_unique<Impl>(std::move(aSettings), std::move(aHooks)))
+                           CallerServerHooks aHooks,
+                           Metrics& aMetrics)
+  : m_impl(
+      std::make_unique<Impl>(std::move(aSettings), std::move(aHooks), aMetrics))
 {
 }
 
@@ -390,7 +333,9 @@
 void
 CallerServer::Start()
 {
-  const int listener = OpenListenSocket(m_impl->m_settings);
+  const int listener = OpenListenSocket(m_impl->m_settings.m_listenAddress,
+                                        m_impl->m_settings.m_listenPort);
+  LimitReceiveBuffers(listener);
   m_impl->m_watch.Start();
   const auto threads = static_cast<unsigned>(m_impl->m_settings.m_threads);
   // libmicrohttpd takes 0 for a single thread without a pool.
@@ -407,7 +352,10 @@
                                       MHD_OPTION_THREAD_POOL_SIZE,
                                       poolSize,
                                       MHD_OPTION_CONNECTION_LIMIT,
-                                      kMaxConnections,
+                                      kMaxConnections * std::max(threads, 1U),
+                                      MHD_OPTION_NOTIFY_CONNECTION,
+                                      &NotifyConnection,
+                                      &m_impl->m_connections,
                                       MHD_OPTION_CONNECTION_TIMEOUT,
                                       kIdleTimeoutSeconds,
                                       MHD_OPTION_CONNECTION_MEMORY_LIMIT,
@@ -421,7 +369,8 @@
                                       MHD_OPTION_END);
   if (!m_impl->m_daemon) {
     close(listener);
-    ThrowListenError(m_impl->m_settings);
+    ThrowListenError(m_impl->m_settings.m_listenAddress,
+                     m_impl->m_settings.m_listenPort);
   }
   sockaddr_storage bound{};
   socklen_t size = sizeof bound;
@@ -449,6 +398,18 @@
   return m_impl->m_openExchanges;
 }
 
+void
+CallerServer::Tick()
+{
+  m_impl->m_connections.Tick();
+}
+
+bool
+CallerServer::IsRefusing() const
+{
+  return m_impl->m_connections.IsRefusing();
+}
+
 void
 CallerServer::StopListening()
 {
--- a/server/caller_server.h
+++ b/server/caller_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/connection_table.h"
 #include "server/caller_exchange.h"
 
 #include <cstddef>
@@ -9,6 +10,8 @@
 
 namespace bramleystall {
 
+class Metrics;
+
 struct CallerServerSettings
 {
   /** Numeric IP address to listen on. */
@@ -17,6 +20,11 @@
   int m_listenPort = 0;
   int m_threads = 2;
   std::size_t m_maxRequestBytes = 1U << 20U;
+  /** Limits of all connections together. */
+  RequestBudgetLimits m_limits =
+    RequestBudgetLimits::ForProcess(ProcessLimits().m_memoryMb,
+                                    ProcessLimits().m_maxDescriptors);
+  absl::Duration m_readTimeout = ProcessLimits().m_requestReadTimeout;
 };
 
 struct CallerServerHooks
@@ -28,7 +36,7 @@
    * the exchange is not known yet. */
   std::function<bool(std::uint64_t aExchangeId)> m_onHangUp;
   /** Makes the response to a request that is rejected before m_onRequest, with
-   * status 400 or 413. */
+   * status 400, 413 or 503. */
   std::function<HttpResponse(const HttpRequest& aRequest,
                              int aStatus,
                              const std::string& aDetail)>
@@ -42,7 +50,10 @@
 class CallerServer
 {
 public:
-  CallerServer(CallerServerSettings aSettings, CallerServerHooks aHooks);
+  /** aMetrics outlives the object. */
+  CallerServer(CallerServerSettings aSettings,
+               CallerServerHooks aHooks,
+               Metrics& aMetrics);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
@@ -61,6 +72,14 @@
    * not completely written yet. */
   int OpenExchanges() const;
 
+  /** Closes connections whose request is incomplete for too long; to be called
+   * at least once a second. */
+  void Tick();
+
+  /** Whether a request was refused within the last second because the limits
+   * of the server were reached. */
+  bool IsRefusing() const;
+
   /** Stops the server. Every exchange must have its response before. */
   void Stop();
 
--- a/server/outcome_response.cpp
+++ b/server/outcome_response.cpp
@@ -34,6 +34,7 @@
     case RefusalReason::ServiceRemoved:
     case RefusalReason::CallerDisconnected:
     case RefusalReason::ShuttingDown:
+    case RefusalReason::NoRoom:
       return kServiceUnavailable;
   }
   return kServiceUnavailable;
@@ -73,11 +74,15 @@
             const std::string& aDetail,
             const std::string& aRequestId)
 {
-  return MakeResponse(StatusOf(aReason),
-                      "refused-not-run",
-                      NameOf(kRefusalReasonNames, aReason),
-                      aDetail,
-                      aRequestId);
+  HttpResponse response = MakeResponse(StatusOf(aReason),
+                                       "refused-not-run",
+                                       NameOf(kRefusalReasonNames, aReason),
+                                       aDetail,
+                                       aRequestId);
+  if (aReason == RefusalReason::NoRoom) {
+    response.m_headers.emplace_back("Retry-After", "1");
+  }
+  return response;
 }
 
 HttpResponse
--- a/server/request_dispatcher.cpp
+++ b/server/request_dispatcher.cpp
@@ -23,6 +23,7 @@
 constexpr int kMaxSkippedRequests = 8;
 constexpr absl::Duration kProbeTimeout = absl::Seconds(1);
 constexpr int kContentTooLarge = 413;
+constexpr int kServiceUnavailable = 503;
 
 }
 
@@ -502,9 +503,10 @@
                                  int aStatus,
                                  const std::string& aDetail)
 {
-  const RefusalReason reason = aStatus == kContentTooLarge
-                                 ? RefusalReason::TooLarge
-                                 : RefusalReason::Malformed;
+  const RefusalReason reason =
+    aStatus == kContentTooLarge      ? RefusalReason::TooLarge
+    : aStatus == kServiceUnavailable ? RefusalReason::NoRoom
+                                     : RefusalReason::Malformed;
   const std::string* const id =
     FindHeader(aRequest.m_headers, kRequestIdHeader);
   const std::lock_guard lock(m_impl->m_mutex);
--- a/server/request_path.cpp
+++ b/server/request_path.cpp
@@ -81,8 +81,11 @@
     CallerServerSettings{ m_settings.m_listenAddress,
                           m_settings.m_listenPort,
                           m_settings.m_httpThreads,
-                          m_settings.m_maxRequestBytes },
-    ServerHooks());
+                          m_settings.m_maxRequestBytes,
+                          m_settings.m_limits,
+                          m_settings.m_readTimeout },
+    ServerHooks(),
+    m_metrics);
 }
 
 RequestPath::Impl::~Impl()
@@ -163,6 +166,7 @@
   while (!m_isStopping) {
     lock.unlock();
     m_dispatcher->Tick();
+    m_server->Tick();
     lock.lock();
     m_stopSignal.wait_for(lock,
                           absl::ToChronoMilliseconds(kTickInterval),
@@ -236,6 +240,12 @@
   return m_impl->m_dispatcher->Status();
 }
 
+bool
+RequestPath::IsRefusing() const
+{
+  return m_impl->m_server->IsRefusing();
+}
+
 void
 RequestPath::Drain(absl::Duration aTimeout)
 {
--- a/server/request_path.h
+++ b/server/request_path.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "admission/request_budget.h"
 #include "core/claim_outcome.h"
 #include "dispatch/slot_usage.h"
 #include "dispatch/target_info.h"
+#include "net/connection_table.h"
 #include "server/request_path_status.h"
 
 #include <absl/time/time.h>
@@ -28,6 +30,12 @@
   int m_httpThreads = 2;
   std::size_t m_maxRequestBytes = 1U << 20U;
   std::size_t m_maxResponseBytes = 8U << 20U;
+  /** Limits of all callers' connections together. */
+  RequestBudgetLimits m_limits =
+    RequestBudgetLimits::ForProcess(ProcessLimits().m_memoryMb,
+                                    ProcessLimits().m_maxDescriptors);
+  /** Time from a request's first byte within which it has to be complete. */
+  absl::Duration m_readTimeout = ProcessLimits().m_requestReadTimeout;
   /** Largest number of open connections to a target, idle ones included. */
   int m_connectionsPerTarget = 8;
   /** Path of the file with the state chart `request_attempt`. */
@@ -98,6 +106,10 @@
 
   RequestPathStatus Status() const;
 
+  /** Whether callers were refused within the last second because the limits of
+   * memory and connections were reached. */
+  bool IsRefusing() const;
+
   /** Refuses new requests and waits, at most aTimeout, until every accepted
    * request has its response; then closes the listening socket. */
   void Drain(absl::Duration aTimeout);
--- a/tests/docs/test_counters_page.cpp
+++ b/tests/docs/test_counters_page.cpp
@@ -61,7 +61,7 @@
   const std::regex pattern("\"([a-z_]+_(total|seconds))\"");
   std::set<std::string> names;
   for (const char* folder :
-       { "consul", "cluster", "server", "scheduler", "daemon" }) {
+       { "consul", "cluster", "net", "server", "scheduler", "daemon" }) {
     const std::filesystem::path root =
       absl::StrCat(BRAMLEYSTALL_SOURCE_DIR, "/", folder);
     for (const auto& entry : std::filesystem::directory_iterator(root)) {
