Keep each tenant within its cap in all shards

One tenant had 1,191 GB running where it may have 1,047. A task or a gang now starts only if the tenant's usage in the shard stays within the shard's parts of the cap; other tenants' tasks pass it. Usage also counts late starts, and after a takeover the tasks of previous owners on workers that have not responded.

--- a/daemon/shard_runner.cpp
+++ b/daemon/shard_runner.cpp
@@ -114,7 +114,8 @@
       .m_onSuperseded = [this] { m_ownership.StepDown(); } },
     SchedulerSettings{ .m_maxWorkerLease = settings.m_maxWorkerLease,
                        .m_jobRetention = settings.m_jobRetention,
-                       .m_stopTime = settings.m_stopTime },
+                       .m_stopTime = settings.m_stopTime,
+                       .m_shardCount = m_env.m_layout.Count() },
     m_keys,
     aGrant);
   m_fleet = std::make_unique<FleetController>(
--- a/scheduler/job_keys.h
+++ b/scheduler/job_keys.h
@@ -15,6 +15,8 @@
 inline constexpr const char* kShardStatusPrefix = "bramleystall/shards/";
 /** Progress of all waves in all shards. */
 inline constexpr const char* kWavePrefix = "bramleystall/waves/";
+/** Transfers and requests of parts of the tenants' caps; see CapLedger. */
+inline constexpr const char* kCapSharesPrefix = "bramleystall/cap-shares/";
 /** A cancelled job has a second key with this suffix. */
 inline constexpr const char* kCancelSuffix = "/cancel";
 
@@ -72,6 +74,8 @@
   {
     return "bramleystall/leased-workers/" + m_shard;
   }
+  /** Written by the owner alone; see CapDocument. */
+  std::string CapShares() const { return kCapSharesPrefix + m_shard; }
   std::string Status() const { return kShardStatusPrefix + m_shard; }
   /** Machines for which the owner sent orders in the last seconds. */
   std::string MachineOrders() const
--- a/scheduler/late_starts.cpp
+++ b/scheduler/late_starts.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/late_starts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bramleystall {
 
@@ -8,11 +9,14 @@
 LateStarts::Add(const std::string& aTask,
                 const std::string& aWorkerId,
                 std::int64_t aAttempt,
-                absl::Time aLatest)
+                absl::Time aLatest,
+                Need aNeed)
 {
-  m_starts.emplace(
-    aTask,
-    Start{ .m_worker = aWorkerId, .m_attempt = aAttempt, .m_latest = aLatest });
+  m_starts.emplace(aTask,
+                   Start{ .m_worker = aWorkerId,
+                          .m_attempt = aAttempt,
+                          .m_latest = aLatest,
+                          .m_need = std::move(aNeed) });
 }
 
 void
@@ -99,4 +103,14 @@
   });
 }
 
+void
+LateStarts::AddUsage(TenantUsage& aUsage, absl::Time aNow) const
+{
+  for (const auto& [task, start] : m_starts) {
+    if (!IsOver(start, aNow)) {
+      aUsage.Add(start.m_need.m_tenant, start.m_need.m_resources);
+    }
+  }
+}
+
 }
--- a/scheduler/late_starts.h
+++ b/scheduler/late_starts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/worker_gateway.h"
+#include "tenants/tenant_usage.h"
 
 #include <absl/time/time.h>
 
@@ -27,11 +28,18 @@
   {
   }
 
+  /** What a start takes if it is carried out. */
+  struct Need
+  {
+    std::string m_tenant;
+    Resources m_resources;
+  };
   /** Adds a start that is carried out at aLatest at the latest. */
   void Add(const std::string& aTask,
            const std::string& aWorkerId,
            std::int64_t aAttempt,
-           absl::Time aLatest);
+           absl::Time aLatest,
+           Need aNeed = {});
   /** The worker may have restarted, and the new incarnation has not responded.
    */
   void OnRestartReported(const std::string& aWorkerId);
@@ -63,6 +71,9 @@
 
   bool IsEmpty() const { return m_starts.empty(); }
 
+  /** Adds what all starts take that may still be carried out. */
+  void AddUsage(TenantUsage& aUsage, absl::Time aNow) const;
+
 private:
   enum class Risk
   {
@@ -79,6 +90,7 @@
     std::int64_t m_attempt = 0;
     absl::Time m_latest;
     Risk m_risk = Risk::Refused;
+    Need m_need;
   };
 
   bool IsOver(const Start& aStart, absl::Time aNow) const;
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -8,6 +8,7 @@
 #include "jobs/job_entry.h"
 #include "jobs/placement.h"
 #include "net/event_loop.h"
+#include "scheduler/cap_shares.h"
 #include "scheduler/scheduling_limits.h"
 
 #include <absl/strings/str_cat.h>
@@ -52,6 +53,7 @@
   , m_lateStarts(PadForClockDrift(aSettings.m_maxWorkerLease) + kLeaseMargin)
   , m_beganAt(m_env.m_loop.Now())
 {
+  CreateCapShares();
   ReadLeasedWorkers();
   ReadProgress("");
   m_jobMirror = std::make_unique<StoreMirror>(
@@ -203,6 +205,7 @@
       m_progress.erase(found);
     }
     if (!job->IsProgressKnown()) {
+      KeepEarlierRuns(*job);
       continue;
     }
     if (!m_areLeasedWorkersKnown) {
@@ -212,6 +215,7 @@
     }
     if (job->IsFinal()) {
       // The previous owner ended before it could archive the job.
+      KeepEarlierRuns(*job);
       Store(*job);
     } else {
       m_active[id] = MakeActive(*job);
@@ -427,7 +431,9 @@
   Store(aJob);
   m_active.erase(aJob.Id());
   ForgetAdvice(absl::StrCat(aJob.Id(), "."));
-  m_earlierJobs.erase(&aJob);
+  if (m_earlierJobs.erase(&aJob) > 0) {
+    KeepEarlierRuns(aJob);
+  }
   const std::string state(NameOf(kJobStateNames, aJob.State()));
   m_env.m_metrics.Count("bramleystall_jobs_finished_total",
                         { { "state", state } });
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -35,6 +35,7 @@
 
 namespace bramleystall {
 
+class CapShares;
 class EventLoop;
 class Metrics;
 
@@ -274,6 +275,21 @@
   /** Drops the advice about the steps whose names begin with a prefix. */
   void ForgetAdvice(const std::string& aPrefix);
 
+  // Caps of tenants.
+  void CreateCapShares();
+  /** Counts what runs or may run beside the placed tasks, if there are caps. */
+  void BeginCapPlacement();
+  /** Whether one of the step's tasks, or the whole gang, fits its tenant's cap.
+   * If not, all its waiting tasks count as waiting for the cap. */
+  bool FitsCap(const Job& aJob,
+               const StepSpec& aSpec,
+               const std::vector<Task>& aTasks);
+  /** Whether no task of a previous owner may run unknown to this one. */
+  bool KnowsAllRuns() const;
+  /** The unresolved workers still count for the job, which is no longer active.
+   */
+  void KeepEarlierRuns(const Job& aJob);
+
   // Tasks.
   void StartTask(Task& aTask,
                  Worker& aWorker,
@@ -426,6 +442,19 @@
   Resources m_typicalWorker;
   /** What each tenant has on the workers; see Assign and Release. */
   TenantUsage m_tenantUsage;
+  /** What may run beside that, as of the last placement: late starts and tasks
+   * of previous owners. */
+  TenantUsage m_uncertainUsage;
+  /** Tasks of a previous owner's job that is no longer active. */
+  struct EarlierRuns
+  {
+    std::string m_tenant;
+    Resources m_resources;
+    /** Workers that may run them; all unresolved ones if it is unset. */
+    std::optional<std::set<std::string>> m_workers;
+  };
+  std::vector<EarlierRuns> m_earlierRuns;
+  std::unique_ptr<CapShares> m_capShares;
   DemandEstimator m_demandEstimator;
   /** Workers with leases of a previous owner that have not responded yet. */
   std::set<std::string> m_unresolvedWorkers;
--- a/scheduler/scheduler_late_starts.cpp
+++ b/scheduler/scheduler_late_starts.cpp
@@ -44,7 +44,8 @@
   m_lateStarts.Add(job.NameOf(aTask),
                    aTask.m_worker,
                    aTask.m_attempt,
-                   aTask.m_orderedAt + kLateOrderTime);
+                   aTask.m_orderedAt + kLateOrderTime,
+                   { job.Record().m_tenant, job.Spec(aTask).m_need });
   const Worker* worker = FindWorker(aTask.m_worker);
   if (worker != nullptr && HasUnansweredRestart(*worker)) {
     m_lateStarts.OnRestartReported(aTask.m_worker);
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -10,6 +10,7 @@
 #include "jobs/job_codec.h"
 #include "jobs/placement.h"
 #include "net/event_loop.h"
+#include "scheduler/cap_shares.h"
 #include "scheduler/scheduling_limits.h"
 
 #include <absl/strings/str_cat.h>
@@ -74,6 +75,7 @@
   for (auto& [id, active] : m_active) {
     active = MakeActive(*active.m_job);
   }
+  m_capShares->OnConfigurationChanged();
   RequestPlacement();
 }
 
@@ -108,6 +110,7 @@
     workers[worker.m_report.m_pool].push_back(&worker);
   }
   m_poolDemands.clear();
+  BeginCapPlacement();
   for (auto& [pool, jobs] : byPool) {
     Placement placement(workers[pool], m_env.m_loop.Now());
     PlacePool(pool, jobs, placement);
@@ -339,7 +342,7 @@
     return (step.empty() || ticketOf(aWorker) != nullptr) && isUsable(aWorker);
   };
   if (spec.m_isGang) {
-    if (!std::ranges::all_of(tasks, mayStart)) {
+    if (!std::ranges::all_of(tasks, mayStart) || !FitsCap(job, spec, tasks)) {
       return;
     }
     const std::vector<Worker*> chosen = aPlacement.ChooseGang(tasks, filter);
@@ -367,6 +370,9 @@
     if (!mayStart(task)) {
       continue;
     }
+    if (!FitsCap(job, spec, tasks)) {
+      break;
+    }
     Worker* worker = aPlacement.Choose(task, filter);
     if (worker == nullptr) {
       if (aActive.m_needsAdvice) {
--- a/scheduler/scheduler_settings.h
+++ b/scheduler/scheduler_settings.h
@@ -13,6 +13,8 @@
   absl::Duration m_jobRetention = absl::Seconds(120);
   /** Longest time that a stop takes on a worker. */
   absl::Duration m_stopTime = absl::Milliseconds(400);
+  /** Number of shards among which the caps of tenants are divided. */
+  int m_shardCount = 1;
 };
 
 }
