--- a/tests/tenants/test_cap_ledger.cpp
+++ b/tests/tenants/test_cap_ledger.cpp
@@ -1,5 +1,6 @@
 #include "tenants/cap_ledger.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 using namespace bramleystall;
@@ -123,7 +124,7 @@
   const std::string rest =
     R"("wanted":0,"least":0,"waiting_since_s":0,"excess":0}}})";
   const std::string start = R"({"tenants":{"a":{"transferred":)";
-  REQUIRE(DecodeCapDocument(start + R"({"1":5},)" + rest));
+  REQUIRE(DecodeCapDocument(absl::StrCat(start, R"({"1":5},)", rest)));
   for (const char* transferred : { R"({"1":-5},)",
                                    R"({"1":0.5},)",
                                    R"({"x":5},)",
@@ -132,7 +133,7 @@
                                    R"({"1":18446744073709551615},)",
                                    R"(7,)" }) {
     CAPTURE(transferred);
-    REQUIRE_FALSE(DecodeCapDocument(start + transferred + rest));
+    REQUIRE_FALSE(DecodeCapDocument(absl::StrCat(start, transferred, rest)));
   }
   for (const char* text :
        { "", "[]", "{}", R"({"tenants":[]})", R"({"tenants":{"a":{}}})" }) {
