Divide scarce parts of a cap in multiples of tasks

Two shards that compete for a cap of 5 tasks held half of the parts each, ran 2 tasks each and left the fifth unused. Where all shards request parts, what each gets is now a multiple of what its first waiting task needs; a test shows 5 running tasks.

A second test covers a shard that is cut off from the store.

--- a/tenants/cap_ledger.cpp
+++ b/tenants/cap_ledger.cpp
@@ -16,10 +16,12 @@
 /** Parts that an idle shard keeps, 1% of the cap, so that its next task starts
  * without a request. Shards that cannot start a single task take precedence. */
 constexpr std::int64_t kReserveParts = 100;
-/** A request is renewed, and a shard that requests parts itself transfers some,
- * only if the amounts differ by more than this share. Smaller changes would
- * cost a store write in each interval. */
+/** A request is renewed only if it differs by more than this share. Smaller
+ * changes would cost a store write in each interval. */
 constexpr std::int64_t kChangeDivisor = 10;
+/** A shard that requests parts itself transfers only more than this share of
+ * what it holds, for the same reason. */
+constexpr std::int64_t kTransferDivisor = 20;
 
 std::int64_t
 PartsOfOne(std::int64_t aCap, std::int64_t aAmount)
@@ -257,7 +259,7 @@
   claims.pop_back();
   std::int64_t spare = parts - std::max(own.m_target, used);
   const bool isLarge =
-    isRequesting ? spare * kChangeDivisor > parts : spare >= kReserveParts;
+    isRequesting ? spare * kTransferDivisor > parts : spare >= kReserveParts;
   const bool isWorthIt =
     isLarge || std::ranges::any_of(claims, &Claim::IsStarved);
   if (spare <= 0 || !isWorthIt) {
@@ -302,12 +304,38 @@
   for (const Claim* claim : order) {
     needed += std::max<std::int64_t>(0, claim->m_wanted - claim->m_target);
   }
+  const bool isScarce = pool < needed;
   pool = std::clamp<std::int64_t>(pool, 0, needed);
   for (Claim* claim : order) {
     const std::int64_t need =
       std::max<std::int64_t>(0, claim->m_wanted - claim->m_target);
     claim->m_target += needed > 0 ? pool * need / needed : 0;
   }
+  // A claim that requests nothing is one of several donors: each adds a part of
+  // what makes up a task.
+  if (isScarce && std::ranges::all_of(order, [](const Claim* aClaim) {
+        return aClaim->m_least > 0;
+      })) {
+    RoundToTasks(order);
+  }
+}
+
+void
+CapLedger::RoundToTasks(const std::vector<Claim*>& aClaims)
+{
+  std::int64_t left = 0;
+  for (Claim* claim : aClaims) {
+    const std::int64_t fraction = claim->m_target % claim->m_least;
+    claim->m_target -= fraction;
+    left += fraction;
+  }
+  for (Claim* claim : aClaims) {
+    if (claim->m_least <= left &&
+        claim->m_target + claim->m_least <= claim->m_wanted) {
+      claim->m_target += claim->m_least;
+      left -= claim->m_least;
+    }
+  }
 }
 
 }
--- a/tenants/cap_ledger.h
+++ b/tenants/cap_ledger.h
@@ -109,6 +109,9 @@
   void Transfer(CapShare& aShare, const CapDemand& aDemand) const;
   /** Sets the targets of all claims. */
   static void Divide(std::vector<Claim>& aClaims);
+  /** Lets the targets of scarce parts be multiples of what one task needs:
+   * fractions of tasks in several shards would stay unused. */
+  static void RoundToTasks(const std::vector<Claim*>& aClaims);
 
   int m_shard;
   int m_shardCount;
--- a/tests/scheduler/test_cap_shares.cpp
+++ b/tests/scheduler/test_cap_shares.cpp
@@ -234,6 +234,18 @@
   REQUIRE(fixture.m_workers.StartCount() == 3);
 }
 
+// Guards against fractions of tasks that stay unused in each shard.
+TEST_CASE("Shards that compete for a cap use all of it", "[caps]")
+{
+  constexpr int kCap = 5;
+  CapFixture fixture(2, { MakeTenant("grove", kCap) });
+  fixture.m_workers.SetPlan(kRunsLong);
+  fixture.StartAll();
+  fixture.Submit(0, MakeJob("job1", kCap), "grove");
+  fixture.Submit(1, MakeJob("job2", kCap), "grove");
+  REQUIRE(fixture.PeakDuring(absl::Seconds(1), "grove") == kCap);
+}
+
 // Guards against parts that two shards use at once while they move back and
 // forth, also when an owner is replaced and responses of the store are lost.
 TEST_CASE("Shards that compete for a cap keep it through takeovers", "[caps]")
@@ -321,6 +333,23 @@
   REQUIRE(fixture.Running("grove") == 2);
 }
 
+// Guards against a shard that counts the parts of one that cannot transfer them
+// since it is cut off from the store.
+TEST_CASE("A shard that is cut off keeps its parts", "[caps]")
+{
+  CapFixture fixture(2, { MakeTenant("grove", 8) });
+  fixture.m_workers.SetPlan(kRunsLong);
+  fixture.StartAll();
+  fixture.Submit(0, MakeJob("job1", 2), "grove");
+  fixture.m_loop.AdvanceBy(kStartup);
+  fixture.At(0).m_store.m_isPartitioned = true;
+  fixture.Submit(1, MakeJob("job2", 8), "grove");
+  REQUIRE(fixture.PeakDuring(absl::Seconds(5), "grove") == 2 + 4);
+  fixture.At(0).m_store.m_isPartitioned = false;
+  fixture.m_loop.AdvanceBy(absl::Seconds(3));
+  REQUIRE(fixture.Running("grove") == 2 + 6);
+}
+
 // Guards against load on the store from caps that nobody is near, or that do
 // not exist.
 TEST_CASE("Caps that no tenant is near cost no writes", "[caps]")
