--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -5,6 +5,7 @@
 #include "jobs/job_codec.h"
 #include "jobs/placement.h"
 #include "net/event_loop.h"
+#include "scheduler/cap_shares.h"
 #include "scheduler/scheduling_limits.h"
 
 #include <absl/strings/str_cat.h>
@@ -48,6 +49,7 @@
   , m_lateStarts(PadForClockDrift(aSettings.m_maxWorkerLease) + kLeaseMargin)
   , m_beganAt(m_env.m_loop.Now())
 {
+  CreateCapShares();
   ReadLeasedWorkers();
   ReadProgress("");
   m_jobMirror = std::make_unique<StoreMirror>(
@@ -200,6 +202,7 @@
       m_progress.erase(found);
     }
     if (!job->IsProgressKnown()) {
+      KeepEarlierRuns(*job);
       continue;
     }
     if (!m_areLeasedWorkersKnown) {
@@ -209,6 +212,7 @@
     }
     if (job->IsFinal()) {
       // The previous owner ended before it could archive the job.
+      KeepEarlierRuns(*job);
       Store(*job);
     } else {
       m_active[id] = MakeActive(*job);
--- a/scheduler/scheduler_job_ends.cpp
+++ b/scheduler/scheduler_job_ends.cpp
@@ -66,7 +66,9 @@
   Store(aJob);
   m_active.erase(aJob.Id());
   ForgetAdvice(absl::StrCat(aJob.Id(), "."));
-  m_earlierJobs.erase(&aJob);
+  if (m_earlierJobs.erase(&aJob) > 0) {
+    KeepEarlierRuns(aJob);
+  }
   const std::string state(NameOf(kJobStateNames, aJob.State()));
   const std::string& tenant = aJob.Record().m_tenant;
   m_env.m_metrics.Count(
