--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -8,6 +8,7 @@
 #include "jobs/pool_demand.h"
 #include "jobs/step_advice.h"
 #include "jobs/worker.h"
+#include "scheduler/earlier_runs.h"
 #include "scheduler/entry_sweeper.h"
 #include "scheduler/job_keys.h"
 #include "scheduler/late_starts.h"
@@ -445,14 +446,6 @@
   /** What may run beside that, as of the last placement: late starts and tasks
    * of previous owners. */
   TenantUsage m_uncertainUsage;
-  /** Tasks of a previous owner's job that is no longer active. */
-  struct EarlierRuns
-  {
-    std::string m_tenant;
-    Resources m_resources;
-    /** Workers that may run them; all unresolved ones if it is unset. */
-    std::optional<std::set<std::string>> m_workers;
-  };
   std::vector<EarlierRuns> m_earlierRuns;
   std::unique_ptr<CapShares> m_capShares;
   DemandEstimator m_demandEstimator;
