--- a/tests/net/test_api_key_header.cpp
+++ b/tests/net/test_api_key_header.cpp
@@ -1,3 +1,4 @@
+#include "core/metrics.h"
 #include "net/event_loop.h"
 #include "net/http_fetcher.h"
 #include "net/http_listener.h"
@@ -20,14 +21,19 @@
   freePort.StopListening();
   EventLoop loop;
   std::vector<std::string> keys;
-  HttpListener listener(loop,
-                        freePort.Address(),
-                        1000,
-                        [&keys](const ListenerRequest& aRequest,
-                                const HttpListener::Responder& aRespond) {
-                          keys.push_back(aRequest.m_apiKey);
-                          aRespond({});
-                        });
+  Metrics metrics;
+  HttpListener listener(
+    loop,
+    { .m_address = freePort.Address(),
+      .m_name = "callers",
+      .m_limits = { .m_bytes = 1U << 20U, .m_connections = 10 },
+      .m_maxBodyBytes = [] { return 1000; } },
+    metrics,
+    [&keys](const ListenerRequest& aRequest,
+            const HttpListener::Responder& aRespond) {
+      keys.push_back(aRequest.m_apiKey);
+      aRespond({});
+    });
   listener.SetApiKeyHeader("Api-Key");
   HttpFetcher fetcher(loop, 1);
   const std::vector<std::vector<std::string>> requests = {
