Bound the evicted connections that are not closed yet

An evicted connection keeps its descriptor until the HTTP library closes it. In one of five runs on a busy machine a crowd of 400 half requests reached 256 of the 300 descriptors that the test allows, although the budget admits 50 connections. A listener now closes a new connection at once while its open connections, evicted ones included, exceed the admitted ones by 64 or by as many again.

--- a/net/connection_table.cpp
+++ b/net/connection_table.cpp
@@ -23,6 +23,10 @@
 /** A body above the limit is read and discarded so that the client receives
  * the 413. Beyond this multiple of the limit the connection is closed. */
 constexpr std::size_t kMaxDiscardedFactor = 4;
+/** Evicted connections that may be open beside the admitted ones; not more than
+ * the admitted ones. The library closes an evicted connection within its next
+ * turn, so more appear only when a crowd arrives faster than it accepts. */
+constexpr std::size_t kMaxClosing = 64;
 constexpr absl::Duration kTickInterval = absl::Seconds(1);
 /** Retry-After of a refusal; for this time a refusal makes a process unready.
  */
@@ -31,6 +35,12 @@
 constexpr const char* kRefusalsMetric = "bramleystall_listener_refusals_total";
 constexpr const char* kDropsMetric = "bramleystall_listener_drops_total";
 
+std::size_t
+MaxOpen(const RequestBudgetLimits& aLimits)
+{
+  return aLimits.m_connections + std::min(aLimits.m_connections, kMaxClosing);
+}
+
 /** Size of a receive buffer; the kernel doubles it for its own structures.
  * 2,000 connections then hold 64 MB unread at most; the kernel's default lets
  * each grow to 6 MB. */
@@ -70,6 +80,7 @@
   : m_settings(std::move(aSettings))
   , m_metrics(aMetrics)
   , m_budget(m_settings.m_limits)
+  , m_maxOpen(MaxOpen(m_settings.m_limits))
 {
 }
 
@@ -80,6 +91,7 @@
 {
   const std::lock_guard lock(m_mutex);
   m_budget.SetLimits(aLimits);
+  m_maxOpen = MaxOpen(aLimits);
 }
 
 std::size_t
@@ -88,6 +100,20 @@
   return m_settings.m_bufferBytes + kConnectionOverheadBytes;
 }
 
+bool
+ConnectionTable::MayAccept()
+{
+  const std::lock_guard lock(m_mutex);
+  if (m_open < m_maxOpen) {
+    return true;
+  }
+  const absl::Time now = MonotonicNow();
+  m_lastRefusal = now;
+  CountDrop(ListenerDrop::NoRoom);
+  FlushLog(now);
+  return false;
+}
+
 ConnectionTable::Connection*
 ConnectionTable::Open(int aSocket)
 {
@@ -96,6 +122,7 @@
   const std::lock_guard lock(m_mutex);
   const absl::Time now = MonotonicNow();
   connection->m_id = m_nextId++;
+  ++m_open;
   const BudgetDecision decision =
     m_budget.Open(connection->m_id, BaseBytes(), now);
   EvictAll(decision);
@@ -115,6 +142,7 @@
 {
   const std::unique_ptr<Connection> connection(aConnection);
   const std::lock_guard lock(m_mutex);
+  --m_open;
   m_budget.Close(connection->m_id);
   m_connections.erase(connection->m_id);
 }
@@ -262,6 +290,12 @@
   // Close of the connection waits for the lock, so the descriptor is still that
   // of this connection.
   shutdown(aConnection.m_socket, SHUT_RDWR);
+  CountDrop(aReason);
+}
+
+void
+ConnectionTable::CountDrop(ListenerDrop aReason)
+{
   const std::string reason(NameOf(kListenerDropNames, aReason));
   m_metrics.Count(
     kDropsMetric,
--- a/net/connection_table.h
+++ b/net/connection_table.h
@@ -106,6 +106,11 @@
 
   void SetLimits(RequestBudgetLimits aLimits);
 
+  /** Whether a further connection may be accepted. Evicted connections keep
+   * their descriptors until the HTTP library closes them; if too many do, a
+   * new one has to be closed at once. */
+  bool MayAccept();
+
   /** A connection was accepted. If the budget has no room for it, its socket is
    * shut down. */
   Connection* Open(int aSocket);
@@ -158,6 +163,7 @@
   void Evict(RequestBudget::Id aId, ListenerDrop aReason);
   void EvictAll(const BudgetDecision& aDecision);
   void DropLocked(Connection& aConnection, ListenerDrop aReason);
+  void CountDrop(ListenerDrop aReason);
   void FlushLog(absl::Time aNow);
 
   const ConnectionTableSettings m_settings;
@@ -165,7 +171,10 @@
   /** Also guards the members of the connections. */
   mutable std::mutex m_mutex;
   RequestBudget m_budget;
+  std::size_t m_maxOpen;
   RequestBudget::Id m_nextId = 1;
+  /** Connections that are not closed yet, evicted ones included. */
+  std::size_t m_open = 0;
   /** Connections that the budget counts. */
   std::unordered_map<RequestBudget::Id, Connection*> m_connections;
   LogLimiter m_logLimiter;
--- a/net/listener_callbacks.cpp
+++ b/net/listener_callbacks.cpp
@@ -6,6 +6,12 @@
 
 namespace bramleystall {
 
+MHD_Result
+AcceptConnection(void* aTable, const sockaddr* /*aAddress*/, socklen_t)
+{
+  return static_cast<ConnectionTable*>(aTable)->MayAccept() ? MHD_YES : MHD_NO;
+}
+
 void
 NotifyConnection(void* aTable,
                  MHD_Connection* aConnection,
--- a/net/listener_callbacks.h
+++ b/net/listener_callbacks.h
@@ -8,6 +8,11 @@
 
 namespace bramleystall {
 
+/** Callback of libmicrohttpd that decides for the ConnectionTable aTable
+ * whether to accept a connection. */
+MHD_Result
+AcceptConnection(void* aTable, const sockaddr* aAddress, socklen_t aSize);
+
 /** Callback of libmicrohttpd (MHD_OPTION_NOTIFY_CONNECTION) that enters each
  * connection in the ConnectionTable aTable. */
 void
--- a/server/admin_server.cpp
+++ b/server/admin_server.cpp
@@ -370,8 +370,8 @@
   m_impl->m_daemon =
     MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
                      m_impl->m_port,
-                     nullptr,
-                     nullptr,
+                     &AcceptConnection,
+                     &m_impl->m_connections,
                      &Impl::HandleAccess,
                      m_impl.get(),
                      MHD_OPTION_SOCK_ADDR,
--- a/server/caller_server.cpp
+++ b/server/caller_server.cpp
@@ -343,8 +343,8 @@
   m_impl->m_daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD |
                                         MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
                                       0,
-                                      nullptr,
-                                      nullptr,
+                                      &AcceptConnection,
+                                      &m_impl->m_connections,
                                       &Impl::OnAccess,
                                       m_impl.get(),
                                       MHD_OPTION_LISTEN_SOCKET,
