--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -1,17 +1,21 @@
 #pragma once
 
+#include "net/connection_table.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 struct MHD_Daemon;
 
 namespace bramleystall {
 
 class EventLoop;
+class Metrics;
 
 /** A complete request as read by the listener. */
 struct ListenerRequest
@@ -35,6 +39,20 @@
   int m_retryAfterS = 0;
 };
 
+struct HttpListenerSettings
+{
+  /** "IP:PORT". */
+  std::string m_address;
+  /** Name in metrics and logs. */
+  std::string m_name;
+  /** Limits of all connections of the listener together. */
+  RequestBudgetLimits m_limits;
+  absl::Duration m_readTimeout = ProcessLimits().m_requestReadTimeout;
+  /** Largest body in bytes, asked for each request. A request with a larger one
+   * gets the status 413, before its body is read if the length is declared. */
+  std::function<std::size_t()> m_maxBodyBytes;
+};
+
 /**
  * HTTP/1.1 server on an event loop, based on libmicrohttpd. The handler is
  * called once a request is complete and may respond immediately or later.
@@ -46,19 +64,19 @@
   using Responder = std::function<void(ListenerResponse)>;
   using Handler = std::function<void(ListenerRequest, Responder)>;
 
-  /**
-   * Listens on "IP:PORT". A request with a body of more than aMaxBodyBytes gets
-   * the status 413. Throws Error: InvalidInput if the address is malformed,
-   * Unavailable if it cannot be used.
-   */
+  /** Starts to listen. aMetrics outlives the object. Throws Error: InvalidInput
+   * if the address is malformed, Unavailable if it cannot be used. */
   HttpListener(EventLoop& aLoop,
-               const std::string& aAddress,
-               std::size_t aMaxBodyBytes,
+               HttpListenerSettings aSettings,
+               Metrics& aMetrics,
                Handler aHandler);
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
 
+  /** Sets the name of the header that becomes ListenerRequest::m_apiKey. */
+  void SetApiKeyHeader(std::string aName) { m_apiKeyHeader = std::move(aName); }
+
   /** Closes each connection after its next response, from now on. */
   void CloseConnectionsAfterResponse() { m_closesAfterResponse = true; }
 
@@ -68,17 +86,31 @@
   /** Number of requests that wait for their response. */
   std::size_t OpenRequests() const { return m_openExchanges.size(); }
 
+  void SetLimits(RequestBudgetLimits aLimits)
+  {
+    m_connections.SetLimits(aLimits);
+  }
+
+  /** Whether a request was refused within the last second because the limits
+   * of the listener were reached. */
+  bool IsRefusing() const { return m_connections.IsRefusing(); }
+
 private:
   struct Exchange;
   struct Callbacks;
 
   void Dispatch(Exchange& aExchange);
+  void TickConnections();
   void RunDaemon();
   void ScheduleRun();
 
   EventLoop& m_loop;
-  std::size_t m_maxBodyBytes;
+  std::function<std::size_t()> m_maxBodyBytes;
+  ConnectionTable m_connections;
+  std::uint64_t m_tickTimer = 0;
   Handler m_handler;
+  /** Empty for none. */
+  std::string m_apiKeyHeader;
   bool m_closesAfterResponse = false;
   bool m_hasStoppedAccepting = false;
   bool m_isRunScheduled = false;
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -8,6 +8,7 @@
 #include "jobs/pool_demand.h"
 #include "jobs/step_advice.h"
 #include "jobs/worker.h"
+#include "scheduler/earlier_runs.h"
 #include "scheduler/entry_sweeper.h"
 #include "scheduler/job_keys.h"
 #include "scheduler/job_ranking.h"
@@ -37,6 +38,7 @@
 
 namespace bramleystall {
 
+class CapShares;
 class EventLoop;
 class Metrics;
 class TenantShares;
@@ -282,6 +284,21 @@
   /** Drops the advice about the steps whose names begin with a prefix. */
   void ForgetAdvice(const std::string& aPrefix);
 
+  // Caps of tenants.
+  void CreateCapShares();
+  /** Counts what runs or may run beside the placed tasks, if there are caps. */
+  void BeginCapPlacement();
+  /** Whether one of the step's tasks, or the whole gang, fits its tenant's cap.
+   * If not, all its waiting tasks count as waiting for the cap. */
+  bool FitsCap(const Job& aJob,
+               const StepSpec& aSpec,
+               const std::vector<Task>& aTasks);
+  /** Whether no task of a previous owner may run unknown to this one. */
+  bool KnowsAllRuns() const;
+  /** The unresolved workers still count for the job, which is no longer active.
+   */
+  void KeepEarlierRuns(const Job& aJob);
+
   // Tasks.
   void StartTask(Task& aTask,
                  Worker& aWorker,
@@ -440,6 +457,11 @@
   PoolUsage m_poolUsage;
   /** Labels of the metrics of shares that are not 0. */
   std::set<std::map<std::string, std::string>> m_shownShares;
+  /** What may run beside that, as of the last placement: late starts and tasks
+   * of previous owners. */
+  TenantUsage m_uncertainUsage;
+  std::vector<EarlierRuns> m_earlierRuns;
+  std::unique_ptr<CapShares> m_capShares;
   DemandEstimator m_demandEstimator;
   /** Workers with leases of a previous owner that have not responded yet. */
   std::set<std::string> m_unresolvedWorkers;
