Publish the load of a shard by pool and tenant

Daemons need it for admission control. Where the configuration has tenants, the status of a shard also has its machines and, for each pool, the waiting work by priority and time to the objective, the running work, both by tenant, and the rates of the arrivals. Other statuses are unchanged, and a status without the new field is still read.

DemandEstimator gets its time constant as a parameter and also measures the jobs per second of each tenant.

--- a/jobs/demand_estimator.cpp
+++ b/jobs/demand_estimator.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-/**
- * Time constant of the arrival rate. A shorter one follows an increase sooner
- * but mistakes a few large jobs for an increase.
- */
-constexpr double kRateTimeConstantSeconds = 0.8;
 /** Factor by which each new run time reduces the weight of the older ones. */
 constexpr double kRunTimeDecayFactor = 0.98;
 /** Weight of the declared run time, in numbers of completed tasks. */
@@ -19,12 +14,20 @@
 /** Upper limit applied to declared run times. */
 constexpr absl::Duration kMaxDeclaredRunTime = absl::Seconds(3);
 
-double
-Decay(absl::Duration aAge)
+/** Smaller rates are negligible, in work or jobs per second. */
+constexpr double kNegligibleRate = 0.005;
+
+}
+
+DemandEstimator::DemandEstimator(absl::Duration aRateTimeConstant)
+  : m_rateTimeConstantSeconds(absl::ToDoubleSeconds(aRateTimeConstant))
 {
-  return std::exp(-absl::ToDoubleSeconds(aAge) / kRateTimeConstantSeconds);
 }
 
+double
+DemandEstimator::Decay(absl::Duration aAge) const
+{
+  return std::exp(-absl::ToDoubleSeconds(aAge) / m_rateTimeConstantSeconds);
 }
 
 void
@@ -34,7 +37,7 @@
 {
   Rate& rate = m_rates[aPool];
   rate.m_value =
-    rate.m_value * Decay(aNow - rate.m_at) + aWork / kRateTimeConstantSeconds;
+    rate.m_value * Decay(aNow - rate.m_at) + aWork / m_rateTimeConstantSeconds;
   rate.m_at = aNow;
 }
 
@@ -71,4 +74,29 @@
                        (times.m_weight + kPriorWeight));
 }
 
+std::map<std::string, double>
+DemandEstimator::LearnedRunTimes() const
+{
+  std::map<std::string, double> learned;
+  for (const auto& [queue, times] : m_runTimes) {
+    if (times.m_weight >= kPriorWeight) {
+      learned[queue] = times.m_sum / times.m_weight;
+    }
+  }
+  return learned;
+}
+
+std::map<std::string, double>
+DemandEstimator::ArrivingLoads(absl::Time aNow) const
+{
+  std::map<std::string, double> loads;
+  for (const auto& [pool, rate] : m_rates) {
+    const double load = ArrivingLoad(pool, aNow);
+    if (load >= kNegligibleRate) {
+      loads[pool] = load;
+    }
+  }
+  return loads;
+}
+
 }
--- a/jobs/demand_estimator.h
+++ b/jobs/demand_estimator.h
@@ -15,6 +15,13 @@
 class DemandEstimator
 {
 public:
+  /**
+   * aRateTimeConstant is the time constant of the arrival rates. A shorter one
+   * follows an increase sooner but mistakes a few large jobs for an increase.
+   */
+  explicit DemandEstimator(
+    absl::Duration aRateTimeConstant = absl::Milliseconds(800));
+
   /** Records the arrival of a job with aWork worker-seconds of work. */
   void AddArrival(const std::string& aPool, double aWork, absl::Time aNow);
 
@@ -28,6 +35,14 @@
   absl::Duration ExpectedRunTime(const std::string& aQueue,
                                  absl::Duration aDeclared) const;
 
+  /** Mean run time in seconds of each queue of which enough tasks have ended to
+   * outweigh a declared run time. */
+  std::map<std::string, double> LearnedRunTimes() const;
+
+  /** The pools of AddArrival, with the numbers of workers that their arrival
+   * rates keep busy; without those whose rate is negligible. */
+  std::map<std::string, double> ArrivingLoads(absl::Time aNow) const;
+
 private:
   struct Rate
   {
@@ -42,6 +57,9 @@
     double m_weight = 0;
   };
 
+  double Decay(absl::Duration aAge) const;
+
+  double m_rateTimeConstantSeconds;
   std::map<std::string, Rate> m_rates;
   std::map<std::string, RunTimes> m_runTimes;
 };
--- a/jobs/placement.cpp
+++ b/jobs/placement.cpp
@@ -44,6 +44,17 @@
   return need;
 }
 
+double
+LoadOn(const Resources& aWorker, const Resources& aNeed)
+{
+  const auto share = [](std::int64_t aPart, std::int64_t aWhole) {
+    return aWhole > 0 ? static_cast<double>(aPart) / static_cast<double>(aWhole)
+                      : 0.0;
+  };
+  return std::max(share(aNeed.m_cpu, aWorker.m_cpu),
+                  share(aNeed.m_memoryMb, aWorker.m_memoryMb));
+}
+
 bool
 HasLongRunning(const Worker& aWorker)
 {
--- a/jobs/placement.h
+++ b/jobs/placement.h
@@ -18,6 +18,10 @@
 Resources
 OccupiedBy(const StepSpec& aSpec);
 
+/** Largest share of a worker's processor or memory that a task occupies. */
+double
+LoadOn(const Resources& aWorker, const Resources& aNeed);
+
 /** Returns true when the queue's policy allows the worker. */
 using WorkerFilter = std::function<bool(const Worker&)>;
 
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -23,13 +23,8 @@
 
 using nlohmann::json;
 
-/** Factor on the load of long-running tasks: what they leave of a machine is
- * too small for many tasks. */
-constexpr double kPermanentLoadFactor = 1.2;
 /** Size of a row of the leased workers that names an earlier owner's term. */
 constexpr std::size_t kEarlierLeaseRowSize = 5;
-/** Least share of a shard's machines that counts as its capacity. */
-constexpr double kLeastCapacityShare = 0.05;
 
 }
 
@@ -464,43 +459,4 @@
   return found == m_jobs.end() ? nullptr : found->second->Find(name);
 }
 
-void
-Scheduler::MeasureLoad(ShardStatus& aStatus) const
-{
-  double permanent = 0;
-  int listed = 0;
-  for (const auto& [id, worker] : m_workers) {
-    listed += worker.m_isListed ? 1 : 0;
-    for (const Task* task : worker.m_tasks) {
-      const StepSpec& spec = task->m_job->Spec(*task);
-      (spec.m_isLongRunning ? permanent : aStatus.m_load) +=
-        LoadOf(OccupiedBy(spec));
-    }
-  }
-  for (const auto& [pool, demand] : m_poolDemands) {
-    aStatus.m_load += demand.m_waitingLoad + demand.m_lateWaitingLoad;
-  }
-  const double machines = m_machineCount.value_or(listed);
-  aStatus.m_capacity = std::max(kLeastCapacityShare * machines,
-                                machines - kPermanentLoadFactor * permanent);
-}
-
-void
-Scheduler::PublishStatus()
-{
-  ShardStatus status;
-  for (const auto& [id, active] : m_active) {
-    if (!active.m_job->HasStarted()) {
-      ++status.m_pending[active.m_job->Record().m_queue];
-    }
-  }
-  MeasureLoad(status);
-  for (const auto& [id, job] : m_jobs) {
-    status.m_memory += static_cast<std::int64_t>(LargestMemory(job->Record()));
-  }
-  status.m_sequence = ++m_statusSequence;
-  m_writer.Put(m_keys.Status(), EncodeShardStatus(status));
-  After(kStatusInterval, [this] { PublishStatus(); });
-}
-
 }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -151,6 +151,11 @@
   }
 
 private:
+  /** Time constant of the tenants' arrival rates: half of the shortest flood of
+   * a tenant that was seen, which lasts some 6 s. A weight may be a few jobs a
+   * second, which a shorter one would exceed with two jobs. */
+  static constexpr absl::Duration kTenantRateTimeConstant = absl::Seconds(3);
+
   /** A job that is not final, with the values that decide its rank. */
   struct ActiveJob
   {
@@ -211,6 +216,10 @@
   void PublishStatus();
   /** Adds the capacity of the shard and the load of its jobs that end. */
   void MeasureLoad(ShardStatus& aStatus) const;
+  /** Measures the load by pool and tenant for admission control. */
+  PublishedLoad MeasurePublishedLoad() const;
+  void MeasureRunning(PublishedLoad& aLoad) const;
+  void MeasureWaiting(PublishedLoad& aLoad) const;
 
   // Placement.
   void RequestPlacement();
@@ -427,6 +436,8 @@
   /** What each tenant has on the workers; see Assign and Release. */
   TenantUsage m_tenantUsage;
   DemandEstimator m_demandEstimator;
+  /** Jobs per second of each tenant. */
+  DemandEstimator m_tenantArrivals{ kTenantRateTimeConstant };
   /** Workers with leases of a previous owner that have not responded yet. */
   std::set<std::string> m_unresolvedWorkers;
   /** Latest list of leased workers, stored or not yet, and its number. */
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -479,12 +479,7 @@
 double
 Scheduler::LoadOf(const Resources& aNeed) const
 {
-  const auto share = [](std::int64_t aPart, std::int64_t aWhole) {
-    return aWhole > 0 ? static_cast<double>(aPart) / static_cast<double>(aWhole)
-                      : 0.0;
-  };
-  return std::max(share(aNeed.m_cpu, m_typicalWorker.m_cpu),
-                  share(aNeed.m_memoryMb, m_typicalWorker.m_memoryMb));
+  return LoadOn(m_typicalWorker, aNeed);
 }
 
 void
@@ -504,6 +499,9 @@
     }
   }
   m_demandEstimator.AddArrival(PoolOf(aJob), work, m_env.m_loop.Now());
+  if (!record.m_tenant.empty()) {
+    m_tenantArrivals.AddArrival(record.m_tenant, 1.0, m_env.m_loop.Now());
+  }
 }
 
 double
--- a/scheduler/shard_status.cpp
+++ b/scheduler/shard_status.cpp
@@ -1,5 +1,7 @@
 #include "scheduler/shard_status.h"
 
+#include "scheduler/published_load_codec.h"
+
 #include <nlohmann/json.hpp>
 
 namespace bramleystall {
@@ -9,13 +11,15 @@
 std::string
 EncodeShardStatus(const ShardStatus& aStatus)
 {
-  return json{
-    { "pending", aStatus.m_pending },
-    { "capacity", aStatus.m_capacity },
-    { "load", aStatus.m_load },
-    { "memory", aStatus.m_memory },
-    { "sequence", aStatus.m_sequence }
-  }.dump();
+  json body{ { "pending", aStatus.m_pending },
+             { "capacity", aStatus.m_capacity },
+             { "load", aStatus.m_load },
+             { "memory", aStatus.m_memory },
+             { "sequence", aStatus.m_sequence } };
+  if (aStatus.m_published) {
+    body["published"] = EncodePublishedLoad(*aStatus.m_published);
+  }
+  return body.dump();
 }
 
 std::optional<ShardStatus>
@@ -23,7 +27,7 @@
 {
   try {
     const json body = json::parse(aJson);
-    return ShardStatus{
+    ShardStatus status{
       .m_pending =
         body.at("pending").get<std::map<std::string, std::int64_t>>(),
       .m_capacity = body.at("capacity").get<double>(),
@@ -32,6 +36,11 @@
       .m_memory = body.value("memory", std::int64_t{ 0 }),
       .m_sequence = body.at("sequence").get<std::int64_t>()
     };
+    if (const auto published = body.find("published");
+        published != body.end()) {
+      status.m_published = DecodePublishedLoad(*published);
+    }
+    return status;
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/scheduler/shard_status.h
+++ b/scheduler/shard_status.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "admission/published_load.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -23,6 +25,9 @@
   std::int64_t m_memory = 0;
   /** Rises with each publication, so that a silent owner is noticed. */
   std::int64_t m_sequence = 0;
+  /** For admission control; unset without tenants and from an earlier version.
+   */
+  std::optional<PublishedLoad> m_published;
 };
 
 std::string
--- a/scheduler/shard_status_reader.cpp
+++ b/scheduler/shard_status_reader.cpp
@@ -96,6 +96,18 @@
   }
 }
 
+std::map<int, LoadView>
+ShardStatusReader::LoadViews() const
+{
+  std::map<int, LoadView> views;
+  for (const auto& [shard, known] : m_known) {
+    if (known.m_status.m_published) {
+      views[shard] = { &*known.m_status.m_published, known.m_changedAt };
+    }
+  }
+  return views;
+}
+
 std::int64_t
 ShardStatusReader::PendingIn(const std::string& aQueue) const
 {
--- a/scheduler/shard_status_reader.h
+++ b/scheduler/shard_status_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admission_control.h"
 #include "scheduler/shard_chooser.h"
 #include "scheduler/shard_status.h"
 #include "store/key_value_store.h"
@@ -40,6 +41,10 @@
   /** Views of the shards as of the last read, for ChooseShard. */
   const std::map<int, ShardView>& Views() const { return m_views; }
 
+  /** What the owners have published for admission control, as of the last read.
+   * Shards whose owner publishes nothing for it are missing. */
+  std::map<int, LoadView> LoadViews() const;
+
 private:
   struct Known
   {
