Refuse jobs that would be too late before they are stored

Where the configuration has tenants, a submission that AdmissionControl does not admit gets status 503 with the reason too_late or over_weight and a Retry-After of its own, unless the job is stored already. If the store cannot be read, the submission is stored as before. Refusals are counted by reason and tenant and logged at most once a second for each reason.

--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -48,8 +48,6 @@
 /** Time for which read counts are reused. A count in a response may be at most
  * 2 s old, and the scheduler writes the counts every 0.8 s. */
 constexpr absl::Duration kPendingMaxAge = absl::Milliseconds(400);
-/** Retry-After, in seconds, of a response with status 503. */
-constexpr int kRetryAfterS = 1;
 
 bool
 IsJobId(const std::string& aText)
@@ -75,6 +73,7 @@
   , m_configuration(std::move(aConfiguration))
   , m_layout(std::move(aLayout))
   , m_shardStatus(aLoop, aStore)
+  , m_admission(aLoop, aMetrics, m_shardStatus)
 {
 }
 
@@ -137,7 +136,8 @@
 JobRequestHandler::Refuse(const std::string& aId,
                           const char* aReason,
                           int aStatus,
-                          const HttpListener::Responder& aRespond)
+                          const HttpListener::Responder& aRespond,
+                          int aRetryAfterS)
 {
   m_metrics.Count("bramleystall_job_refusals_total", { { "reason", aReason } });
   LogInfo(
@@ -147,7 +147,7 @@
   ListenerResponse response;
   response.m_status = aStatus;
   response.m_body = json{ { "error", aReason } }.dump();
-  response.m_retryAfterS = aStatus == kUnavailable ? kRetryAfterS : 0;
+  response.m_retryAfterS = aStatus == kUnavailable ? aRetryAfterS : 0;
   aRespond(std::move(response));
 }
 
@@ -176,20 +176,19 @@
       shard,    EntryKey(aId),
       aRespond, static_cast<std::int64_t>(LargestMemory(record))
     };
-    if (!HasMemoryFor(submission)) {
-      RefuseUnlessStored(submission);
+    if (const auto refusal =
+          m_admission.Check(record, aQueue, shard, *m_configuration())) {
+      RefuseUnlessStored(submission, record.m_tenant, *refusal);
       return;
     }
-    m_submissions.push_back(std::move(submission));
+    StoreSubmission(std::move(submission));
   } catch (const Error& error) {
     LogInfo(
       LogPart::Server,
       absl::StrCat(
         "cannot decode the submitted job; job=", aId, " error=", error.what()));
     Refuse(aId, "bad_submission", kBadRequest, aRespond);
-    return;
   }
-  FlushSubmissions();
 }
 
 bool
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -7,6 +7,7 @@
 #include "scheduler/job_keys.h"
 #include "scheduler/shard_memory.h"
 #include "scheduler/shard_status_reader.h"
+#include "server/submission_admission.h"
 #include "store/key_value_store.h"
 
 #include <absl/time/time.h>
@@ -85,6 +86,13 @@
   bool HasMemoryFor(const Submission& aSubmission);
   /** Refuses a job for which its shard has no memory, unless it is stored. */
   void RefuseUnlessStored(const Submission& aSubmission);
+  /** Refuses a job that is not admitted, unless it is stored. It is stored
+   * after all if the store cannot be read. */
+  void RefuseUnlessStored(const Submission& aSubmission,
+                          const std::string& aTenant,
+                          const AdmissionRefusal& aRefusal);
+  /** Stores the job if its shard has memory for it. */
+  void StoreSubmission(Submission aSubmission);
   void FlushSubmissions();
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
   /**
@@ -131,7 +139,12 @@
   void Refuse(const std::string& aId,
               const char* aReason,
               int aStatus,
-              const HttpListener::Responder& aRespond);
+              const HttpListener::Responder& aRespond,
+              int aRetryAfterS = kRetryAfterS);
+
+  /** Retry-After, in seconds, of a response with status 503 that has no other
+   * one. */
+  static constexpr int kRetryAfterS = 1;
 
   EventLoop& m_loop;
   KeyValueStore& m_store;
@@ -143,6 +156,7 @@
   int m_openCommits = 0;
   ShardStatusReader m_shardStatus;
   ShardMemory m_shardMemory;
+  SubmissionAdmission m_admission;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
