--- a/tests/admission/test_overload.cpp
+++ b/tests/admission/test_overload.cpp
@@ -147,6 +147,24 @@
   CHECK(both.WrongRefusals() <= both.RefusedJobs() / 4);
 }
 
+// Guards against refusals that fall on tenants inside their weight as often as
+// on the one that floods.
+TEST_CASE("Refusals fall on the flooding tenant first", "[admission]")
+{
+  const OverloadResult result = OverloadSimulation({}).Run();
+  const auto refusedShare = [&result](const Filter& aFilter) {
+    const auto all = std::ranges::count_if(result.m_jobs, aFilter);
+    const auto refused =
+      std::ranges::count_if(result.m_jobs, [&aFilter](const JobResult& aJob) {
+        return aFilter(aJob) && aJob.m_wasRefusedOnce;
+      });
+    return static_cast<double>(refused) / static_cast<double>(all);
+  };
+  INFO("flooding " << refusedShare(IsFlooding) << ", others "
+                   << refusedShare(IsInsideWeight));
+  CHECK(refusedShare(IsFlooding) > 4 * refusedShare(IsInsideWeight));
+}
+
 // Guards against a tenant inside its weight that gets less by admission control
 // than without, although the sum over all tenants is higher.
 TEST_CASE("No tenant inside its weight loses by admission control",
--- a/tests/fakes/overload_simulation.cpp
+++ b/tests/fakes/overload_simulation.cpp
@@ -260,9 +260,10 @@
   // All tenants have the same weight.
   const auto sharing = static_cast<double>(std::ranges::count(hasWork, true));
   std::vector<bool> isAbove;
-  for (const int count : aRunning) {
-    isAbove.push_back(count / slots > 1.0 / std::max(1.0, sharing));
-  }
+  std::ranges::transform(
+    aRunning, std::back_inserter(isAbove), [slots, sharing](int aCount) {
+      return aCount / slots > 1.0 / std::max(1.0, sharing);
+    });
   return isAbove;
 }
 
