--- a/tests/fakes/overload_simulation.h
+++ b/tests/fakes/overload_simulation.h
@@ -75,8 +75,12 @@
   int m_mostRetriesAtOnce = 0;
 };
 
-/** Plays a scenario in steps of 10 ms. The owner of the only shard orders jobs
- * by tier, by whether their tenant is above its share, and by objective. */
+/** Plays a scenario in steps of 10 ms. Objectives count from the acceptance of
+ * a job, so a job that is refused and accepted later is in time by the later
+ * clock. Counted from the caller's first request, admission control gains
+ * nothing: with seed 1, 1161 jobs are in time without it and 1132 with it. The
+ * owner of the only shard orders jobs by tier, by whether their tenant is above
+ * its share, and by objective. */
 class OverloadSimulation
 {
 public:
