--- a/server/submission_admission.cpp
+++ b/server/submission_admission.cpp
@@ -37,13 +37,12 @@
 };
 
 RunTimes
-RunTimesOf(const StepSpec& aStep, std::optional<absl::Duration> aLearned)
+RunTimesOf(const StepSpec& aStep, absl::Duration aLearned)
 {
   const absl::Duration declared = absl::Milliseconds(aStep.m_estimateMs);
-  const absl::Duration learned = aLearned.value_or(declared);
-  return { learned,
-           kLeastTimeShare * std::min(declared, learned),
-           std::max(declared, learned) };
+  return { aLearned,
+           kLeastTimeShare * std::min(declared, aLearned),
+           std::max(declared, aLearned) };
 }
 
 /** Run time of the longest chain of steps, for one run time of each step. */
@@ -63,30 +62,26 @@
   return ends.empty() ? absl::ZeroDuration() : std::ranges::max(ends);
 }
 
-std::optional<absl::Duration>
-LearnedRunTime(const PublishedLoad& aLoad, const std::string& aQueue)
-{
-  const auto found = aLoad.m_runTimes.find(aQueue);
-  return found == aLoad.m_runTimes.end()
-           ? std::nullopt
-           : std::optional(absl::Seconds(found->second));
-}
-
-AdmissionJob
+/** Unset if the owner has not learned the run time of the queue's tasks yet:
+ * declared ones alone are too inaccurate for a refusal. */
+std::optional<AdmissionJob>
 MakeAdmissionJob(const JobRecord& aRecord,
                  const QueueSpec& aQueue,
                  const PublishedLoad& aLoad)
 {
+  const auto learned = aLoad.m_runTimes.find(aQueue.m_name);
+  if (learned == aLoad.m_runTimes.end()) {
+    return std::nullopt;
+  }
   AdmissionJob job{ .m_id = aRecord.m_id,
                     .m_pool = aQueue.m_pool,
                     .m_tenant = aRecord.m_tenant,
                     .m_priority = aQueue.m_priority };
-  const auto learned = LearnedRunTime(aLoad, aQueue.m_name);
   absl::Duration expected;
   absl::Duration longest;
   std::vector<absl::Duration> shortest;
   for (const StepSpec& step : aRecord.m_steps) {
-    const RunTimes times = RunTimesOf(step, learned);
+    const RunTimes times = RunTimesOf(step, absl::Seconds(learned->second));
     expected += times.m_expected;
     longest += times.m_longest;
     shortest.push_back(times.m_shortest);
@@ -148,17 +143,16 @@
   if (view == views.end()) {
     return std::nullopt;
   }
+  const auto job = MakeAdmissionJob(aRecord, aQueue, *view->second.m_load);
+  if (!job) {
+    return std::nullopt;
+  }
   const TenantWeights weights =
     [&aConfiguration](const std::string& aName) -> std::optional<double> {
     const TenantSpec* tenant = aConfiguration.m_tenants->FindByName(aName);
     return tenant == nullptr ? std::nullopt : std::optional(tenant->m_weight);
   };
-  return m_control.Decide(
-    MakeAdmissionJob(aRecord, aQueue, *view->second.m_load),
-    aShard,
-    views,
-    weights,
-    m_loop.Now());
+  return m_control.Decide(*job, aShard, views, weights, m_loop.Now());
 }
 
 void
--- a/server/submission_admission.h
+++ b/server/submission_admission.h
@@ -32,7 +32,8 @@
   /**
    * Returns a refusal, or nothing; then the job counts as accepted. Jobs with
    * long-running steps or with scheduled occurrences, and all jobs without a
-   * recent view of their shard, are admitted.
+   * recent view of their shard or of a queue whose run time its owner has not
+   * learned, are admitted.
    */
   std::optional<AdmissionRefusal> Check(const JobRecord& aRecord,
                                         const QueueSpec& aQueue,
--- a/tests/server/test_submission_admission.cpp
+++ b/tests/server/test_submission_admission.cpp
@@ -9,7 +9,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <optional>
+#include <string>
 
 using namespace bramleystall;
 
@@ -43,7 +45,8 @@
   void Publish(double aWaiting)
   {
     ShardStatus status{ .m_capacity = 10, .m_sequence = ++m_sequence };
-    status.m_published = PublishedLoad{ .m_machines = 10 };
+    status.m_published =
+      PublishedLoad{ .m_machines = 10, .m_runTimes = m_runTimes };
     PublishedPool& pool = status.m_published->m_pools["counter"];
     pool.m_machines = 10;
     pool.m_waiting = { { 0, 250, aWaiting } };
@@ -77,6 +80,8 @@
   }
 
   const QuietLog m_quiet;
+  /** Learned run times that the owner publishes, in seconds. */
+  std::map<std::string, double> m_runTimes{ { "quotes", 0.5 } };
   std::int64_t m_sequence = 0;
   EventLoop m_loop{ EventLoop::ClockMode::Simulated };
   FakeStore m_store{ m_loop };
@@ -163,6 +168,17 @@
   CHECK(RefusalCount() == 0);
 }
 
+// Guards against refusals by a declared run time alone, for instance after a
+// change of the owner: it is too inaccurate to tell what is too late.
+TEST_CASE_METHOD(AdmissionFixture,
+                 "A queue without a learned run time refuses nothing",
+                 "[admission]")
+{
+  m_runTimes.clear();
+  Publish(1000);
+  CHECK(Send("POST", kId).m_status == 200);
+}
+
 // Guards against long-running and scheduled jobs, which have no such objective,
 // that are refused because of the present load.
 TEST_CASE_METHOD(AdmissionFixture,
