Split the intervals of objectives above 16 s

One interval held all objectives of 16 s and more, so an estimate counted nearly no work before a job with such an objective.

--- a/admission/wait_estimate.cpp
+++ b/admission/wait_estimate.cpp
@@ -10,9 +10,9 @@
 
 /** Upper ends of the intervals of WaitingWork in ms. They are closest where
  * most objectives are, up to 4 s; the last one takes all others. */
-constexpr std::array<std::int64_t, 12> kObjectiveBoundsMs = {
-  250,  500,  1000, 1500,   2000,   3000,
-  4000, 6000, 8000, 12'000, 16'000, 86'400'000,
+constexpr std::array<std::int64_t, 16> kObjectiveBoundsMs = {
+  250,  500,    1000,   1500,   2000,   3000,   4000,    6000,
+  8000, 12'000, 16'000, 24'000, 32'000, 64'000, 128'000, 86'400'000,
 };
 
 /** A machine runs tasks of its new pool this long after it was ordered there
--- a/tests/scheduler/test_published_load.cpp
+++ b/tests/scheduler/test_published_load.cpp
@@ -1,3 +1,4 @@
+#include "admission/wait_estimate.h"
 #include "scheduler/shard_status.h"
 #include "tests/fakes/scheduler_fixture.h"
 
@@ -104,6 +105,43 @@
   CHECK(pool.m_running == Approx(a.m_running + b.m_running).margin(0.1));
 }
 
+// Guards against an estimate that has nothing to do with how long the published
+// work really takes.
+TEST_CASE_METHOD(PublishedLoadFixture,
+                 "The wait for published work is estimated",
+                 "[scheduler]")
+{
+  m_configuration.m_tenants = TenantDirectory({ { .m_name = "a" } });
+  m_configuration.m_queues.front().m_objectiveSlackMs = 20'000;
+  m_workers.SetPlan({ .m_time = absl::Milliseconds(500) });
+  Begin();
+  for (const char* id : { "job1", "job2", "job3", "job4" }) {
+    SubmitFor("a", id);
+  }
+  m_loop.AdvanceBy(absl::Milliseconds(1500));
+  const auto load = ReadStatus().m_published;
+  REQUIRE(load);
+  REQUIRE(load->m_runTimes.contains("quotes"));
+  const AdmissionJob job{ .m_pool = "counter",
+                          .m_tenant = "a",
+                          .m_objective = absl::Seconds(21),
+                          .m_lateObjective = absl::Seconds(63) };
+  const auto estimate = EstimateWait(
+    *load, job, {}, [](const std::string&) { return std::nullopt; });
+  REQUIRE(estimate);
+  const absl::Time begin = m_loop.Now();
+  while (m_workers.DoneTasks().size() < 160 &&
+         m_loop.Now() < begin + absl::Minutes(2)) {
+    m_loop.AdvanceBy(absl::Milliseconds(100));
+  }
+  const absl::Duration real = m_loop.Now() - begin;
+  INFO("estimated " << estimate->m_wait << ", real " << real);
+  REQUIRE(m_workers.DoneTasks().size() >= 160);
+  // It is optimistic, but not by far.
+  CHECK(estimate->m_wait <= real);
+  CHECK(estimate->m_wait >= 0.3 * real);
+}
+
 // Guards against a deployment without tenants whose statuses change.
 TEST_CASE_METHOD(PublishedLoadFixture,
                  "Without tenants no load by tenant is published",
