Limit caps and weights of tenants to computable values

A cap is multiplied by the 10,000 parts that the shards divide among them, and weights are summed, so values near the limits of their types overflow. Resources of a cap are now reduced to 2^53 / 10,000 and weights to 1e9, which is no limit in practice.

--- a/tests/platform/test_tenant_codec.cpp
+++ b/tests/platform/test_tenant_codec.cpp
@@ -107,6 +107,20 @@
   }
 }
 
+// Guards against products of caps and sums of weights that overflow.
+TEST_CASE("Caps and weights are clamped", "[wire]")
+{
+  const JobConfiguration configuration =
+    DecodeWith(R"(,"tenants":[{"name":"a","weight":1e300,
+        "cap":{"cpu":9223372036854775807,"mem_mb":9007199254740992.0,
+               "gpu":900719925474}}])");
+  const TenantSpec* tenant = configuration.m_tenants->FindByName("a");
+  CHECK(tenant->m_weight == 1e9);
+  CHECK(tenant->m_cap.m_cpu == 900719925474);
+  CHECK(tenant->m_cap.m_memoryMb == 900719925474);
+  CHECK(tenant->m_cap.m_accelerators == 900719925474);
+}
+
 // Guards against an invalid list of tenants that comes into force, for instance
 // as a deployment without tenants, and against messages that do not name the
 // fault or that show a key.
