--- a/tests/platform/test_kv_store_client.cpp
+++ b/tests/platform/test_kv_store_client.cpp
@@ -1,6 +1,7 @@
 #include "net/event_loop.h"
 #include "net/http_fetcher.h"
 #include "platform/kv_store_client.h"
+#include "tests/fakes/captured_log.h"
 #include "tests/fakes/closing_server.h"
 #include "tests/fakes/fake_target.h"
 
@@ -8,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <string>
 
 using namespace bramleystall;
 
@@ -81,3 +83,36 @@
   REQUIRE(result.m_status == CommitStatus::Unknown);
   REQUIRE(server.RequestCount() == 1);
 }
+
+// Guards against the text of a malformed response, which may be the
+// configuration with its keys, in errors and log lines.
+TEST_CASE("A malformed response of the store is reported without its text",
+          "[store]")
+{
+  const CapturedLog log;
+  // The last token of the text is the value.
+  const std::string item = R"({"key":"op/config","value":"c2VjcmV0)";
+  FakeTarget server;
+  EventLoop loop;
+  HttpFetcher fetcher(loop, 1);
+  KvStoreClient store(fetcher, server.Address());
+  std::string errors;
+  int reads = 0;
+  const auto onRead = [&](const ReadResult& aResult) {
+    CHECK(aResult.m_status == ReadStatus::Unavailable);
+    errors += aResult.m_error;
+    if (++reads == 3) {
+      loop.Stop();
+    }
+  };
+  server.SetBody(item);
+  store.Get("op/config", onRead);
+  store.List("op/", "", onRead);
+  store.Watch("op/", 1, absl::Seconds(1), onRead);
+  loop.After(absl::Seconds(8), [&loop] { loop.Stop(); });
+  loop.Run();
+  REQUIRE(reads == 3);
+  errors += log.Text();
+  CHECK(errors.find("byte ") != std::string::npos);
+  CHECK(errors.find("c2VjcmV0") == std::string::npos);
+}
