--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -251,6 +251,7 @@
       RefuseUnlessStored(submission, "shard_memory_full", kUnavailable);
       return;
     }
+    m_openIds.insert(aCall.m_id);
     m_submissions.push_back(std::move(submission));
   } catch (const Error& error) {
     LogInfo(LogPart::Server,
@@ -284,16 +285,25 @@
                                       int aStatus,
                                       const std::string& aDetail)
 {
-  // An earlier attempt may have stored the job.
-  ReadKey(
+  // An earlier attempt may have stored the job, or its commit may be open. That
+  // commit may end before the response to this read, which may not show it.
+  const bool wasOpen = m_openIds.contains(aSubmission.m_call.m_id);
+  m_store.Get(
     aSubmission.m_entryKey,
-    aSubmission.m_call,
-    [this, aSubmission, aReason, aStatus, aDetail](const StoreItem* aItem) {
-      if (aItem != nullptr) {
-        AcceptStored(aSubmission, *aItem, "known");
+    [this, aSubmission, aReason, aStatus, aDetail, wasOpen, alive = m_alive](
+      const ReadResult& aResult) {
+      if (!*alive) {
         return;
       }
-      Refuse(aSubmission.m_call, aReason, aStatus, aDetail);
+      const JobCall& call = aSubmission.m_call;
+      if (aResult.m_status == ReadStatus::Ok && !aResult.m_items.empty()) {
+        AcceptStored(aSubmission, aResult.m_items.front(), "known");
+      } else if (aResult.m_status != ReadStatus::Ok || wasOpen ||
+                 m_openIds.contains(call.m_id)) {
+        Refuse(call, "outcome_unknown", kOutcomeUnknown);
+      } else {
+        Refuse(call, aReason, aStatus, aDetail);
+      }
     });
 }
 
@@ -354,6 +364,7 @@
   for (Submission& submission : aBatch) {
     switch (aResult.m_status) {
       case CommitStatus::Applied:
+        Close(submission);
         Accept(submission, "stored");
         break;
       case CommitStatus::Conflict: {
@@ -362,6 +373,7 @@
             return aItem.m_key == submission.m_entryKey && aItem.m_revision > 0;
           });
         if (stored != aResult.m_current.end()) {
+          Close(submission);
           AcceptStored(submission, *stored, "known");
         } else {
           m_submissions.push_back(std::move(submission));
@@ -370,33 +382,52 @@
       }
       case CommitStatus::LeaseGone:
       case CommitStatus::NotApplied:
+        Close(submission);
         Refuse(submission.m_call, "store_unavailable", kUnavailable);
         break;
       case CommitStatus::Unknown:
         m_metrics.Count("bramleystall_job_retries_total",
                         { { "reason", "acceptance_unknown" } });
-        ReadBack(submission.m_entryKey,
-                 submission.m_call,
-                 [this, submission](const StoreItem& aItem) {
-                   AcceptStored(submission, aItem, "read_back");
-                 });
+        ReadBack(
+          submission.m_entryKey,
+          submission.m_call,
+          [this, submission](const StoreItem& aItem) {
+            AcceptStored(submission, aItem, "read_back");
+          },
+          [this, submission] { Close(submission); });
         break;
     }
   }
   FlushSubmissions();
 }
 
+void
+JobRequestHandler::Close(const Submission& aSubmission)
+{
+  const auto open = m_openIds.find(aSubmission.m_call.m_id);
+  if (open != m_openIds.end()) {
+    m_openIds.erase(open);
+  }
+}
+
 void
 JobRequestHandler::ReadBack(const std::string& aKey,
                             const JobCall& aCall,
-                            std::function<void(const StoreItem&)> aOnStored)
+                            std::function<void(const StoreItem&)> aOnStored,
+                            std::function<void()> aOnRead)
 {
   m_store.Get(aKey,
-              [this, aCall, onStored = std::move(aOnStored), alive = m_alive](
-                const ReadResult& aResult) {
+              [this,
+               aCall,
+               onStored = std::move(aOnStored),
+               onRead = std::move(aOnRead),
+               alive = m_alive](const ReadResult& aResult) {
                 if (!*alive) {
                   return;
                 }
+                if (onRead) {
+                  onRead();
+                }
                 if (aResult.m_status == ReadStatus::Ok &&
                     !aResult.m_items.empty()) {
                   onStored(aResult.m_items.front());
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -86,21 +87,26 @@
   int ChooseShardOf(const std::string& aId, int aFallback);
   /** Whether the shard has memory for the job, which then counts as taken. */
   bool HasMemoryFor(const Submission& aSubmission);
-  /** Refuses a job that cannot be accepted now, unless it is stored already. */
+  /** Refuses a job that cannot be accepted now, unless it is stored already.
+   * The outcome is unknown (504) if the entry cannot be read, or if the job is
+   * not stored but a submission of it is open. */
   void RefuseUnlessStored(const Submission& aSubmission,
                           const char* aReason,
                           int aStatus,
                           const std::string& aDetail = "");
   void FlushSubmissions();
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
+  /** Removes a submission whose outcome is determined from the open ones. */
+  void Close(const Submission& aSubmission);
   /**
    * Resolves a write without a response: calls back with the key that it sets
    * when that is there. Otherwise refuses the request itself, with an unknown
-   * outcome.
+   * outcome. In both cases calls aOnRead first, if set.
    */
   void ReadBack(const std::string& aKey,
                 const JobCall& aCall,
-                std::function<void(const StoreItem& aItem)> aOnStored);
+                std::function<void(const StoreItem& aItem)> aOnStored,
+                std::function<void()> aOnRead = {});
   /** Accepts a job whose entry is stored, unless its id belongs to another
    * tenant's job. */
   void AcceptStored(const Submission& aSubmission,
@@ -154,6 +160,9 @@
   ConfigurationSource m_configuration;
   LayoutSource m_layout;
   std::deque<Submission> m_submissions;
+  /** Ids of the submissions that are queued, in an open commit or being read
+   * back; one for each submission. */
+  std::multiset<std::string> m_openIds;
   int m_openCommits = 0;
   ShardStatusReader m_shardStatus;
   ShardMemory m_shardMemory;
--- a/tests/server/test_tenant_requests.cpp
+++ b/tests/server/test_tenant_requests.cpp
@@ -297,3 +297,47 @@
   CHECK(seen.find("tenant=acme") != std::string::npos);
   CHECK(seen.find("secret") == std::string::npos);
 }
+
+// Guards against a known job that is reported as refused although it runs
+// (rule R5).
+TEST_CASE_METHOD(TenantFixture,
+                 "A refusal is certain only if the job cannot be stored",
+                 "[tenants]")
+{
+  REQUIRE(Status("POST", kJob, kAcmeKey) == 200);
+  TenantSpec acme = MakeTenant("acme", { kAcmeKey });
+  acme.m_cap.m_cpu = 499;
+  SetTenants({ acme });
+  m_client.m_isRefusing = true;
+  CHECK(Status("POST", kJob, kAcmeKey) == 504);
+  m_client.m_isRefusing = false;
+  CHECK(Status("POST", kJob, kAcmeKey) == 200);
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 400);
+}
+
+// Guards against a refusal while an earlier attempt of the same job is queued
+// or in a commit that the store may still carry out (rule R5).
+TEST_CASE_METHOD(TenantFixture,
+                 "A repeated job is not refused while its commit is open",
+                 "[tenants]")
+{
+  TenantSpec limited = MakeTenant("acme", { kAcmeKey });
+  limited.m_cap.m_cpu = 499;
+  m_client.m_isCommitStalled = [](const StoreTransaction&) { return true; };
+  m_handler.Handle({ "POST", kJob, "h", kBody, kAcmeKey },
+                   [](const ListenerResponse&) {});
+  SetTenants({ limited });
+  CHECK(Status("POST", kJob, kAcmeKey) == 504);
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 400);
+  m_client.m_isCommitStalled = nullptr;
+  // Once a submission has its outcome, a later one may be refused.
+  SetTenants({ MakeTenant("acme", { kAcmeKey }) });
+  m_client.m_isRefusing = true;
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 503);
+  m_client.m_isRefusing = false;
+  m_client.m_isPartitioned = true;
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 504);
+  m_client.m_isPartitioned = false;
+  SetTenants({ limited });
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 400);
+}
