Accept a known job only by an entry that can be read

A repeated submission was accepted as known if the entry of its id could not be decoded or if the conflict that showed the entry did not carry its value, although the id may be another tenant's job.

An entry that cannot be decoded is now logged and refused with 503, as for state and cancel. A conflict without the value leads to a read of the entry, which decides; if that fails, the outcome is unknown (504).

--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -374,7 +374,7 @@
           });
         if (stored != aResult.m_current.end()) {
           Close(submission);
-          AcceptStored(submission, *stored, "known");
+          AcceptConflicting(submission, *stored);
         } else {
           m_submissions.push_back(std::move(submission));
         }
@@ -410,48 +410,38 @@
   }
 }
 
-void
-JobRequestHandler::ReadBack(const std::string& aKey,
-                            const JobCall& aCall,
-                            std::function<void(const StoreItem&)> aOnStored,
-                            std::function<void()> aOnRead)
-{
-  m_store.Get(aKey,
-              [this,
-               aCall,
-               onStored = std::move(aOnStored),
-               onRead = std::move(aOnRead),
-               alive = m_alive](const ReadResult& aResult) {
-                if (!*alive) {
-                  return;
-                }
-                if (onRead) {
-                  onRead();
-                }
-                if (aResult.m_status == ReadStatus::Ok &&
-                    !aResult.m_items.empty()) {
-                  onStored(aResult.m_items.front());
-                  return;
-                }
-                // The store may still apply the write, so the outcome is
-                // unknown. The caller may repeat the request with the same id.
-                Refuse(aCall, "outcome_unknown", kOutcomeUnknown);
-              });
-}
-
 void
 JobRequestHandler::AcceptStored(const Submission& aSubmission,
                                 const StoreItem& aEntry,
                                 const char* aHow)
 {
-  const auto entry = DecodeJobEntry(aEntry.m_value);
-  if (entry && !aSubmission.m_call.m_caller.MayAccess(*entry)) {
+  const auto entry = DecodeStoredEntry(aSubmission.m_call, aEntry);
+  if (!entry) {
+    return;
+  }
+  if (!aSubmission.m_call.m_caller.MayAccess(*entry)) {
     Refuse(aSubmission.m_call, "id_of_other_tenant", kIdConflict);
     return;
   }
   Accept(aSubmission, aHow);
 }
 
+void
+JobRequestHandler::AcceptConflicting(const Submission& aSubmission,
+                                     const StoreItem& aEntry)
+{
+  if (!aEntry.m_value.empty()) {
+    AcceptStored(aSubmission, aEntry, "known");
+    return;
+  }
+  // The conflict shows that there is an entry, but not whose it is.
+  ReadBack(aSubmission.m_entryKey,
+           aSubmission.m_call,
+           [this, aSubmission](const StoreItem& aItem) {
+             AcceptStored(aSubmission, aItem, "known");
+           });
+}
+
 void
 JobRequestHandler::Accept(const Submission& aSubmission, const char* aHow)
 {
@@ -467,24 +457,4 @@
   aSubmission.m_call.m_respond({ .m_status = kOk, .m_body = "{}" });
 }
 
-void
-JobRequestHandler::ReadKey(const std::string& aKey,
-                           const JobCall& aCall,
-                           std::function<void(const StoreItem* aItem)> aOnRead)
-{
-  m_store.Get(aKey,
-              [this, aCall, onRead = std::move(aOnRead), alive = m_alive](
-                const ReadResult& aResult) {
-                if (!*alive) {
-                  return;
-                }
-                if (aResult.m_status != ReadStatus::Ok) {
-                  Refuse(aCall, "store_unavailable", kUnavailable);
-                  return;
-                }
-                onRead(aResult.m_items.empty() ? nullptr
-                                               : &aResult.m_items.front());
-              });
-}
-
 }
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -112,6 +113,10 @@
   void AcceptStored(const Submission& aSubmission,
                     const StoreItem& aEntry,
                     const char* aHow);
+  /** AcceptStored for an entry that a conflict showed, which is read if the
+   * response did not carry its value. */
+  void AcceptConflicting(const Submission& aSubmission,
+                         const StoreItem& aEntry);
   void Accept(const Submission& aSubmission, const char* aHow);
   /** Reads a key of a job; calls back with null when there is none. Refuses the
    * request itself when the store is unavailable. */
@@ -124,6 +129,10 @@
   void RespondWithProgress(const JobCall& aCall,
                            int aShard,
                            std::function<void()> aOnNone);
+  /** Decodes the entry of a job. If it is malformed, logs this and refuses the
+   * request itself. */
+  std::optional<JobEntry> DecodeStoredEntry(const JobCall& aCall,
+                                            const StoreItem& aItem);
   /**
    * Reads the entry of a job. Refuses the request itself when there is none,
    * the job belongs to another tenant, or the store is unavailable.
--- a/server/job_request_handler_queries.cpp
+++ b/server/job_request_handler_queries.cpp
@@ -1,5 +1,5 @@
-// The part of the handler that responds about stored jobs and cancels them. See
-// job_request_handler.h.
+// The part of the handler that reads stored jobs, responds about them and
+// cancels them. See job_request_handler.h.
 
 #include "server/job_request_handler.h"
 
@@ -14,6 +14,7 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace bramleystall {
@@ -28,6 +29,55 @@
 
 }
 
+void
+JobRequestHandler::ReadKey(const std::string& aKey,
+                           const JobCall& aCall,
+                           std::function<void(const StoreItem* aItem)> aOnRead)
+{
+  m_store.Get(aKey,
+              [this, aCall, onRead = std::move(aOnRead), alive = m_alive](
+                const ReadResult& aResult) {
+                if (!*alive) {
+                  return;
+                }
+                if (aResult.m_status != ReadStatus::Ok) {
+                  Refuse(aCall, "store_unavailable", kUnavailable);
+                  return;
+                }
+                onRead(aResult.m_items.empty() ? nullptr
+                                               : &aResult.m_items.front());
+              });
+}
+
+void
+JobRequestHandler::ReadBack(const std::string& aKey,
+                            const JobCall& aCall,
+                            std::function<void(const StoreItem&)> aOnStored,
+                            std::function<void()> aOnRead)
+{
+  m_store.Get(aKey,
+              [this,
+               aCall,
+               onStored = std::move(aOnStored),
+               onRead = std::move(aOnRead),
+               alive = m_alive](const ReadResult& aResult) {
+                if (!*alive) {
+                  return;
+                }
+                if (onRead) {
+                  onRead();
+                }
+                if (aResult.m_status == ReadStatus::Ok &&
+                    !aResult.m_items.empty()) {
+                  onStored(aResult.m_items.front());
+                  return;
+                }
+                // The store may still apply the write, so the outcome is
+                // unknown. The caller may repeat the request with the same id.
+                Refuse(aCall, "outcome_unknown", kOutcomeUnknown);
+              });
+}
+
 void
 JobRequestHandler::RespondWithState(const JobCall& aCall)
 {
@@ -78,6 +128,20 @@
           });
 }
 
+std::optional<JobEntry>
+JobRequestHandler::DecodeStoredEntry(const JobCall& aCall,
+                                     const StoreItem& aItem)
+{
+  auto entry = DecodeJobEntry(aItem.m_value);
+  if (!entry) {
+    LogError(
+      LogPart::Server,
+      absl::StrCat("cannot parse the stored entry of a job; job=", aCall.m_id));
+    Refuse(aCall, "unreadable_entry", kUnavailable);
+  }
+  return entry;
+}
+
 void
 JobRequestHandler::FindEntry(
   const JobCall& aCall,
@@ -90,13 +154,8 @@
               Refuse(aCall, "unknown_job", kGone);
               return;
             }
-            const auto entry = DecodeJobEntry(aItem->m_value);
+            const auto entry = DecodeStoredEntry(aCall, *aItem);
             if (!entry) {
-              LogError(
-                LogPart::Server,
-                absl::StrCat("cannot parse the stored entry of a job; job=",
-                             aCall.m_id));
-              Refuse(aCall, "unreadable_entry", kUnavailable);
               return;
             }
             if (!aCall.m_caller.MayAccess(*entry)) {
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -308,7 +308,12 @@
                 [callback, status] { callback({ .m_status = status }); });
       return;
     }
-    const CommitResult result = m_store.Apply(aTransaction);
+    CommitResult result = m_store.Apply(aTransaction);
+    if (m_areConflictValuesCut) {
+      for (StoreItem& item : result.m_current) {
+        item.m_value.clear();
+      }
+    }
     if (m_lostCommitResponses > 0) {
       --m_lostCommitResponses;
       CallAfter(kTimeout, [callback] {
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -95,6 +95,8 @@
   /** If set, commits for which it returns true have no effect and no response.
    */
   std::function<bool(const StoreTransaction&)> m_isCommitStalled;
+  /** Conflicts carry the keys and revisions of the items, but no values. */
+  bool m_areConflictValuesCut = false;
   int m_commitCount = 0;
   /** Number of calls of Get, List and Commit. */
   int m_callCount = 0;
--- a/tests/server/test_tenant_requests.cpp
+++ b/tests/server/test_tenant_requests.cpp
@@ -341,3 +341,23 @@
   SetTenants({ limited });
   CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 400);
 }
+
+// Guards against an id that is taken as the caller's own because the entry
+// could not be read or the conflict did not carry it.
+TEST_CASE_METHOD(TenantFixture,
+                 "A job is accepted as known only with its entry",
+                 "[tenants]")
+{
+  REQUIRE(Status("POST", kJob, kAcmeKey) == 200);
+  m_client.m_areConflictValuesCut = true;
+  CHECK(Status("POST", kJob, kZestKey) == 409);
+  CHECK(Status("POST", kJob, kAcmeKey) == 200);
+  m_client.m_areConflictValuesCut = false;
+  for (const char* entry : { "[]", R"({"shard":"x"})" }) {
+    m_store.Set(kKeys.Entry(kId), entry);
+    CHECK(Status("POST", kJob, kZestKey) == 503);
+    CHECK(Status("POST", kJob, kAcmeKey) == 503);
+  }
+  CHECK(m_log.Text().find("cannot parse the stored entry") !=
+        std::string::npos);
+}
