Limit the log lines about anonymous callers of public queues

Where the configuration has tenants, anyone may send requests to a public queue, and each refused one was logged, an undecodable submission with two lines. Refusals of callers without a tenant are now logged at most once a second for each reason, with a count, as those of unidentified callers are. Metrics still count each. Deployments without tenants log as before. The new test failed before the change (301 lines instead of 4) and passes with it, as do all tests tagged [front].

--- a/server/caller_identity.h
+++ b/server/caller_identity.h
@@ -26,6 +26,10 @@
   /** Name of the tenant; empty for none. */
   const std::string& Tenant() const { return m_tenant; }
 
+  /** Whether the deployment has tenants and the caller is none of them, so that
+   * it is a caller of a public queue that nothing is known of. */
+  bool IsAnonymous() const { return m_tenant.empty() && !m_isUnrestricted; }
+
   /** Whether the caller may read and cancel the job with this entry. */
   bool MayAccess(const JobEntry& aEntry) const;
 
--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -41,7 +41,8 @@
 /** Retry-After, in seconds, of a response with status 503. */
 constexpr int kRetryAfterS = 1;
 /** Least time between two log lines about requests that were refused for one
- * reason before their key was checked; untrusted callers may send many. */
+ * reason before their key was checked, or that came from anonymous callers;
+ * untrusted callers may send many. */
 constexpr absl::Duration kRefusalLogInterval = absl::Seconds(1);
 
 bool
@@ -160,6 +161,11 @@
   const std::string& tenant = aCall.m_caller.Tenant();
   m_metrics.Count("bramleystall_job_refusals_total",
                   WithTenant(m_metrics, { { "reason", aReason } }, tenant));
+  if (aCall.m_caller.IsAnonymous()) {
+    LogRefusals(aReason, aStatus);
+    SendRefusal(aReason, aStatus, aDetail, aCall.m_respond);
+    return;
+  }
   LogInfo(LogPart::Server,
           absl::StrCat("request refused; job=",
                        aCall.m_id,
@@ -179,9 +185,21 @@
                                       const HttpListener::Responder& aRespond)
 {
   m_metrics.Count("bramleystall_job_refusals_total", { { "reason", aReason } });
-  LogThrottle& throttle =
-    m_refusalLogs.try_emplace(aReason, kRefusalLogInterval).first->second;
-  if (const auto count = throttle.Count(m_loop.Now())) {
+  LogRefusals(aReason, aStatus);
+  SendRefusal(aReason, aStatus, "", aRespond);
+}
+
+std::optional<std::uint64_t>
+JobRequestHandler::CountRefusal(const char* aReason)
+{
+  return m_refusalLogs.try_emplace(aReason, kRefusalLogInterval)
+    .first->second.Count(m_loop.Now());
+}
+
+void
+JobRequestHandler::LogRefusals(const char* aReason, int aStatus)
+{
+  if (const auto count = CountRefusal(aReason)) {
     LogInfo(LogPart::Server,
             absl::StrCat("request refused; reason=",
                          aReason,
@@ -190,7 +208,6 @@
                          " count=",
                          *count));
   }
-  SendRefusal(aReason, aStatus, "", aRespond);
 }
 
 void
@@ -254,11 +271,14 @@
     m_openIds.insert(aCall.m_id);
     m_submissions.push_back(std::move(submission));
   } catch (const Error& error) {
-    LogInfo(LogPart::Server,
-            absl::StrCat("cannot decode the submitted job; job=",
-                         aCall.m_id,
-                         " error=",
-                         error.what()));
+    if (!aCall.m_caller.IsAnonymous() ||
+        CountRefusal("undecodable_job").has_value()) {
+      LogInfo(LogPart::Server,
+              absl::StrCat("cannot decode the submitted job; job=",
+                           aCall.m_id,
+                           " error=",
+                           error.what()));
+    }
     Refuse(aCall, "bad_submission", kBadRequest);
     return;
   }
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -147,7 +147,8 @@
   void ConfirmCancel(const JobCall& aCall);
   void RespondWithPendingCount(const std::string& aQueue, const JobCall& aCall);
   std::string EntryKey(const std::string& aId) const;
-  /** Refuses a request of a caller that may use the queue. */
+  /** Refuses a request of a caller that may use the queue. Limits the log lines
+   * about anonymous callers. */
   void Refuse(const JobCall& aCall,
               const char* aReason,
               int aStatus,
@@ -157,6 +158,12 @@
   void RefuseUnidentified(const char* aReason,
                           int aStatus,
                           const HttpListener::Responder& aRespond);
+  /** Counts a refusal for the reason. If a log line is due, returns the number
+   * of refusals that it stands for. */
+  std::optional<std::uint64_t> CountRefusal(const char* aReason);
+  /** Logs a refusal for the reason without the request, at most once in
+   * kRefusalLogInterval. */
+  void LogRefusals(const char* aReason, int aStatus);
   void SendRefusal(const char* aReason,
                    int aStatus,
                    const std::string& aDetail,
--- a/tests/server/test_tenant_requests.cpp
+++ b/tests/server/test_tenant_requests.cpp
@@ -361,3 +361,28 @@
   CHECK(m_log.Text().find("cannot parse the stored entry") !=
         std::string::npos);
 }
+
+// Guards against a log that callers of a public queue fill.
+TEST_CASE_METHOD(
+  TenantFixture,
+  "Refusals of callers without a tenant are logged once a second",
+  "[tenants]")
+{
+  for (int i = 0; i < 100; ++i) {
+    m_handler.Handle({ "POST", "/open/x", "h", kBody, "" },
+                     [](const ListenerResponse&) {});
+  }
+  m_loop.AdvanceBy(absl::Seconds(1));
+  m_handler.Handle({ "POST", "/open/x", "h", kBody, "" },
+                   [](const ListenerResponse&) {});
+  const std::string text = m_log.Text();
+  CHECK(std::ranges::count(text, '\n') == 2);
+  CHECK(text.find("reason=bad_job_id status=400 count=100") !=
+        std::string::npos);
+  CHECK(Refusals({ { "reason", "bad_job_id" } }) == 101);
+  for (int i = 0; i < 100; ++i) {
+    m_handler.Handle({ "POST", kPublicJob, "h", "{", "" },
+                     [](const ListenerResponse&) {});
+  }
+  CHECK(std::ranges::count(m_log.Text(), '\n') == 4);
+}
