--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -41,7 +41,8 @@
 /** Retry-After, in seconds, of a response with status 503. */
 constexpr int kRetryAfterS = 1;
 /** Least time between two log lines about requests that were refused for one
- * reason before their key was checked; untrusted callers may send many. */
+ * reason before their key was checked, or that came from anonymous callers;
+ * untrusted callers may send many. */
 constexpr absl::Duration kRefusalLogInterval = absl::Seconds(1);
 
 bool
@@ -160,6 +161,11 @@
   const std::string& tenant = aCall.m_caller.Tenant();
   m_metrics.Count("bramleystall_job_refusals_total",
                   WithTenant(m_metrics, { { "reason", aReason } }, tenant));
+  if (aCall.m_caller.IsAnonymous()) {
+    LogRefusals(aReason, aStatus);
+    SendRefusal(aReason, aStatus, aDetail, aCall.m_respond);
+    return;
+  }
   LogInfo(LogPart::Server,
           absl::StrCat("request refused; job=",
                        aCall.m_id,
@@ -179,9 +185,21 @@
                                       const HttpListener::Responder& aRespond)
 {
   m_metrics.Count("bramleystall_job_refusals_total", { { "reason", aReason } });
-  LogThrottle& throttle =
-    m_refusalLogs.try_emplace(aReason, kRefusalLogInterval).first->second;
-  if (const auto count = throttle.Count(m_loop.Now())) {
+  LogRefusals(aReason, aStatus);
+  SendRefusal(aReason, aStatus, "", aRespond);
+}
+
+std::optional<std::uint64_t>
+JobRequestHandler::CountRefusal(const char* aReason)
+{
+  return m_refusalLogs.try_emplace(aReason, kRefusalLogInterval)
+    .first->second.Count(m_loop.Now());
+}
+
+void
+JobRequestHandler::LogRefusals(const char* aReason, int aStatus)
+{
+  if (const auto count = CountRefusal(aReason)) {
     LogInfo(LogPart::Server,
             absl::StrCat("request refused; reason=",
                          aReason,
@@ -190,7 +208,6 @@
                          " count=",
                          *count));
   }
-  SendRefusal(aReason, aStatus, "", aRespond);
 }
 
 void
@@ -251,13 +268,17 @@
       RefuseUnlessStored(submission, "shard_memory_full", kUnavailable);
       return;
     }
+    m_openIds.insert(aCall.m_id);
     m_submissions.push_back(std::move(submission));
   } catch (const Error& error) {
-    LogInfo(LogPart::Server,
-            absl::StrCat("cannot decode the submitted job; job=",
-                         aCall.m_id,
-                         " error=",
-                         error.what()));
+    if (!aCall.m_caller.IsAnonymous() ||
+        CountRefusal("undecodable_job").has_value()) {
+      LogInfo(LogPart::Server,
+              absl::StrCat("cannot decode the submitted job; job=",
+                           aCall.m_id,
+                           " error=",
+                           error.what()));
+    }
     Refuse(aCall, "bad_submission", kBadRequest);
     return;
   }
@@ -284,16 +305,25 @@
                                       int aStatus,
                                       const std::string& aDetail)
 {
-  // An earlier attempt may have stored the job.
-  ReadKey(
+  // An earlier attempt may have stored the job, or its commit may be open. That
+  // commit may end before the response to this read, which may not show it.
+  const bool wasOpen = m_openIds.contains(aSubmission.m_call.m_id);
+  m_store.Get(
     aSubmission.m_entryKey,
-    aSubmission.m_call,
-    [this, aSubmission, aReason, aStatus, aDetail](const StoreItem* aItem) {
-      if (aItem != nullptr) {
-        AcceptStored(aSubmission, *aItem, "known");
+    [this, aSubmission, aReason, aStatus, aDetail, wasOpen, alive = m_alive](
+      const ReadResult& aResult) {
+      if (!*alive) {
         return;
       }
-      Refuse(aSubmission.m_call, aReason, aStatus, aDetail);
+      const JobCall& call = aSubmission.m_call;
+      if (aResult.m_status == ReadStatus::Ok && !aResult.m_items.empty()) {
+        AcceptStored(aSubmission, aResult.m_items.front(), "known");
+      } else if (aResult.m_status != ReadStatus::Ok || wasOpen ||
+                 m_openIds.contains(call.m_id)) {
+        Refuse(call, "outcome_unknown", kOutcomeUnknown);
+      } else {
+        Refuse(call, aReason, aStatus, aDetail);
+      }
     });
 }
 
@@ -354,6 +384,7 @@
   for (Submission& submission : aBatch) {
     switch (aResult.m_status) {
       case CommitStatus::Applied:
+        Close(submission);
         Accept(submission, "stored");
         break;
       case CommitStatus::Conflict: {
@@ -362,7 +393,8 @@
             return aItem.m_key == submission.m_entryKey && aItem.m_revision > 0;
           });
         if (stored != aResult.m_current.end()) {
-          AcceptStored(submission, *stored, "known");
+          Close(submission);
+          AcceptConflicting(submission, *stored);
         } else {
           m_submissions.push_back(std::move(submission));
         }
@@ -370,16 +402,19 @@
       }
       case CommitStatus::LeaseGone:
       case CommitStatus::NotApplied:
+        Close(submission);
         Refuse(submission.m_call, "store_unavailable", kUnavailable);
         break;
       case CommitStatus::Unknown:
         m_metrics.Count("bramleystall_job_retries_total",
                         { { "reason", "acceptance_unknown" } });
-        ReadBack(submission.m_entryKey,
-                 submission.m_call,
-                 [this, submission](const StoreItem& aItem) {
-                   AcceptStored(submission, aItem, "read_back");
-                 });
+        ReadBack(
+          submission.m_entryKey,
+          submission.m_call,
+          [this, submission](const StoreItem& aItem) {
+            AcceptStored(submission, aItem, "read_back");
+          },
+          [this, submission] { Close(submission); });
         break;
     }
   }
@@ -387,25 +422,12 @@
 }
 
 void
-JobRequestHandler::ReadBack(const std::string& aKey,
-                            const JobCall& aCall,
-                            std::function<void(const StoreItem&)> aOnStored)
+JobRequestHandler::Close(const Submission& aSubmission)
 {
-  m_store.Get(aKey,
-              [this, aCall, onStored = std::move(aOnStored), alive = m_alive](
-                const ReadResult& aResult) {
-                if (!*alive) {
-                  return;
-                }
-                if (aResult.m_status == ReadStatus::Ok &&
-                    !aResult.m_items.empty()) {
-                  onStored(aResult.m_items.front());
-                  return;
-                }
-                // The store may still apply the write, so the outcome is
-                // unknown. The caller may repeat the request with the same id.
-                Refuse(aCall, "outcome_unknown", kOutcomeUnknown);
-              });
+  const auto open = m_openIds.find(aSubmission.m_call.m_id);
+  if (open != m_openIds.end()) {
+    m_openIds.erase(open);
+  }
 }
 
 void
@@ -413,14 +435,33 @@
                                 const StoreItem& aEntry,
                                 const char* aHow)
 {
-  const auto entry = DecodeJobEntry(aEntry.m_value);
-  if (entry && !aSubmission.m_call.m_caller.MayAccess(*entry)) {
+  const auto entry = DecodeStoredEntry(aSubmission.m_call, aEntry);
+  if (!entry) {
+    return;
+  }
+  if (!aSubmission.m_call.m_caller.MayAccess(*entry)) {
     Refuse(aSubmission.m_call, "id_of_other_tenant", kIdConflict);
     return;
   }
   Accept(aSubmission, aHow);
 }
 
+void
+JobRequestHandler::AcceptConflicting(const Submission& aSubmission,
+                                     const StoreItem& aEntry)
+{
+  if (!aEntry.m_value.empty()) {
+    AcceptStored(aSubmission, aEntry, "known");
+    return;
+  }
+  // The conflict shows that there is an entry, but not whose it is.
+  ReadBack(aSubmission.m_entryKey,
+           aSubmission.m_call,
+           [this, aSubmission](const StoreItem& aItem) {
+             AcceptStored(aSubmission, aItem, "known");
+           });
+}
+
 void
 JobRequestHandler::Accept(const Submission& aSubmission, const char* aHow)
 {
@@ -436,24 +477,4 @@
   aSubmission.m_call.m_respond({ .m_status = kOk, .m_body = "{}" });
 }
 
-void
-JobRequestHandler::ReadKey(const std::string& aKey,
-                           const JobCall& aCall,
-                           std::function<void(const StoreItem* aItem)> aOnRead)
-{
-  m_store.Get(aKey,
-              [this, aCall, onRead = std::move(aOnRead), alive = m_alive](
-                const ReadResult& aResult) {
-                if (!*alive) {
-                  return;
-                }
-                if (aResult.m_status != ReadStatus::Ok) {
-                  Refuse(aCall, "store_unavailable", kUnavailable);
-                  return;
-                }
-                onRead(aResult.m_items.empty() ? nullptr
-                                               : &aResult.m_items.front());
-              });
-}
-
 }
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -18,6 +18,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -86,26 +88,35 @@
   int ChooseShardOf(const std::string& aId, int aFallback);
   /** Whether the shard has memory for the job, which then counts as taken. */
   bool HasMemoryFor(const Submission& aSubmission);
-  /** Refuses a job that cannot be accepted now, unless it is stored already. */
+  /** Refuses a job that cannot be accepted now, unless it is stored already.
+   * The outcome is unknown (504) if the entry cannot be read, or if the job is
+   * not stored but a submission of it is open. */
   void RefuseUnlessStored(const Submission& aSubmission,
                           const char* aReason,
                           int aStatus,
                           const std::string& aDetail = "");
   void FlushSubmissions();
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
+  /** Removes a submission whose outcome is determined from the open ones. */
+  void Close(const Submission& aSubmission);
   /**
    * Resolves a write without a response: calls back with the key that it sets
    * when that is there. Otherwise refuses the request itself, with an unknown
-   * outcome.
+   * outcome. In both cases calls aOnRead first, if set.
    */
   void ReadBack(const std::string& aKey,
                 const JobCall& aCall,
-                std::function<void(const StoreItem& aItem)> aOnStored);
+                std::function<void(const StoreItem& aItem)> aOnStored,
+                std::function<void()> aOnRead = {});
   /** Accepts a job whose entry is stored, unless its id belongs to another
    * tenant's job. */
   void AcceptStored(const Submission& aSubmission,
                     const StoreItem& aEntry,
                     const char* aHow);
+  /** AcceptStored for an entry that a conflict showed, which is read if the
+   * response did not carry its value. */
+  void AcceptConflicting(const Submission& aSubmission,
+                         const StoreItem& aEntry);
   void Accept(const Submission& aSubmission, const char* aHow);
   /** Reads a key of a job; calls back with null when there is none. Refuses the
    * request itself when the store is unavailable. */
@@ -118,6 +129,10 @@
   void RespondWithProgress(const JobCall& aCall,
                            int aShard,
                            std::function<void()> aOnNone);
+  /** Decodes the entry of a job. If it is malformed, logs this and refuses the
+   * request itself. */
+  std::optional<JobEntry> DecodeStoredEntry(const JobCall& aCall,
+                                            const StoreItem& aItem);
   /**
    * Reads the entry of a job. Refuses the request itself when there is none,
    * the job belongs to another tenant, or the store is unavailable.
@@ -132,7 +147,8 @@
   void ConfirmCancel(const JobCall& aCall);
   void RespondWithPendingCount(const std::string& aQueue, const JobCall& aCall);
   std::string EntryKey(const std::string& aId) const;
-  /** Refuses a request of a caller that may use the queue. */
+  /** Refuses a request of a caller that may use the queue. Limits the log lines
+   * about anonymous callers. */
   void Refuse(const JobCall& aCall,
               const char* aReason,
               int aStatus,
@@ -142,6 +158,12 @@
   void RefuseUnidentified(const char* aReason,
                           int aStatus,
                           const HttpListener::Responder& aRespond);
+  /** Counts a refusal for the reason. If a log line is due, returns the number
+   * of refusals that it stands for. */
+  std::optional<std::uint64_t> CountRefusal(const char* aReason);
+  /** Logs a refusal for the reason without the request, at most once in
+   * kRefusalLogInterval. */
+  void LogRefusals(const char* aReason, int aStatus);
   void SendRefusal(const char* aReason,
                    int aStatus,
                    const std::string& aDetail,
@@ -154,6 +176,9 @@
   ConfigurationSource m_configuration;
   LayoutSource m_layout;
   std::deque<Submission> m_submissions;
+  /** Ids of the submissions that are queued, in an open commit or being read
+   * back; one for each submission. */
+  std::multiset<std::string> m_openIds;
   int m_openCommits = 0;
   ShardStatusReader m_shardStatus;
   ShardMemory m_shardMemory;
--- a/tests/server/test_tenant_requests.cpp
+++ b/tests/server/test_tenant_requests.cpp
@@ -297,3 +297,92 @@
   CHECK(seen.find("tenant=acme") != std::string::npos);
   CHECK(seen.find("secret") == std::string::npos);
 }
+
+// Guards against a known job that is reported as refused although it runs
+// (rule R5).
+TEST_CASE_METHOD(TenantFixture,
+                 "A refusal is certain only if the job cannot be stored",
+                 "[tenants]")
+{
+  REQUIRE(Status("POST", kJob, kAcmeKey) == 200);
+  TenantSpec acme = MakeTenant("acme", { kAcmeKey });
+  acme.m_cap.m_cpu = 499;
+  SetTenants({ acme });
+  m_client.m_isRefusing = true;
+  CHECK(Status("POST", kJob, kAcmeKey) == 504);
+  m_client.m_isRefusing = false;
+  CHECK(Status("POST", kJob, kAcmeKey) == 200);
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 400);
+}
+
+// Guards against a refusal while an earlier attempt of the same job is queued
+// or in a commit that the store may still carry out (rule R5).
+TEST_CASE_METHOD(TenantFixture,
+                 "A repeated job is not refused while its commit is open",
+                 "[tenants]")
+{
+  TenantSpec limited = MakeTenant("acme", { kAcmeKey });
+  limited.m_cap.m_cpu = 499;
+  m_client.m_isCommitStalled = [](const StoreTransaction&) { return true; };
+  m_handler.Handle({ "POST", kJob, "h", kBody, kAcmeKey },
+                   [](const ListenerResponse&) {});
+  SetTenants({ limited });
+  CHECK(Status("POST", kJob, kAcmeKey) == 504);
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 400);
+  m_client.m_isCommitStalled = nullptr;
+  // Once a submission has its outcome, a later one may be refused.
+  SetTenants({ MakeTenant("acme", { kAcmeKey }) });
+  m_client.m_isRefusing = true;
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 503);
+  m_client.m_isRefusing = false;
+  m_client.m_isPartitioned = true;
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 504);
+  m_client.m_isPartitioned = false;
+  SetTenants({ limited });
+  CHECK(Status("POST", "/q/" + kOtherId, kAcmeKey) == 400);
+}
+
+// Guards against an id that is taken as the caller's own because the entry
+// could not be read or the conflict did not carry it.
+TEST_CASE_METHOD(TenantFixture,
+                 "A job is accepted as known only with its entry",
+                 "[tenants]")
+{
+  REQUIRE(Status("POST", kJob, kAcmeKey) == 200);
+  m_client.m_areConflictValuesCut = true;
+  CHECK(Status("POST", kJob, kZestKey) == 409);
+  CHECK(Status("POST", kJob, kAcmeKey) == 200);
+  m_client.m_areConflictValuesCut = false;
+  for (const char* entry : { "[]", R"({"shard":"x"})" }) {
+    m_store.Set(kKeys.Entry(kId), entry);
+    CHECK(Status("POST", kJob, kZestKey) == 503);
+    CHECK(Status("POST", kJob, kAcmeKey) == 503);
+  }
+  CHECK(m_log.Text().find("cannot parse the stored entry") !=
+        std::string::npos);
+}
+
+// Guards against a log that callers of a public queue fill.
+TEST_CASE_METHOD(
+  TenantFixture,
+  "Refusals of callers without a tenant are logged once a second",
+  "[tenants]")
+{
+  for (int i = 0; i < 100; ++i) {
+    m_handler.Handle({ "POST", "/open/x", "h", kBody, "" },
+                     [](const ListenerResponse&) {});
+  }
+  m_loop.AdvanceBy(absl::Seconds(1));
+  m_handler.Handle({ "POST", "/open/x", "h", kBody, "" },
+                   [](const ListenerResponse&) {});
+  const std::string text = m_log.Text();
+  CHECK(std::ranges::count(text, '\n') == 2);
+  CHECK(text.find("reason=bad_job_id status=400 count=100") !=
+        std::string::npos);
+  CHECK(Refusals({ { "reason", "bad_job_id" } }) == 101);
+  for (int i = 0; i < 100; ++i) {
+    m_handler.Handle({ "POST", kPublicJob, "h", "{", "" },
+                     [](const ListenerResponse&) {});
+  }
+  CHECK(std::ranges::count(m_log.Text(), '\n') == 4);
+}
