Avoid overflows in the parts of large caps

Rounding up added the cap to the product, which overflowed for caps near 2^63: a task took 0 or negative parts. The cap is clamped as for limits now, and the remainder is tested instead. Limits are computed from at most all parts, since documents of others may name any count.

The new test fails before ("0 == 1" parts) and passes now.

--- a/tenants/cap_ledger.cpp
+++ b/tenants/cap_ledger.cpp
@@ -29,7 +29,9 @@
   if (aCap <= 0 || aAmount <= 0) {
     return 0;
   }
-  return (std::min(aAmount, kMaxAmount - 1) * kCapParts + aCap - 1) / aCap;
+  const std::int64_t cap = std::min(aCap, kMaxAmount);
+  const std::int64_t product = std::min(aAmount, kMaxAmount) * kCapParts;
+  return product / cap + (product % cap != 0 ? 1 : 0);
 }
 
 std::int64_t
@@ -149,7 +151,9 @@
     const CapShare* share = ShareOf(shard, aTenant.m_name);
     parts -= share == nullptr ? 0 : share->m_excess;
   }
-  parts = std::max<std::int64_t>(0, parts);
+  // Documents of others may name any count; more than the whole cap would
+  // overflow.
+  parts = std::clamp<std::int64_t>(parts, 0, kCapParts);
   const Resources& cap = aTenant.m_cap;
   return { .m_cpu = LimitOfOne(cap.m_cpu, parts),
            .m_memoryMb = LimitOfOne(cap.m_memoryMb, parts),
--- a/tests/tenants/test_cap_ledger.cpp
+++ b/tests/tenants/test_cap_ledger.cpp
@@ -3,6 +3,8 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace bramleystall;
 
 namespace {
@@ -62,6 +64,25 @@
   REQUIRE(CapPartsFor({}, { .m_cpu = 1 }) == 0);
 }
 
+// Guards against an overflow that lets the largest caps or amounts take
+// negative parts, and so fit always.
+TEST_CASE("The largest caps and amounts do not overflow", "[caps]")
+{
+  constexpr std::int64_t kLargest = std::numeric_limits<std::int64_t>::max();
+  REQUIRE(CapPartsFor({ .m_cpu = kLargest }, { .m_cpu = 1 }) == 1);
+  REQUIRE(CapPartsFor({ .m_cpu = kLargest }, { .m_cpu = 2 }) == 1);
+  REQUIRE(CapPartsFor({ .m_cpu = kLargest }, { .m_cpu = kLargest }) ==
+          kCapParts);
+  REQUIRE(CapPartsFor({ .m_cpu = 1'000'000 }, { .m_cpu = kLargest }) >
+          kCapParts);
+  CapLedger ledger(0, 2);
+  ledger.SetOwn({});
+  CapDocument other;
+  other.m_tenants[kTenant].m_transferred = { { 0, 1'000'000 } };
+  ledger.SetOther(1, other);
+  REQUIRE(ledger.LimitOf(MakeTenant(kLargest)).m_cpu > 0);
+}
+
 // Guards against a donor that gives away what its usage needs, or counts a part
 // that it has given.
 TEST_CASE("A donor keeps what it uses and transfers the rest", "[caps]")
