Check the cap before a step's placement is prepared

Steps that wait only for their tenant's cap built the step's name and the filters of workers at each placement before the cap was checked. The check comes right after that of the free resources now; the first task is not checked twice.

The tests of [caps] pass.

--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -222,6 +222,10 @@
       std::ranges::none_of(tasks, mayStart)) {
     return;
   }
+  if ((spec.m_isGang && !std::ranges::all_of(tasks, mayStart)) ||
+      !FitsCap(job, spec, tasks)) {
+    return;
+  }
   const std::string step =
     aActive.m_needsAdvice ? absl::StrCat(job.Id(), ".", aOccurrence, ".", aStep)
                           : "";
@@ -254,9 +258,6 @@
     return (step.empty() || ticketOf(aWorker) != nullptr) && isUsable(aWorker);
   };
   if (spec.m_isGang) {
-    if (!std::ranges::all_of(tasks, mayStart) || !FitsCap(job, spec, tasks)) {
-      return;
-    }
     const std::vector<Worker*> chosen = aPlacement.ChooseGang(tasks, filter);
     if (chosen.empty()) {
       if (aActive.m_needsAdvice) {
@@ -282,7 +283,7 @@
     if (!mayStart(task)) {
       continue;
     }
-    if (!FitsCap(job, spec, tasks)) {
+    if (hasStarted && !FitsCap(job, spec, tasks)) {
       break;
     }
     Worker* worker = aPlacement.Choose(task, filter);
