Count earlier owners' tasks as excess of a lowered cap

The excess now includes what tasks of earlier owners may use, for tenants whose cap was lowered while this owner is in charge. For other tenants it does not: their tasks are within the shard's parts, and the waiting ones among them would stop the tenant in all shards at each takeover.

A second test covers the takeover without a lower cap.

--- a/scheduler/cap_shares.cpp
+++ b/scheduler/cap_shares.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <ranges>
 #include <set>
 #include <utility>
 
@@ -45,6 +46,18 @@
     static_cast<std::int64_t>(static_cast<double>(aRecent) * kUsageDecay));
 }
 
+/** Whether a cap is lower than an earlier one for some resource. */
+bool
+IsLower(const Resources& aCap, const Resources& aEarlier)
+{
+  const auto isLower = [](std::int64_t aNew, std::int64_t aOld) {
+    return aNew > 0 && (aOld <= 0 || aNew < aOld);
+  };
+  return isLower(aCap.m_cpu, aEarlier.m_cpu) ||
+         isLower(aCap.m_memoryMb, aEarlier.m_memoryMb) ||
+         isLower(aCap.m_accelerators, aEarlier.m_accelerators);
+}
+
 }
 
 CapShares::CapShares(Environment aEnvironment,
@@ -59,6 +72,9 @@
     m_ledger.SetOwn({});
   }
   OnConfigurationChanged();
+  for (auto& [name, tenant] : m_tenants) {
+    tenant.m_isLowered = false;
+  }
 }
 
 CapShares::~CapShares()
@@ -85,6 +101,7 @@
     }
     limited.insert(spec.m_name);
     Tenant& tenant = m_tenants[spec.m_name];
+    tenant.m_isLowered |= IsLower(spec.m_cap, tenant.m_spec.m_cap);
     tenant.m_spec.m_name = spec.m_name;
     tenant.m_spec.m_cap = spec.m_cap;
     tenant.m_label = i < kMaxLabels ? spec.m_name : "other";
@@ -381,8 +398,10 @@
   if (!m_isSynchronized || !m_ledger.IsOwnKnown()) {
     return;
   }
+  const bool knowsAllRuns = m_env.m_knowsAllRuns();
+  const bool isExcessUnknown = !knowsAllRuns && AddEarlierUsage(demands);
   const CapDocument before = m_ledger.Own();
-  if (m_ledger.Update(demands, m_env.m_knowsAllRuns())) {
+  if (m_ledger.Update(demands, knowsAllRuns)) {
     m_env.m_put(m_keys.CapShares(), EncodeCapDocument(m_ledger.Own()));
     RefreshLimits();
     CountTransfers(before);
@@ -391,11 +410,27 @@
     std::ranges::any_of(m_ledger.Own().m_tenants, [](const auto& aEntry) {
       return aEntry.second.m_excess > 0;
     });
-  if (isWaiting || isExcessive || m_ledger.HasRequests()) {
+  if (isWaiting || isExcessive || isExcessUnknown || m_ledger.HasRequests()) {
     RequestUpdate();
   }
 }
 
+bool
+CapShares::AddEarlierUsage(std::vector<CapDemand>& aDemands) const
+{
+  const auto isLowered = [this](const CapDemand& aDemand) {
+    return m_tenants.at(aDemand.m_tenant->m_name).m_isLowered;
+  };
+  if (std::ranges::none_of(aDemands, isLowered)) {
+    return false;
+  }
+  const TenantUsage usage = m_env.m_earlierUsage();
+  for (CapDemand& demand : aDemands | std::views::filter(isLowered)) {
+    demand.m_earlierUsage = usage.Of(demand.m_tenant->m_name);
+  }
+  return true;
+}
+
 void
 CapShares::CountTransfers(const CapDocument& aBefore)
 {
--- a/scheduler/cap_shares.h
+++ b/scheduler/cap_shares.h
@@ -5,6 +5,7 @@
 #include "store/store_mirror.h"
 #include "tenants/cap_ledger.h"
 #include "tenants/tenant_spec.h"
+#include "tenants/tenant_usage.h"
 
 #include <absl/time/time.h>
 
@@ -42,6 +43,9 @@
     std::function<const JobConfiguration&()> m_configuration;
     /** Resources of all known tasks of a tenant that run or may run. */
     std::function<Resources(const std::string& aTenant)> m_usage;
+    /** Resources of tasks of previous owners that may run and that m_usage
+     * lacks. */
+    std::function<TenantUsage()> m_earlierUsage;
     /** Whether no task of a previous owner may run that m_usage lacks. */
     std::function<bool()> m_knowsAllRuns;
     /** Sets the revision of the own document for later writes. */
@@ -90,6 +94,8 @@
     /** Label of its metrics. */
     std::string m_label;
     Resources m_limit;
+    /** The cap was lowered while this owner was in charge. */
+    bool m_isLowered = false;
     /** Needs of the tasks that waited for the cap in the placement of this
      * number; see CapDemand. */
     std::uint64_t m_placement = 0;
@@ -111,6 +117,13 @@
   void RequestUpdate();
   void Update();
   CapDemand MeasureDemand(Tenant& aTenant) const;
+  /**
+   * Adds what tasks of previous owners may use to the demands of tenants whose
+   * cap was lowered. Without a lower cap they are within the shard's parts, and
+   * the waiting tasks among them would stop the tenant in all shards. Returns
+   * whether there are such tenants.
+   */
+  bool AddEarlierUsage(std::vector<CapDemand>& aDemands) const;
   /** Whether tasks have waited for the cap recently. */
   bool IsWaiting(const Tenant& aTenant) const;
   /** Counts the parts transferred since an earlier own document. */
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -288,6 +288,8 @@
   void CreateCapShares();
   /** Counts what runs or may run beside the placed tasks, if there are caps. */
   void BeginCapPlacement();
+  /** Adds what tasks of earlier owners may use on unresolved workers. */
+  void AddEarlierUsage(TenantUsage& aUsage) const;
   /** Whether one of the step's tasks, or the whole gang, fits its tenant's cap.
    * If not, all its waiting tasks count as waiting for the cap. */
   bool FitsCap(const Job& aJob,
--- a/scheduler/scheduler_caps.cpp
+++ b/scheduler/scheduler_caps.cpp
@@ -58,6 +58,12 @@
           usage.Add(late.Of(aTenant));
           return usage;
         },
+      .m_earlierUsage =
+        [this] {
+          TenantUsage usage;
+          AddEarlierUsage(usage);
+          return usage;
+        },
       .m_knowsAllRuns = [this] { return KnowsAllRuns(); },
       .m_setRevision =
         [this](const std::string& aKey, std::int64_t aRevision) {
@@ -92,13 +98,6 @@
     m_earlierRuns.clear();
     return;
   }
-  for (const Job* job : m_earlierJobs) {
-    if (MayRunOnUnresolvedWorker(*job)) {
-      ForEachUnknownRun(*job, [this, job](const Resources& aNeed) {
-        m_uncertainUsage.Add(job->Record().m_tenant, aNeed);
-      });
-    }
-  }
   std::erase_if(m_earlierRuns, [this](const EarlierRuns& aRuns) {
     return aRuns.m_workers &&
            std::ranges::none_of(*aRuns.m_workers,
@@ -106,8 +105,24 @@
                                   return m_unresolvedWorkers.contains(aWorker);
                                 });
   });
+  AddEarlierUsage(m_uncertainUsage);
+}
+
+void
+Scheduler::AddEarlierUsage(TenantUsage& aUsage) const
+{
+  if (m_unresolvedWorkers.empty()) {
+    return;
+  }
+  for (const Job* job : m_earlierJobs) {
+    if (MayRunOnUnresolvedWorker(*job)) {
+      ForEachUnknownRun(*job, [&aUsage, job](const Resources& aNeed) {
+        aUsage.Add(job->Record().m_tenant, aNeed);
+      });
+    }
+  }
   for (const EarlierRuns& runs : m_earlierRuns) {
-    m_uncertainUsage.Add(runs.m_tenant, runs.m_resources);
+    aUsage.Add(runs.m_tenant, runs.m_resources);
   }
 }
 
--- a/tenants/cap_ledger.cpp
+++ b/tenants/cap_ledger.cpp
@@ -183,7 +183,9 @@
     CapShare share = current == nullptr ? CapShare{} : *current;
     Request(share, demand);
     const std::int64_t excess = std::max<std::int64_t>(
-      0, CapPartsFor(tenant.m_cap, demand.m_usage) - Parts(tenant.m_name));
+      0,
+      CapPartsFor(tenant.m_cap, Sum(demand.m_usage, demand.m_earlierUsage)) -
+        Parts(tenant.m_name));
     // Until all that runs is known, the excess may be larger.
     share.m_excess = aMayTransfer ? excess : std::max(share.m_excess, excess);
     if (aMayTransfer) {
--- a/tenants/cap_ledger.h
+++ b/tenants/cap_ledger.h
@@ -23,6 +23,9 @@
   const TenantSpec* m_tenant = nullptr;
   /** Resources of all tasks that run or may run; their parts stay. */
   Resources m_usage;
+  /** What tasks of earlier owners may use beside m_usage, so far as it counts
+   * as excess. */
+  Resources m_earlierUsage;
   /** Like m_usage, but the peak of the last moments: kept while the requests
    * of others can be met without it. */
   Resources m_recentUsage;
--- a/tests/scheduler/test_cap_shares.cpp
+++ b/tests/scheduler/test_cap_shares.cpp
@@ -3,6 +3,7 @@
 #include "net/event_loop.h"
 #include "scheduler/job_keys.h"
 #include "scheduler/scheduler.h"
+#include "tenants/cap_document.h"
 #include "tests/fakes/fake_store.h"
 #include "tests/fakes/fake_workers.h"
 #include "tests/fakes/job_cluster.h"
@@ -333,6 +334,48 @@
   REQUIRE(fixture.Running("grove") == 2);
 }
 
+// Guards against a new owner that publishes no excess, so that other shards
+// start tasks, since unreachable workers have not listed what they run (R2).
+TEST_CASE("A cap lowered during a takeover counts what may still run", "[caps]")
+{
+  CapFixture fixture(2, { MakeTenant("grove", 8) });
+  fixture.m_workers.SetPlan(kRunsLong);
+  fixture.StartAll();
+  fixture.Submit(0, MakeJob("job1", 4), "grove");
+  fixture.m_loop.AdvanceBy(kStartup);
+  REQUIRE(fixture.Running("grove") == 4);
+  fixture.At(0).m_workers.m_unreachableWorkers = { "worker-0", "worker-1" };
+  fixture.Start(0);
+  fixture.m_loop.AdvanceBy(kStartup);
+  fixture.m_configuration.m_tenants.emplace(
+    std::vector{ MakeTenant("grove", 4) });
+  fixture.At(0).m_scheduler->OnConfigurationChanged();
+  fixture.At(1).m_scheduler->OnConfigurationChanged();
+  fixture.m_loop.AdvanceBy(kStartup);
+  fixture.Submit(1, MakeJob("job2", 2), "grove");
+  REQUIRE(fixture.PeakDuring(absl::Seconds(3), "grove") == 4);
+}
+
+// Guards against a takeover that publishes waiting tasks as excess, and so
+// stops the tenant in all shards although its cap is kept (R3).
+TEST_CASE("A takeover without a lower cap publishes no excess", "[caps]")
+{
+  CapFixture fixture(2, { MakeTenant("grove", 4) });
+  fixture.m_workers.SetPlan(kRunsLong);
+  fixture.StartAll();
+  fixture.Submit(0, MakeJob("job1", 8), "grove");
+  fixture.m_loop.AdvanceBy(kStartup);
+  fixture.At(0).m_workers.m_unreachableWorkers = { "worker-0", "worker-1" };
+  fixture.Start(0);
+  fixture.m_loop.AdvanceBy(absl::Seconds(1));
+  const auto document =
+    DecodeCapDocument(fixture.m_store.List(fixture.At(0).m_keys.CapShares(), "")
+                        .m_items.front()
+                        .m_value);
+  REQUIRE(document);
+  REQUIRE(document->m_tenants.at("grove").m_excess == 0);
+}
+
 // Guards against a shard that counts the parts of one that cannot transfer them
 // since it is cut off from the store.
 TEST_CASE("A shard that is cut off keeps its parts", "[caps]")
