Divide parts by what usage and the next task need

A shard published what its waiting task needs without what runs beside it. `least` now includes the usage, which is published as well, and only what exceeds the usage is rounded to tasks. Parts beyond that are divided in proportion to what the shards want, and what is left after rounding is given back in proportion.

Two new tests fail before: two shards with tasks of 3,000 and 4,500 parts (4,100 parts instead of 4,500), and 48 shards of which the idle ones keep their reserves (4,924 instead of 5,400). Both pass now, as do the other tests of [caps], including the search of interleavings.

--- a/tenants/cap_document.cpp
+++ b/tenants/cap_document.cpp
@@ -40,6 +40,7 @@
   }
   share.m_wanted = DecodeCount(aBody.at("wanted"));
   share.m_least = DecodeCount(aBody.at("least"));
+  share.m_used = DecodeCount(aBody.at("used"));
   share.m_waitingSinceS = DecodeCount(aBody.at("waiting_since_s"));
   share.m_excess = DecodeCount(aBody.at("excess"));
   return share;
@@ -59,6 +60,7 @@
     tenants[name] = { { "transferred", std::move(transferred) },
                       { "wanted", share.m_wanted },
                       { "least", share.m_least },
+                      { "used", share.m_used },
                       { "waiting_since_s", share.m_waitingSinceS },
                       { "excess", share.m_excess } };
   }
--- a/tenants/cap_document.h
+++ b/tenants/cap_document.h
@@ -18,8 +18,11 @@
   std::map<int, std::int64_t> m_transferred;
   /** Parts that the shard needs in total; 0 if it requests none. */
   std::int64_t m_wanted = 0;
-  /** Parts that its first waiting task, or gang, needs. */
+  /** Parts that its usage and its first waiting task, or gang, need together;
+   * with less, the task cannot start. */
   std::int64_t m_least = 0;
+  /** Parts that its usage needs while it requests parts; else 0. */
+  std::int64_t m_used = 0;
   /** Wall-clock time in s since the Unix epoch of the last start, or of the
    * request if there was none since; orders equal requests. */
   std::int64_t m_waitingSinceS = 0;
--- a/tenants/cap_ledger.cpp
+++ b/tenants/cap_ledger.cpp
@@ -203,23 +203,29 @@
 CapLedger::Request(CapShare& aShare, const CapDemand& aDemand) const
 {
   const Resources& cap = aDemand.m_tenant->m_cap;
-  const std::int64_t least = CapPartsFor(cap, aDemand.m_firstWaiting);
   // A task that exceeds the whole cap would take parts without ever starting.
-  if (!aDemand.IsWaiting() || least > kCapParts) {
+  if (!aDemand.IsWaiting() ||
+      CapPartsFor(cap, aDemand.m_firstWaiting) > kCapParts) {
     aShare.m_wanted = 0;
     aShare.m_least = 0;
+    aShare.m_used = 0;
     aShare.m_waitingSinceS = 0;
     return;
   }
+  const std::int64_t used =
+    std::min(kCapParts, CapPartsFor(cap, aDemand.m_usage));
+  const std::int64_t least = std::min(
+    kCapParts, CapPartsFor(cap, Sum(aDemand.m_usage, aDemand.m_firstWaiting)));
   const std::int64_t wanted =
     std::clamp(CapPartsFor(cap, Sum(aDemand.m_usage, aDemand.m_waiting)),
                least,
                kCapParts);
   if (aShare.m_wanted == 0 || DiffersMuch(aShare.m_wanted, wanted) ||
-      least != aShare.m_least ||
+      least != aShare.m_least || used != aShare.m_used ||
       aDemand.m_waitingSinceS != aShare.m_waitingSinceS) {
     aShare.m_wanted = wanted;
     aShare.m_least = least;
+    aShare.m_used = used;
     aShare.m_waitingSinceS = aDemand.m_waitingSinceS;
   }
 }
@@ -243,6 +249,7 @@
                        .m_parts = PartsOf(shard, tenant.m_name),
                        .m_wanted = std::min(share->m_wanted, kCapParts),
                        .m_least = std::min(share->m_least, kCapParts),
+                       .m_used = std::min(share->m_used, kCapParts),
                        .m_waitingSinceS = share->m_waitingSinceS });
   }
   if (std::ranges::all_of(claims, [](const Claim& aClaim) {
@@ -254,11 +261,13 @@
   claims.push_back(
     { .m_shard = m_shard,
       .m_parts = parts,
-      .m_wanted =
-        isRequesting
-          ? aShare.m_wanted
-          : CapPartsFor(tenant.m_cap, aDemand.m_recentUsage) + kReserveParts,
+      .m_wanted = isRequesting ? aShare.m_wanted
+                               : std::min(kCapParts,
+                                          CapPartsFor(tenant.m_cap,
+                                                      aDemand.m_recentUsage) +
+                                            kReserveParts),
       .m_least = aShare.m_least,
+      .m_used = aShare.m_used,
       .m_waitingSinceS = aShare.m_waitingSinceS });
   Divide(claims);
   const Claim own = claims.back();
@@ -291,32 +300,25 @@
     pool += claim.m_parts;
     order.push_back(&claim);
   }
-  // What one task needs, smallest first, so that as many shards as possible can
-  // start one. Shards that request nothing may hold more than is known here.
+  // What the usage and one more task need, smallest first, so that as many
+  // shards as possible can start one. Shards that request nothing may hold more
+  // than is known here.
   std::ranges::sort(order, {}, [](const Claim* aClaim) {
     return std::tuple(
       aClaim->m_least, aClaim->m_waitingSinceS, aClaim->m_shard);
   });
   std::int64_t left = kCapParts;
   for (Claim* claim : order) {
-    if (claim->m_least <= left) {
-      claim->m_target = claim->m_least;
-      left -= claim->m_least;
-      pool -= claim->m_least;
-    }
+    claim->m_target =
+      claim->m_least <= left ? claim->m_least : std::min(claim->m_used, left);
+    left -= claim->m_target;
   }
-  // The rest in proportion to what each needs beyond that.
-  std::int64_t needed = 0;
+  std::int64_t wanted = 0;
   for (const Claim* claim : order) {
-    needed += std::max<std::int64_t>(0, claim->m_wanted - claim->m_target);
-  }
-  const bool isScarce = pool < needed;
-  pool = std::clamp<std::int64_t>(pool, 0, needed);
-  for (Claim* claim : order) {
-    const std::int64_t need =
-      std::max<std::int64_t>(0, claim->m_wanted - claim->m_target);
-    claim->m_target += needed > 0 ? pool * need / needed : 0;
+    wanted += claim->m_wanted;
   }
+  const bool isScarce = pool < wanted;
+  Spread(order, std::min(pool, wanted));
   // A claim that requests nothing is one of several donors: each adds a part of
   // what makes up a task.
   if (isScarce && std::ranges::all_of(order, [](const Claim* aClaim) {
@@ -326,21 +328,62 @@
   }
 }
 
+void
+CapLedger::Spread(const std::vector<Claim*>& aClaims, std::int64_t aPool)
+{
+  // Claims whose target so far exceeds their proportion keep it, which leaves
+  // less for the others.
+  std::vector<Claim*> open = aClaims;
+  std::int64_t pool = aPool;
+  std::int64_t wanted = 0;
+  const auto proportion = [&pool, &wanted](const Claim* aClaim) {
+    return wanted > 0
+             ? std::max<std::int64_t>(0, pool) * aClaim->m_wanted / wanted
+             : 0;
+  };
+  for (std::size_t before = open.size() + 1; open.size() < before;) {
+    before = open.size();
+    wanted = 0;
+    for (const Claim* claim : open) {
+      wanted += claim->m_wanted;
+    }
+    std::int64_t kept = 0;
+    std::erase_if(open, [&](const Claim* aClaim) {
+      const bool isAbove = aClaim->m_target > proportion(aClaim);
+      kept += isAbove ? aClaim->m_target : 0;
+      return isAbove;
+    });
+    pool -= kept;
+  }
+  for (Claim* claim : open) {
+    claim->m_target = proportion(claim);
+  }
+}
+
 void
 CapLedger::RoundToTasks(const std::vector<Claim*>& aClaims)
 {
   std::int64_t left = 0;
   for (Claim* claim : aClaims) {
-    const std::int64_t fraction = claim->m_target % claim->m_least;
+    const std::int64_t fraction =
+      std::max<std::int64_t>(0, claim->m_target - claim->m_used) %
+      claim->Task();
     claim->m_target -= fraction;
     left += fraction;
   }
+  std::int64_t lacking = 0;
   for (Claim* claim : aClaims) {
-    if (claim->m_least <= left &&
-        claim->m_target + claim->m_least <= claim->m_wanted) {
-      claim->m_target += claim->m_least;
-      left -= claim->m_least;
+    if (claim->Task() <= left &&
+        claim->m_target + claim->Task() <= claim->m_wanted) {
+      claim->m_target += claim->Task();
+      left -= claim->Task();
     }
+    lacking += std::max<std::int64_t>(0, claim->m_wanted - claim->m_target);
+  }
+  for (Claim* claim : aClaims) {
+    const std::int64_t lack =
+      std::max<std::int64_t>(0, claim->m_wanted - claim->m_target);
+    claim->m_target += lack > 0 ? left * lack / lacking : 0;
   }
 }
 
--- a/tenants/cap_ledger.h
+++ b/tenants/cap_ledger.h
@@ -93,6 +93,7 @@
     std::int64_t m_parts = 0;
     std::int64_t m_wanted = 0;
     std::int64_t m_least = 0;
+    std::int64_t m_used = 0;
     std::int64_t m_waitingSinceS = 0;
     std::int64_t m_target = 0;
 
@@ -100,7 +101,12 @@
     {
       return m_target > m_parts ? m_target - m_parts : 0;
     }
-    /** Has not enough parts for one task, and is to get them. */
+    /** Parts of one task. */
+    std::int64_t Task() const
+    {
+      return m_least > m_used ? m_least - m_used : 1;
+    }
+    /** Has not enough parts for one more task, and is to get them. */
     bool IsStarved() const { return m_parts < m_least && m_target >= m_least; }
   };
 
@@ -112,8 +118,12 @@
   void Transfer(CapShare& aShare, const CapDemand& aDemand) const;
   /** Sets the targets of all claims. */
   static void Divide(std::vector<Claim>& aClaims);
-  /** Lets the targets of scarce parts be multiples of what one task needs:
-   * fractions of tasks in several shards would stay unused. */
+  /** Divides aPool in proportion to what the claims want; none gets less than
+   * its target so far, or more than it wants. */
+  static void Spread(const std::vector<Claim*>& aClaims, std::int64_t aPool);
+  /** Lets what the targets of scarce parts add to the usage be multiples of
+   * what one task needs: fractions of tasks in several shards would stay
+   * unused. What is left is divided in proportion to what each lacks. */
   static void RoundToTasks(const std::vector<Claim*>& aClaims);
 
   int m_shard;
--- a/tests/fakes/cap_model.cpp
+++ b/tests/fakes/cap_model.cpp
@@ -43,6 +43,8 @@
                     ",",
                     share.m_least,
                     ",",
+                    share.m_used,
+                    ",",
                     share.m_waitingSinceS,
                     ",",
                     share.m_excess);
--- a/tests/tenants/test_cap_ledger.cpp
+++ b/tests/tenants/test_cap_ledger.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <limits>
+#include <vector>
 
 using namespace bramleystall;
 
@@ -131,6 +132,71 @@
   REQUIRE(holder.Parts(kTenant) <= 5100);
 }
 
+// Guards against shards that each keep a fraction of a task for good, since a
+// waiting task counts without what runs beside it (R3).
+TEST_CASE("One of two large tasks gets the parts that it lacks", "[caps]")
+{
+  const TenantSpec tenant = MakeTenant(10'000);
+  CapDocument first;
+  first.m_tenants[kTenant].m_transferred = { { 1, 900 } };
+  CapLedger a(0, 2);
+  CapLedger b(1, 2);
+  a.SetOwn(first);
+  b.SetOwn({});
+  b.SetOther(0, first);
+  CapDemand demandA = MakeDemand(tenant, 1500, 3000);
+  demandA.m_firstWaiting.m_cpu = 3000;
+  CapDemand demandB = MakeDemand(tenant, 1500, 4500);
+  demandB.m_firstWaiting.m_cpu = 4500;
+  REQUIRE(a.Parts(kTenant) == 4100);
+  REQUIRE(b.Parts(kTenant) == 5900);
+  for (int i = 0; i < 5; ++i) {
+    a.Update({ demandA }, true);
+    b.SetOther(0, a.Own());
+    b.Update({ demandB }, true);
+    a.SetOther(1, b.Own());
+  }
+  REQUIRE(a.Parts(kTenant) >= 1500 + 3000);
+  REQUIRE(a.Parts(kTenant) + b.Parts(kTenant) == kCapParts);
+}
+
+// Guards against reserves that many idle shards keep although another shard
+// lacks parts for its next task (R3).
+TEST_CASE("Idle shards give their reserves to one that lacks parts", "[caps]")
+{
+  constexpr int kShards = 48;
+  constexpr std::int64_t kIdleParts = 108;
+  const TenantSpec tenant = MakeTenant(10'000);
+  std::vector<CapLedger> ledgers;
+  std::vector<CapDocument> documents(kShards);
+  for (int i = 1; i < kShards; ++i) {
+    const std::int64_t initial = kCapParts / kShards + (i < 16 ? 1 : 0);
+    documents.at(i).m_tenants[kTenant].m_transferred = {
+      { 0, initial - kIdleParts }
+    };
+  }
+  for (int i = 0; i < kShards; ++i) {
+    ledgers.emplace_back(i, kShards);
+    ledgers.back().SetOwn(documents.at(i));
+    for (int other = 0; other < kShards; ++other) {
+      if (other != i) {
+        ledgers.back().SetOther(other, documents.at(other));
+      }
+    }
+  }
+  REQUIRE(ledgers.front().Parts(kTenant) >= 4900);
+  REQUIRE(ledgers.front().Parts(kTenant) < 5400);
+  CapDemand demand = MakeDemand(tenant, 4900, 500);
+  demand.m_firstWaiting.m_cpu = 500;
+  ledgers.front().Update({ demand }, true);
+  for (int i = 1; i < kShards; ++i) {
+    ledgers.at(i).SetOther(0, ledgers.front().Own());
+    ledgers.at(i).Update({ MakeDemand(tenant, 0, 0) }, true);
+    ledgers.front().SetOther(i, ledgers.at(i).Own());
+  }
+  REQUIRE(ledgers.front().Parts(kTenant) >= 5400);
+}
+
 // Guards against a document that reads back differently, or that is accepted
 // although its counts cannot be right.
 TEST_CASE("Cap documents are read back and checked", "[caps]")
@@ -139,11 +205,12 @@
   document.m_tenants["a \"name\""] = { .m_transferred = { { 1, 20 }, { 3, 4 } },
                                        .m_wanted = 5,
                                        .m_least = 2,
+                                       .m_used = 1,
                                        .m_waitingSinceS = 1'700'000'000,
                                        .m_excess = 7 };
   REQUIRE(DecodeCapDocument(EncodeCapDocument(document)) == document);
   const std::string rest =
-    R"("wanted":0,"least":0,"waiting_since_s":0,"excess":0}}})";
+    R"("wanted":0,"least":0,"used":0,"waiting_since_s":0,"excess":0}}})";
   const std::string start = R"({"tenants":{"a":{"transferred":)";
   REQUIRE(DecodeCapDocument(absl::StrCat(start, R"({"1":5},)", rest)));
   for (const char* transferred : { R"({"1":-5},)",
