Avoid a view that the linter cannot parse

clang-tidy reports errors for std::views::filter on this standard library. A loop with a condition replaces it.

--- a/scheduler/cap_shares.cpp
+++ b/scheduler/cap_shares.cpp
@@ -12,7 +12,6 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -425,8 +424,10 @@
     return false;
   }
   const TenantUsage usage = m_env.m_earlierUsage();
-  for (CapDemand& demand : aDemands | std::views::filter(isLowered)) {
-    demand.m_earlierUsage = usage.Of(demand.m_tenant->m_name);
+  for (CapDemand& demand : aDemands) {
+    if (isLowered(demand)) {
+      demand.m_earlierUsage = usage.Of(demand.m_tenant->m_name);
+    }
   }
   return true;
 }
