Bound the published excess by the whole cap

A usage far above a small cap gave an excess that other shards could not decode, so that they counted no transfer from this shard. More than the whole cap has no further effect.

The extended test of the largest amounts fails before and passes now.

--- a/tenants/cap_ledger.cpp
+++ b/tenants/cap_ledger.cpp
@@ -182,10 +182,12 @@
     const CapShare* current = ShareOf(m_shard, tenant.m_name);
     CapShare share = current == nullptr ? CapShare{} : *current;
     Request(share, demand);
-    const std::int64_t excess = std::max<std::int64_t>(
-      0,
+    // More than the whole cap has no further effect, and could not be decoded.
+    const std::int64_t excess = std::clamp<std::int64_t>(
       CapPartsFor(tenant.m_cap, Sum(demand.m_usage, demand.m_earlierUsage)) -
-        Parts(tenant.m_name));
+        Parts(tenant.m_name),
+      0,
+      kCapParts);
     // Until all that runs is known, the excess may be larger.
     share.m_excess = aMayTransfer ? excess : std::max(share.m_excess, excess);
     if (aMayTransfer) {
--- a/tests/tenants/test_cap_ledger.cpp
+++ b/tests/tenants/test_cap_ledger.cpp
@@ -82,6 +82,9 @@
   other.m_tenants[kTenant].m_transferred = { { 0, 1'000'000 } };
   ledger.SetOther(1, other);
   REQUIRE(ledger.LimitOf(MakeTenant(kLargest)).m_cpu > 0);
+  const TenantSpec smallest = MakeTenant(1);
+  ledger.Update({ MakeDemand(smallest, kLargest, 0) }, true);
+  REQUIRE(DecodeCapDocument(EncodeCapDocument(ledger.Own())));
 }
 
 // Guards against a donor that gives away what its usage needs, or counts a part
