--- a/scheduler/cap_shares.cpp
+++ b/scheduler/cap_shares.cpp
@@ -4,6 +4,7 @@
 #include "core/metrics.h"
 #include "jobs/job_configuration.h"
 #include "net/event_loop.h"
+#include "tenants/tenant_label.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -34,8 +35,6 @@
 constexpr absl::Duration kUsageAge = absl::Seconds(1);
 /** Time between two log lines about a tenant that waits. */
 constexpr absl::Duration kLogInterval = absl::Seconds(10);
-/** Tenants whose metrics have their own label; bounds the label's values. */
-constexpr std::size_t kMaxLabels = 64;
 
 std::int64_t
 Decay(std::int64_t aRecent, std::int64_t aNow)
@@ -93,8 +92,7 @@
     return;
   }
   std::set<std::string> limited;
-  for (std::size_t i = 0; i < directory->Tenants().size(); ++i) {
-    const TenantSpec& spec = directory->Tenants()[i];
+  for (const TenantSpec& spec : directory->Tenants()) {
     if (!spec.HasCap()) {
       continue;
     }
@@ -103,7 +101,7 @@
     tenant.m_isLowered |= IsLower(spec.m_cap, tenant.m_spec.m_cap);
     tenant.m_spec.m_name = spec.m_name;
     tenant.m_spec.m_cap = spec.m_cap;
-    tenant.m_label = i < kMaxLabels ? spec.m_name : "other";
+    tenant.m_label = TenantLabel(*directory, spec.m_name);
   }
   std::erase_if(m_tenants, [&limited](const auto& aEntry) {
     return !limited.contains(aEntry.first);
