--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -14,6 +14,7 @@
 #include "scheduler/job_ranking.h"
 #include "scheduler/late_starts.h"
 #include "scheduler/ownership.h"
+#include "scheduler/placed_start.h"
 #include "scheduler/progress_writer.h"
 #include "scheduler/release_proof.h"
 #include "scheduler/scheduler_settings.h"
@@ -480,16 +481,6 @@
   bool m_hasWorkers = false;
   bool m_isRunning = false;
   bool m_isPlacementDue = false;
-  /** A start that is sent once its worker is stored with the job. */
-  struct PlacedStart
-  {
-    std::string m_task;
-    std::int64_t m_attempt = 0;
-    std::string m_worker;
-    std::string m_ticket;
-    /** Job::ForgetCount at the placement. */
-    int m_forgetCount = 0;
-  };
   std::vector<PlacedStart> m_placedStarts;
   /** Workers that have to respond before a task can start there. */
   std::set<std::string> m_workersToAsk;
--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -435,7 +435,8 @@
                                 const StoreItem& aEntry,
                                 const char* aHow)
 {
-  const auto entry = DecodeStoredEntry(aSubmission.m_call, aEntry);
+  const auto entry =
+    DecodeStoredEntry(aSubmission.m_call, aEntry, kOutcomeUnknown);
   if (!entry) {
     return;
   }
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -130,9 +130,10 @@
                            int aShard,
                            std::function<void()> aOnNone);
   /** Decodes the entry of a job. If it is malformed, logs this and refuses the
-   * request itself. */
+   * request itself with the status. */
   std::optional<JobEntry> DecodeStoredEntry(const JobCall& aCall,
-                                            const StoreItem& aItem);
+                                            const StoreItem& aItem,
+                                            int aStatus);
   /**
    * Reads the entry of a job. Refuses the request itself when there is none,
    * the job belongs to another tenant, or the store is unavailable.
--- a/server/job_request_handler_queries.cpp
+++ b/server/job_request_handler_queries.cpp
@@ -130,14 +130,15 @@
 
 std::optional<JobEntry>
 JobRequestHandler::DecodeStoredEntry(const JobCall& aCall,
-                                     const StoreItem& aItem)
+                                     const StoreItem& aItem,
+                                     int aStatus)
 {
   auto entry = DecodeJobEntry(aItem.m_value);
   if (!entry) {
     LogError(
       LogPart::Server,
       absl::StrCat("cannot parse the stored entry of a job; job=", aCall.m_id));
-    Refuse(aCall, "unreadable_entry", kUnavailable);
+    Refuse(aCall, "unreadable_entry", aStatus);
   }
   return entry;
 }
@@ -154,7 +155,7 @@
               Refuse(aCall, "unknown_job", kGone);
               return;
             }
-            const auto entry = DecodeStoredEntry(aCall, *aItem);
+            const auto entry = DecodeStoredEntry(aCall, *aItem, kUnavailable);
             if (!entry) {
               return;
             }
