Leave turns to descriptors between timers without delay

Cause: EventLoop::RunTimers ran timers as long as one was due, those included that its callbacks added. HttpListener runs libmicrohttpd again by a timer without delay as long as it has unread data, so with clients that never stop sending the loop stayed in RunTimers: no store response, lease renewal or readiness check was handled.

Timers that are added while timers run now wait for the next iteration. Each iteration handles the descriptors that are ready, so both alternate.

--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -188,7 +188,13 @@
 void
 EventLoop::RunTimers()
 {
-  while (!m_timers.empty() && m_timers.begin()->first.first <= m_now) {
+  // Timers that are added meanwhile wait for the next iteration, so that
+  // descriptors are handled between two runs of a timer without delay.
+  const TimerId end = m_nextTimer;
+  const auto isDue = [this, end](const std::pair<absl::Time, TimerId>& aKey) {
+    return aKey.first <= m_now && aKey.second < end;
+  };
+  while (!m_timers.empty() && isDue(m_timers.begin()->first)) {
     auto node = m_timers.extract(m_timers.begin());
     m_timerTimes.erase(node.key().second);
     node.mapped()();
--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -52,8 +52,8 @@
              DescriptorCallback aCallback);
   void Unwatch(int aDescriptor);
 
-  /** Calls back once, the given delay after Now(). Cancel accepts the returned
-   * id. */
+  /** Calls back once, the given delay after Now(), but not before the next
+   * iteration if a timer's callback adds it. Cancel accepts the returned id. */
   TimerId After(absl::Duration aDelay, Callback aCallback);
   void Cancel(TimerId aTimer);
 
--- a/tests/daemon/test_untrusted_callers.cpp
+++ b/tests/daemon/test_untrusted_callers.cpp
@@ -39,12 +39,19 @@
   void Check(const CrowdScenario& aScenario, std::uint16_t aPort)
   {
     CheckCrowd(m_deployment.Daemon(0), m_bounds, aScenario, aPort, [this] {
-      ClientRequest request;
-      request.m_url = m_deployment.CallerUrl(0) + "/norte/renewals/1";
-      return StatusWithRetries(request) == 200;
+      return IsServed();
     });
   }
 
+  /** Lets a crowd meet the caller port that comes again at once. */
+  void CheckReturning(const CrowdScenario& aScenario)
+  {
+    CheckReturningCrowd(
+      m_deployment.Daemon(0), m_bounds, aScenario, kCallerPort, [this] {
+        return IsServed();
+      });
+  }
+
   /** Whether the admin port answers. */
   static bool IsAdminReachable()
   {
@@ -54,6 +61,14 @@
   }
 
 private:
+  /** Whether an ordinary caller is served. */
+  bool IsServed()
+  {
+    ClientRequest request;
+    request.m_url = m_deployment.CallerUrl(0) + "/norte/renewals/1";
+    return StatusWithRetries(request) == 200;
+  }
+
   CrowdBounds m_bounds;
   Deployment m_deployment;
 };
@@ -157,3 +172,12 @@
     DeploymentFixture(kDescriptorBounds).Check(crowds.HalfHeads(), kAdminPort);
   }
 }
+
+// Guards against a crowd that keeps the daemon busy, so that ordinary callers
+// get no response.
+TEST_CASE("Small chunks that keep coming leave a daemon usable",
+          "[daemon][process][untrusted]")
+{
+  DeploymentFixture(kMemoryBounds)
+    .CheckReturning(CallerCrowds().ReturningSmallChunks());
+}
--- a/tests/daemon/test_untrusted_job_clients.cpp
+++ b/tests/daemon/test_untrusted_job_clients.cpp
@@ -71,6 +71,14 @@
     });
   }
 
+  /** Lets a crowd meet the caller port that comes again at once. */
+  void CheckReturning(const CrowdScenario& aScenario)
+  {
+    CheckReturningCrowd(*m_process, m_bounds, aScenario, kCallerPort, [this] {
+      return Submit() == 200;
+    });
+  }
+
 private:
   static json Configuration()
   {
@@ -223,3 +231,12 @@
     JobDaemonFixture(kDescriptorBounds).Check(crowds.HalfHeads(), kReadyPort);
   }
 }
+
+// Guards against a crowd that keeps the daemon busy, so that ordinary callers
+// get no response.
+TEST_CASE("Small chunks that keep coming leave a job daemon usable",
+          "[daemon][process][untrusted]")
+{
+  JobDaemonFixture(kMemoryBounds)
+    .CheckReturning(SubmissionCrowds().ReturningSmallChunks());
+}
--- a/tests/fakes/client_crowd.cpp
+++ b/tests/fakes/client_crowd.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <iterator>
 #include <stdexcept>
 #include <string_view>
 #include <utility>
@@ -37,29 +38,39 @@
 }
 
 std::size_t
-ClientCrowd::RequestBytes() const
+ClientCrowd::RequestBytes(const Connection& aConnection) const
 {
-  return m_request.m_head.size() + m_request.m_bodyBytes;
+  return aConnection.m_head.size() + m_request.m_bodyBytes;
 }
 
-void
-ClientCrowd::Connect(std::size_t aConnections)
+ClientCrowd::Connection
+ClientCrowd::Connect()
 {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(m_port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  for (std::size_t i = 0; i < aConnections; ++i) {
-    const int descriptor =
-      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (descriptor < 0) {
-      throw std::runtime_error("crowd: no descriptor for a connection");
-    }
-    const int result = connect(
-      descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-    const bool isRefused = result != 0 && errno != EINPROGRESS;
-    m_connections.push_back({ descriptor, 0, isRefused });
+  const int descriptor =
+    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    throw std::runtime_error("crowd: no descriptor for a connection");
   }
+  const int result = connect(
+    descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  const std::size_t number = m_requestCount++;
+  return { .m_socket = descriptor,
+           .m_head = m_request.m_makeHead ? m_request.m_makeHead(number)
+                                          : m_request.m_head,
+           .m_isClosed = result != 0 && errno != EINPROGRESS };
+}
+
+void
+ClientCrowd::ConnectAll(std::size_t aConnections)
+{
+  m_connections.reserve(aConnections);
+  std::generate_n(std::back_inserter(m_connections), aConnections, [this] {
+    return Connect();
+  });
 }
 
 bool
@@ -67,8 +78,8 @@
 {
   std::size_t left = m_request.m_pieceBytes;
   while (!aConnection.m_isClosed && left > 0 &&
-         aConnection.m_sent < RequestBytes()) {
-    std::string_view next = m_request.m_head;
+         aConnection.m_sent < RequestBytes(aConnection)) {
+    std::string_view next = aConnection.m_head;
     if (aConnection.m_sent < next.size()) {
       next.remove_prefix(aConnection.m_sent);
     } else {
@@ -76,7 +87,8 @@
       next = m_request.m_bodyBlock;
       next.remove_prefix(position % next.size());
     }
-    next = next.substr(0, std::min(left, RequestBytes() - aConnection.m_sent));
+    next = next.substr(
+      0, std::min(left, RequestBytes(aConnection) - aConnection.m_sent));
     const ssize_t sent = send(aConnection.m_socket,
                               next.data(),
                               next.size(),
@@ -102,6 +114,7 @@
     received > 0 || (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK ||
                                       errno == ENOTCONN));
   aConnection.m_isClosed = aConnection.m_isClosed || !isOpen;
+  aConnection.m_hasResponse = aConnection.m_hasResponse || received > 0;
   return received >= 0 || !isOpen;
 }
 
@@ -111,7 +124,7 @@
                  absl::Duration aStallTime,
                  absl::Duration aMaxTime)
 {
-  Connect(aConnections);
+  ConnectAll(aConnections);
   const absl::Time end = absl::Now() + aMaxTime;
   absl::Time lastProgress = absl::Now();
   absl::Time nextSample = absl::Now();
@@ -137,6 +150,30 @@
   aSample();
 }
 
+void
+ClientCrowd::RunReturning(std::size_t aConnections,
+                          const std::atomic<bool>& aIsStopped,
+                          std::atomic<std::size_t>& aSentBytes)
+{
+  ConnectAll(aConnections);
+  while (!aIsStopped) {
+    bool hasProgress = false;
+    for (Connection& connection : m_connections) {
+      const std::size_t sentBefore = connection.m_sent;
+      hasProgress = SendPiece(connection) || hasProgress;
+      aSentBytes += connection.m_sent - sentBefore;
+      hasProgress = DiscardResponse(connection) || hasProgress;
+      if (connection.m_isClosed || connection.m_hasResponse) {
+        close(connection.m_socket);
+        connection = Connect();
+      }
+    }
+    if (!hasProgress) {
+      absl::SleepFor(kIdlePause);
+    }
+  }
+}
+
 std::size_t
 ClientCrowd::OpenCount() const
 {
--- a/tests/fakes/crowd_check.h
+++ b/tests/fakes/crowd_check.h
@@ -10,9 +10,11 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <iostream>
+#include <thread>
 
 namespace bramleystall {
 
@@ -52,9 +54,45 @@
   return status;
 }
 
-/** Lets a crowd meet a daemon. Checks that the process lives, that it stayed
- * within its bounds, and that an ordinary request then succeeds while the
- * crowd's connections are open. */
+/** What a daemon did while it met a crowd. */
+struct CrowdOutcome
+{
+  /** Connections that the crowd has open at the end. */
+  std::size_t m_open = 0;
+  std::size_t m_idleMemory = 0;
+  std::size_t m_peakMemory = 0;
+  /** Largest number of descriptors that was seen. */
+  std::size_t m_descriptors = 0;
+  bool m_isServed = false;
+};
+
+/** Checks that the process lives, that it stayed within its bounds, and that
+ * the ordinary request succeeded. */
+inline void
+CheckOutcome(ChildProcess& aProcess,
+             const CrowdBounds& aBounds,
+             const CrowdScenario& aScenario,
+             std::uint16_t aPort,
+             const CrowdOutcome& aOutcome)
+{
+  std::cout << "crowd \"" << aScenario.m_name << "\" at port " << aPort
+            << ": connections=" << aScenario.m_connections
+            << " open=" << aOutcome.m_open
+            << " idle_kb=" << aOutcome.m_idleMemory / 1024
+            << " peak_kb=" << aOutcome.m_peakMemory / 1024
+            << " descriptors=" << aOutcome.m_descriptors
+            << " served=" << aOutcome.m_isServed << std::endl;
+  INFO("crowd \"" << aScenario.m_name << "\" at port " << aPort);
+  CHECK_FALSE(aProcess.Wait(absl::ZeroDuration()).has_value());
+  CHECK(aOutcome.m_peakMemory < static_cast<std::size_t>(aBounds.m_memoryMb)
+                                  << 20U);
+  CHECK(aOutcome.m_descriptors <
+        static_cast<std::size_t>(aBounds.m_maxDescriptors));
+  CHECK(aOutcome.m_isServed);
+}
+
+/** Lets a crowd meet a daemon, and sends an ordinary request while the crowd's
+ * connections are open. */
 inline void
 CheckCrowd(ChildProcess& aProcess,
            const CrowdBounds& aBounds,
@@ -62,26 +100,54 @@
            std::uint16_t aPort,
            const std::function<bool()>& aOrdinaryRequest)
 {
-  const std::size_t idleMemory = PeakMemoryBytes(aProcess.Pid());
-  std::size_t descriptors = 0;
+  CrowdOutcome outcome{ .m_idleMemory = PeakMemoryBytes(aProcess.Pid()) };
   const auto sample = [&] {
-    descriptors = std::max(descriptors, OpenDescriptors(aProcess.Pid()));
+    outcome.m_descriptors =
+      std::max(outcome.m_descriptors, OpenDescriptors(aProcess.Pid()));
   };
   ClientCrowd crowd(aPort, aScenario.m_request);
   crowd.Run(aScenario.m_connections, sample);
-  const bool isServed = aOrdinaryRequest();
+  outcome.m_isServed = aOrdinaryRequest();
   sample();
-  const std::size_t memory = PeakMemoryBytes(aProcess.Pid());
-  std::cout << "crowd \"" << aScenario.m_name << "\" at port " << aPort
-            << ": connections=" << aScenario.m_connections
-            << " open=" << crowd.OpenCount() << " idle_kb=" << idleMemory / 1024
-            << " peak_kb=" << memory / 1024 << " descriptors=" << descriptors
-            << " served=" << isServed << std::endl;
-  INFO("crowd \"" << aScenario.m_name << "\" at port " << aPort);
-  CHECK_FALSE(aProcess.Wait(absl::ZeroDuration()).has_value());
-  CHECK(memory < static_cast<std::size_t>(aBounds.m_memoryMb) << 20U);
-  CHECK(descriptors < static_cast<std::size_t>(aBounds.m_maxDescriptors));
-  CHECK(isServed);
+  outcome.m_peakMemory = PeakMemoryBytes(aProcess.Pid());
+  outcome.m_open = crowd.OpenCount();
+  CheckOutcome(aProcess, aBounds, aScenario, aPort, outcome);
+}
+
+/** Like CheckCrowd, with a crowd that opens a new connection in place of each
+ * one that was closed or has got a response, also during the ordinary request.
+ */
+inline void
+CheckReturningCrowd(ChildProcess& aProcess,
+                    const CrowdBounds& aBounds,
+                    const CrowdScenario& aScenario,
+                    std::uint16_t aPort,
+                    const std::function<bool()>& aOrdinaryRequest)
+{
+  constexpr std::size_t kBytesBeforeRequest = std::size_t{ 64 } << 20U;
+  constexpr absl::Duration kMaxWait = absl::Seconds(10);
+  CrowdOutcome outcome{ .m_idleMemory = PeakMemoryBytes(aProcess.Pid()) };
+  const auto sample = [&] {
+    outcome.m_descriptors =
+      std::max(outcome.m_descriptors, OpenDescriptors(aProcess.Pid()));
+  };
+  ClientCrowd crowd(aPort, aScenario.m_request);
+  std::atomic<bool> isStopped = false;
+  std::atomic<std::size_t> sentBytes = 0;
+  std::thread sender(
+    [&] { crowd.RunReturning(aScenario.m_connections, isStopped, sentBytes); });
+  const absl::Time end = absl::Now() + kMaxWait;
+  while (sentBytes < kBytesBeforeRequest && absl::Now() < end) {
+    sample();
+    absl::SleepFor(absl::Milliseconds(20));
+  }
+  outcome.m_isServed = aOrdinaryRequest();
+  isStopped = true;
+  sender.join();
+  sample();
+  outcome.m_peakMemory = PeakMemoryBytes(aProcess.Pid());
+  outcome.m_open = crowd.OpenCount();
+  CheckOutcome(aProcess, aBounds, aScenario, aPort, outcome);
 }
 
 }
--- a/tests/fakes/crowd_scenarios.h
+++ b/tests/fakes/crowd_scenarios.h
@@ -62,6 +62,15 @@
                kWholePiece } };
   }
 
+  /** For crowds that come again at once. */
+  CrowdScenario ReturningSmallChunks() const
+  {
+    CrowdScenario scenario = SmallChunks();
+    scenario.m_name = "small chunks that keep coming";
+    scenario.m_connections = kReturningConnections;
+    return scenario;
+  }
+
   CrowdScenario AnnouncedOversize() const
   {
     return { "announced oversize",
@@ -97,6 +106,7 @@
 private:
   /** Their bodies together are 79 MB. */
   static constexpr std::size_t kBodyConnections = 300;
+  static constexpr std::size_t kReturningConnections = 100;
   static constexpr std::size_t kOversizeConnections = 100;
   /** More than the descriptors of the settings with few of them. */
   static constexpr std::size_t kIdleConnections = 400;
