Read request bodies in bounded turns of the event loop

With 100 connections that send chunks of one byte, a job daemon read 91,208 parts of bodies in one turn of its event loop, and with more connections more: each turn of libmicrohttpd reads what all of them have sent. A VM with 0.12 cores does nothing else for that time, and an ordinary request needs several turns.

ReadTurns decides how many parts a turn and a connection in it may read; ReadPacer suspends connections that have to wait, and resumes them in the order in which they began to. A connection alone may take the whole turn, so that a single body of small chunks is still read in time. Dropped connections are resumed at once, since libmicrohttpd closes only those that are not suspended.

--- a/net/connection_table.cpp
+++ b/net/connection_table.cpp
@@ -221,6 +221,13 @@
   return Admission::Admitted;
 }
 
+bool
+ConnectionTable::IsDropped(const Connection& aConnection) const
+{
+  const std::lock_guard lock(m_mutex);
+  return aConnection.m_isDropped;
+}
+
 bool
 ConnectionTable::IsTooLarge(const Connection& aConnection) const
 {
--- a/net/connection_table.h
+++ b/net/connection_table.h
@@ -139,6 +139,10 @@
                    std::size_t aSize,
                    std::size_t aLimit);
 
+  /** Whether the connection was evicted or is overdue, so that its socket is
+   * shut down. */
+  bool IsDropped(const Connection& aConnection) const;
+
   /** Whether the body read so far is over its limit. */
   bool IsTooLarge(const Connection& aConnection) const;
 
--- a/net/http_listener.cpp
+++ b/net/http_listener.cpp
@@ -27,6 +27,11 @@
 constexpr std::size_t kConnectionMemoryBytes = 16384;
 
 constexpr absl::Duration kTickInterval = absl::Seconds(1);
+/** 512,000 parts a second: a body of 262,144 chunks of one byte takes 0.5 s of
+ * the 3 s that its caller waits. */
+constexpr ReadTurnLimits kReadTurnLimits{ .m_parts = 1024,
+                                          .m_connectionParts = 128 };
+constexpr absl::Duration kReadTurnInterval = absl::Milliseconds(2);
 /** Retry-After of a refused request. */
 constexpr int kRetryAfterS = 1;
 
@@ -61,6 +66,7 @@
   ConnectionTable::Connection* m_entry = nullptr;
   ListenerRequest m_request;
   ListenerResponse m_response;
+  ReadTurns::Reader m_reader;
   std::size_t m_id = 0;
   bool m_isDispatched = false;
   bool m_isSuspended = false;
@@ -102,6 +108,9 @@
       return Admit(*exchange);
     }
     if (*aDataSize > 0) {
+      if (!self->m_pacer.MayRead(*aConnection, exchange->m_reader)) {
+        return MHD_YES;
+      }
       const Admission admission = self->m_connections.Append(
         *exchange->m_entry, aData, *aDataSize, self->m_maxBodyBytes());
       *aDataSize = 0;
@@ -227,6 +236,7 @@
         .m_readTimeout = aSettings.m_readTimeout,
         .m_idleTimeout = absl::Seconds(static_cast<int>(kIdleTimeoutS)) },
       aMetrics)
+  , m_pacer(kReadTurnLimits, m_connections, [this] { ScheduleReadTurn(); })
   , m_handler(std::move(aHandler))
 {
   const sockaddr_in address = ParseAddress(aSettings.m_address);
@@ -266,7 +276,7 @@
     MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
   m_epollDescriptor = info->epoll_fd;
   m_loop.Watch(
-    m_epollDescriptor, EPOLLIN, [this](std::uint32_t) { RunDaemon(); });
+    m_epollDescriptor, EPOLLIN, [this](std::uint32_t) { OnReady(); });
   TickConnections();
 }
 
@@ -274,9 +284,11 @@
 {
   m_loop.Unwatch(m_epollDescriptor);
   m_loop.Cancel(m_tickTimer);
+  m_loop.Cancel(m_readTimer);
   if (m_isRunScheduled) {
     m_loop.Cancel(m_runTimer);
   }
+  m_pacer.Stop();
   for (auto& [id, exchange] : m_openExchanges) {
     if (exchange->m_isSuspended) {
       MHD_resume_connection(exchange->m_connection);
@@ -309,6 +321,24 @@
   }
 }
 
+void
+HttpListener::OnReady()
+{
+  // The connections that wait have a turn of their own.
+  if (!m_pacer.HasWaiting()) {
+    BeginReadTurn();
+  }
+  RunDaemon();
+}
+
+void
+HttpListener::BeginReadTurn()
+{
+  if (std::exchange(m_readTurnAt, m_loop.Now()) != m_loop.Now()) {
+    m_pacer.BeginTurn();
+  }
+}
+
 void
 HttpListener::TickConnections()
 {
@@ -325,10 +355,28 @@
   m_isRunScheduled = true;
   m_runTimer = m_loop.After(absl::ZeroDuration(), [this] {
     m_isRunScheduled = false;
-    RunDaemon();
+    OnReady();
   });
 }
 
+void
+HttpListener::ScheduleReadTurn()
+{
+  m_readTimer = m_loop.After(kReadTurnInterval, [this] { RunReadTurn(); });
+}
+
+void
+HttpListener::RunReadTurn()
+{
+  BeginReadTurn();
+  while (m_pacer.ResumeNext()) {
+    RunDaemon();
+  }
+  if (m_pacer.HasWaiting()) {
+    ScheduleReadTurn();
+  }
+}
+
 void
 HttpListener::Dispatch(Exchange& aExchange)
 {
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/connection_table.h"
+#include "net/read_pacer.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -103,11 +104,21 @@
   void TickConnections();
   void RunDaemon();
   void ScheduleRun();
+  void OnReady();
+  /** There is one turn in each iteration of the loop. */
+  void BeginReadTurn();
+  /** Reads from connections that wait for their turn. */
+  void RunReadTurn();
+  void ScheduleReadTurn();
 
   EventLoop& m_loop;
   std::function<std::size_t()> m_maxBodyBytes;
   ConnectionTable m_connections;
+  ReadPacer m_pacer;
   std::uint64_t m_tickTimer = 0;
+  std::uint64_t m_readTimer = 0;
+  /** Start of the iteration in which the last turn began. */
+  absl::Time m_readTurnAt = absl::InfinitePast();
   Handler m_handler;
   /** Empty for none. */
   std::string m_apiKeyHeader;
--- a/tests/net/test_http_listener.cpp
+++ b/tests/net/test_http_listener.cpp
@@ -258,6 +258,24 @@
   CHECK(fixture.Drops("body_over_limit") == 1);
 }
 
+// Guards against a body that loses or repeats parts where its reading pauses.
+TEST_CASE("A listener reads a body of one-byte chunks", "[listener]")
+{
+  ListenerFixture fixture;
+  RawClient client;
+  std::string body;
+  std::string chunks;
+  for (std::size_t i = 0; i < kMaxBody; ++i) {
+    body += static_cast<char>('a' + i % 26);
+    absl::StrAppend(&chunks, "1\r\n", body.substr(i), "\r\n");
+  }
+  client.Send("POST /a HTTP/1.1\r\nHost: a\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n");
+  client.Send(chunks + "0\r\n\r\n");
+  CHECK(client.ReceiveUntil("HTTP/1.1").starts_with("HTTP/1.1 200"));
+  CHECK(fixture.Bodies(1) == std::vector<std::string>{ body });
+}
+
 // Guards against incomplete requests that keep a new one out, and against the
 // eviction of a request that was read completely.
 TEST_CASE("A listener evicts incomplete requests for new ones", "[listener]")
