--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -40,16 +40,19 @@
 {
   std::int64_t tasks = 0;
   std::size_t texts = aRecord.m_payload.size();
+  std::size_t dependencies = 0;
   for (const StepSpec& step : aRecord.m_steps) {
     tasks += step.m_count;
     texts += step.m_requiredLabel.size() + step.m_dataRack.size() +
              step.m_image.size();
+    dependencies += step.m_after.size();
   }
   const std::int64_t open =
     std::max(tasks,
              std::min<std::int64_t>(Job::kMaxOpenTasks,
                                     tasks * std::max(1, aRecord.m_repeats)));
-  return sizeof(Job) + texts + aRecord.m_steps.size() * sizeof(StepSpec) +
+  return sizeof(Job) + texts + dependencies * sizeof(int) +
+         aRecord.m_steps.size() * sizeof(StepSpec) +
          static_cast<std::size_t>(open) * (sizeof(Task) + kTaskTextBytes);
 }
 
--- a/tests/jobs/test_job.cpp
+++ b/tests/jobs/test_job.cpp
@@ -143,6 +143,16 @@
   CHECK(mallinfo2().uordblks < before + 1024 * 1024);
 }
 
+// Guards against jobs whose dependencies take memory that no limit counts.
+TEST_CASE("The memory of a job includes its dependencies", "[jobs]")
+{
+  JobRecord record;
+  record.m_steps.resize(1);
+  const std::size_t without = LargestMemory(record);
+  record.m_steps.front().m_after.resize(1'000);
+  CHECK(LargestMemory(record) == without + 1'000 * sizeof(int));
+}
+
 // Guards against the same for occurrences that are all due at once, as after a
 // long outage.
 TEST_CASE("Due occurrences are opened as far as there is room", "[jobs]")
--- a/tests/platform/test_wire_codec.cpp
+++ b/tests/platform/test_wire_codec.cpp
@@ -104,6 +104,16 @@
   }
 }
 
+// Guards against a job whose list of steps takes far more memory than its
+// steps.
+TEST_CASE("A step's dependencies are kept once each", "[wire]")
+{
+  const JobRecord record = wire::DecodeSubmission(
+    "5c0e7a21d94b36f8",
+    R"({"phases":[{"count":1},{"count":1},{"count":1,"after":[1,0,1,0,0]}]})");
+  CHECK(record.m_steps.at(2).m_after == std::vector<int>{ 0, 1 });
+}
+
 TEST_CASE("A worker's response to a lease renewal is decoded", "[wire]")
 {
   const LeaseOrderResult result = wire::DecodeLeaseResponse(
