Let the memory of jobs follow memory_mb and keep a reserve

Valid jobs of legal size may fill a shard. Its limit was 48 MB whatever memory its owner has, for each of the shards that it owns after others were lost, so that jobs and requests together could exceed the memory of the machine. Beside the crowd of 80 jobs with long texts that came again at once, a job daemon with 64 MB had 60 MB, and no ordinary caller was served.

An owner now publishes a limit: 30% of memory_mb, 48 MiB at most, divided by the shards that it owns; on the smallest VM with one shard it is what it was. Daemons of earlier versions ignore it, and are taken to have 48 MiB. Jobs that take more than 1/256 of the limit leave a quarter of it to smaller ones, so that a few clients with large jobs do not keep out ordinary callers.

Tests: "Valid jobs of legal size leave a job daemon usable", four crowds in a process each with 64 MB: on 55, 68, 60 and 84 MB, the third not served; now 38, 37, 42 and 38 MB, all served.

--- a/daemon/job_daemon.cpp
+++ b/daemon/job_daemon.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "daemon/configuration_update.h"
 #include "platform/wire_codec.h"
+#include "scheduler/shard_memory.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -220,7 +221,12 @@
         .m_configuration = [this]() -> const JobConfiguration& {
           return m_configuration ? *m_configuration : kEmptyConfiguration;
         },
-        .m_priorityDelay = [this] { return PriorityDelay(); } },
+        .m_priorityDelay = [this] { return PriorityDelay(); },
+        .m_memoryLimit =
+          [this] {
+            return ShardMemoryLimit(m_settings.m_limits.m_memoryMb,
+                                    OwnedShardCount());
+          } },
       shard,
       chart));
   }
@@ -243,11 +249,16 @@
 absl::Duration
 JobDaemon::PriorityDelay() const
 {
-  const auto owned = std::ranges::count_if(m_shards, [](const auto& aShard) {
+  return kLowResourcePriorityDelay * (1.0 - ResourceFraction(m_settings)) +
+         kOwnedShardPriorityDelay * OwnedShardCount();
+}
+
+std::int64_t
+JobDaemon::OwnedShardCount() const
+{
+  return std::ranges::count_if(m_shards, [](const auto& aShard) {
     return aShard->Owner().IsOwnerOrAcquiring();
   });
-  return kLowResourcePriorityDelay * (1.0 - ResourceFraction(m_settings)) +
-         kOwnedShardPriorityDelay * owned;
 }
 
 void
--- a/daemon/job_daemon.h
+++ b/daemon/job_daemon.h
@@ -50,6 +50,8 @@
   /** How long this daemon delays its candidacy for a shard, so that a better
    * candidate acquires it first: one with more resources or fewer shards. */
   absl::Duration PriorityDelay() const;
+  /** Number of shards that this daemon owns or is about to own. */
+  std::int64_t OwnedShardCount() const;
   void ResignAll();
   void HandleReady(const ListenerRequest& aRequest,
                    const HttpListener::Responder& aRespond);
--- a/daemon/shard_runner.h
+++ b/daemon/shard_runner.h
@@ -41,6 +41,8 @@
     std::function<const JobConfiguration&()> m_configuration;
     /** See Ownership::PriorityDelayHook. */
     Ownership::PriorityDelayHook m_priorityDelay;
+    /** See Scheduler::Environment. */
+    std::function<std::int64_t()> m_memoryLimit;
   };
 
   ShardRunner(Environment aEnvironment, int aShard, StateChart aChart);
--- a/scheduler/shard_chooser.cpp
+++ b/scheduler/shard_chooser.cpp
@@ -27,7 +27,7 @@
 ShardWeight(const ShardView& aView)
 {
   if (aView.m_isSilent || aView.m_capacity <= 0 ||
-      aView.m_memory >= kMaxShardMemory) {
+      aView.m_memory >= aView.m_memoryLimit) {
     return 0;
   }
   return aView.m_capacity / std::max(1.0, aView.m_load / aView.m_capacity);
--- a/scheduler/shard_chooser.h
+++ b/scheduler/shard_chooser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "scheduler/shard_status.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -13,14 +15,11 @@
   double m_capacity = 0;
   double m_load = 0;
   std::int64_t m_memory = 0;
+  std::int64_t m_memoryLimit = kMaxShardMemory;
   /** The owner has published nothing for some time. */
   bool m_isSilent = false;
 };
 
-/** Memory in bytes that the jobs of a shard may take. Its owner has some 160 MB
- * at least, and may own several shards for a while. */
-inline constexpr std::int64_t kMaxShardMemory = 48 * 1024 * 1024;
-
 /**
  * Share of the new jobs that a shard gets, relative to other shards: its
  * capacity, less as its backlog exceeds what it can run at once. Shards whose
--- a/scheduler/shard_status.cpp
+++ b/scheduler/shard_status.cpp
@@ -14,6 +14,7 @@
     { "capacity", aStatus.m_capacity },
     { "load", aStatus.m_load },
     { "memory", aStatus.m_memory },
+    { "memory_limit", aStatus.m_memoryLimit },
     { "sequence", aStatus.m_sequence }
   }.dump();
 }
@@ -28,8 +29,9 @@
         body.at("pending").get<std::map<std::string, std::int64_t>>(),
       .m_capacity = body.at("capacity").get<double>(),
       .m_load = body.at("load").get<double>(),
-      // An earlier version does not publish it.
+      // Earlier versions do not publish these.
       .m_memory = body.value("memory", std::int64_t{ 0 }),
+      .m_memoryLimit = body.value("memory_limit", kMaxShardMemory),
       .m_sequence = body.at("sequence").get<std::int64_t>()
     };
   } catch (const json::exception&) {
--- a/scheduler/shard_status.h
+++ b/scheduler/shard_status.h
@@ -7,6 +7,10 @@
 
 namespace bramleystall {
 
+/** Largest memory in bytes that the jobs of a shard may take: 3/10 of the
+ * smallest VM's 160 MiB. */
+inline constexpr std::int64_t kMaxShardMemory = 48 * 1024 * 1024;
+
 /**
  * What the owner of a shard publishes for all daemons. Loads are in units of
  * one machine's capacity.
@@ -21,6 +25,8 @@
   double m_load = 0;
   /** Memory in bytes that the accepted jobs may take at most. */
   std::int64_t m_memory = 0;
+  /** Memory in bytes above which the owner takes no further jobs. */
+  std::int64_t m_memoryLimit = kMaxShardMemory;
   /** Rises with each publication, so that a silent owner is noticed. */
   std::int64_t m_sequence = 0;
 };
--- a/scheduler/shard_status_reader.cpp
+++ b/scheduler/shard_status_reader.cpp
@@ -91,6 +91,7 @@
     m_views[shard] = { .m_capacity = known.m_status.m_capacity,
                        .m_load = known.m_status.m_load,
                        .m_memory = known.m_status.m_memory,
+                       .m_memoryLimit = known.m_status.m_memoryLimit,
                        .m_isSilent =
                          m_readAt >= known.m_changedAt + kSilenceTimeout };
   }
--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -299,10 +299,14 @@
     m_shardStatus.Refresh(kViewMaxAge, [](bool) {});
   }
   const auto view = m_shardStatus.Views().find(aSubmission.m_shard);
-  const std::int64_t published =
-    view == m_shardStatus.Views().end() ? 0 : view->second.m_memory;
+  const ShardView known =
+    view == m_shardStatus.Views().end() ? ShardView{} : view->second;
   return m_shardMemory.Take(
-    aSubmission.m_shard, published, aSubmission.m_memory, now);
+    aSubmission.m_shard,
+    known.m_memory,
+    MemoryOpenTo(aSubmission.m_memory, known.m_memoryLimit),
+    aSubmission.m_memory,
+    now);
 }
 
 void
--- a/tests/daemon/test_untrusted_job_clients.cpp
+++ b/tests/daemon/test_untrusted_job_clients.cpp
@@ -138,6 +138,57 @@
   std::uint64_t m_lastJob = 0;
 };
 
+/** A crowd that submits complete, valid jobs of legal size, each with an id of
+ * its own. aPhase is the only phase, with a place for the bytes that the job
+ * needs to have this size; aFiller is repeated there. */
+CrowdScenario
+LargeJobs(const char* aName,
+          const std::string& aStart,
+          const std::string& aFiller,
+          const std::string& aEnd)
+{
+  constexpr std::size_t kJobs = 80;
+  /** Apart from the ids of ordinary submissions. */
+  constexpr std::uint64_t kFirstId = std::uint64_t{ 1 } << 32U;
+  std::string body = aStart;
+  while (body.size() + aFiller.size() + aEnd.size() <= kLegalBodyBytes) {
+    body += aFiller;
+  }
+  body += aEnd;
+  const auto makeHead = [size = body.size()](std::size_t aNumber) {
+    return absl::StrCat("POST /batch/",
+                        absl::Hex(kFirstId + aNumber, absl::kZeroPad16),
+                        " HTTP/1.1\r\nHost: ",
+                        kHost,
+                        "\r\nContent-Length: ",
+                        size,
+                        "\r\n\r\n");
+  };
+  CrowdRequest request;
+  request.m_bodyBlock = body;
+  request.m_bodyBytes = body.size();
+  request.m_makeHead = makeHead;
+  return { aName, kJobs, request };
+}
+
+CrowdScenario
+JobsWithLongTexts()
+{
+  return LargeJobs("jobs with long texts",
+                   R"({"phases":[{"count":1,"cpu":100,"image":")",
+                   "x",
+                   R"("}]})");
+}
+
+CrowdScenario
+JobsWithLongLists()
+{
+  return LargeJobs("jobs with long lists",
+                   R"({"phases":[{"count":1},{"count":1,"after":[0)",
+                   ",0",
+                   "]}]}");
+}
+
 CrowdScenarios
 SubmissionCrowds()
 {
@@ -240,3 +291,27 @@
   JobDaemonFixture(kMemoryBounds)
     .CheckReturning(SubmissionCrowds().ReturningSmallChunks());
 }
+
+// Guards against memory that complete requests take after their bodies were
+// read: in the handler, in commits, in watches and in the shard.
+TEST_CASE("Valid jobs of legal size leave a job daemon usable",
+          "[daemon][process][untrusted]")
+{
+  JobDaemonFixture daemon(kMemoryBounds);
+  SECTION("texts")
+  {
+    daemon.Check(JobsWithLongTexts(), kCallerPort);
+  }
+  SECTION("lists")
+  {
+    daemon.Check(JobsWithLongLists(), kCallerPort);
+  }
+  SECTION("texts that keep coming")
+  {
+    daemon.CheckReturning(JobsWithLongTexts());
+  }
+  SECTION("lists that keep coming")
+  {
+    daemon.CheckReturning(JobsWithLongLists());
+  }
+}
--- a/tests/server/test_job_request_handler.cpp
+++ b/tests/server/test_job_request_handler.cpp
@@ -264,3 +264,23 @@
   CHECK(largest > 0);
   CHECK(largest <= kMaxCommitBytes);
 }
+
+// Guards against a few clients with large jobs that keep out all others, and
+// against a limit that does not follow the memory of the shard's owner.
+TEST_CASE_METHOD(QuietRequestFixture,
+                 "Large jobs leave memory of the shard to small ones",
+                 "[front]")
+{
+  constexpr std::int64_t kLimit = 1024 * 1024;
+  m_configuration->m_maxBodyBytes = kLimit;
+  m_store.Set(kKeys.Status(),
+              EncodeShardStatus({ .m_capacity = 1,
+                                  .m_memory = kLimit / 2,
+                                  .m_memoryLimit = kLimit,
+                                  .m_sequence = 1 }));
+  REQUIRE(Send("GET", "/q/").m_status == 200);
+  const std::string large =
+    R"({"phases":[{"count":1,"image":")" + std::string(300'000, 'x') + "\"}]}";
+  CHECK(Send("POST", "/q/" + kId, large).m_status == 503);
+  CHECK(Send("POST", "/q/" + kId, kBody).m_status == 200);
+}
