Count responses while they are sent, and evict those that are not read

40 clients that sent complete bodies of 1,000,000 bytes and did not read the responses (6 MB each, from a target that echoes the body) took a daemon with 64 MB to 121 MB. Clients that do not read also kept others out: their connections counted as waiting, which are never evicted, until the HTTP library's idle timeout, which each byte restarts.

A response was in no budget from its arrival until the client had read it, and neither was the request's body, which was kept as long. The budget now has a phase for it: the connection counts with the size of its response, may be evicted like an incomplete request, by bytes times age, and is closed if the response is not read in the time that a request has. The body is freed when its response is sent. The listener of the job daemon and the admin port do the same, and the former no longer copies responses.

Tests: "Responses that are not read leave a daemon usable" failed before (121 MB) and passes with 43 MB; "A listener evicts responses that are not read" failed before (the third client was closed with no_room) and passes; "A response that is not read is evicted or overdue" came with the code.

--- a/admission/request_budget.cpp
+++ b/admission/request_budget.cpp
@@ -98,6 +98,21 @@
   ++m_waitingConnections;
 }
 
+BudgetDecision
+RequestBudget::BeginResponse(Id aId, std::size_t aBytes, absl::Time aNow)
+{
+  const auto found = m_connections.find(aId);
+  if (found != m_connections.end()) {
+    const std::size_t bytes = found->second.m_bytes;
+    Remove(aId);
+    m_connections[aId] = { .m_bytes = bytes,
+                           .m_since = aNow,
+                           .m_phase = Phase::Sending };
+    m_bytes += bytes;
+  }
+  return Resize(aId, aBytes, aNow);
+}
+
 void
 RequestBudget::FinishRequest(Id aId, std::size_t aBytes, absl::Time aNow)
 {
@@ -128,7 +143,9 @@
   for (const auto& [id, connection] : m_connections) {
     const absl::Duration age = aNow - connection.m_since;
     const bool isOverdue =
-      (connection.m_phase == Phase::Reading && age >= aReadLimit) ||
+      ((connection.m_phase == Phase::Reading ||
+        connection.m_phase == Phase::Sending) &&
+       age >= aReadLimit) ||
       (connection.m_phase == Phase::Idle && age >= aIdleLimit);
     if (isOverdue) {
       overdue.push_back(id);
--- a/admission/request_budget.h
+++ b/admission/request_budget.h
@@ -33,9 +33,10 @@
 
 /**
  * Decides which connections a process serves within its memory and its
- * descriptors. What would exceed the limits evicts incomplete requests and idle
- * connections, in descending order of bytes held times age. Requests that wait
- * for their response are never evicted.
+ * descriptors. What would exceed the limits evicts incomplete requests,
+ * responses that are not read, and idle connections, in descending order of
+ * bytes held times age. Requests that wait for their response are never
+ * evicted.
  *
  * A connection is named by the caller's id for it. A call for an unknown id
  * (one that was evicted) admits nothing and changes nothing. All times are of
@@ -74,6 +75,11 @@
   /** The request is complete and waits for its response. */
   void Complete(Id aId);
 
+  /** The response of a request that waited is about to be sent; the connection
+   * holds aBytes until it is. May evict the connection itself, which is then
+   * not admitted. */
+  BudgetDecision BeginResponse(Id aId, std::size_t aBytes, absl::Time aNow);
+
   /** The response was sent; the connection is idle and holds aBytes, or what
    * it held before if that is less. */
   void FinishRequest(Id aId, std::size_t aBytes, absl::Time aNow);
@@ -82,7 +88,8 @@
   void Close(Id aId);
 
   /** Removes and returns the connections whose request is incomplete aReadLimit
-   * after its start, or that are idle for longer than aIdleLimit. */
+   * after its start, whose response is not sent completely by that time, or
+   * that are idle for longer than aIdleLimit. */
   std::vector<Id> EvictOverdue(absl::Duration aReadLimit,
                                absl::Duration aIdleLimit,
                                absl::Time aNow);
@@ -100,11 +107,14 @@
     Idle,
     /** The request is complete and has no response yet. */
     Waiting,
+    /** The response is being sent. */
+    Sending,
   };
   struct Connection
   {
     std::size_t m_bytes = 0;
-    /** Start of the request; of an idle connection, its last response. */
+    /** Start of the request, or of the response that is being sent; of an idle
+     * connection, its last response. */
     absl::Time m_since;
     Phase m_phase = Phase::Reading;
   };
--- a/net/connection_table.cpp
+++ b/net/connection_table.cpp
@@ -246,6 +246,19 @@
   return std::exchange(aConnection.m_body, std::string());
 }
 
+Admission
+ConnectionTable::BeginResponse(Connection& aConnection, std::size_t aBytes)
+{
+  const std::lock_guard lock(m_mutex);
+  if (aConnection.m_isDropped) {
+    return Admission::Closed;
+  }
+  const BudgetDecision decision = m_budget.BeginResponse(
+    aConnection.m_id, BaseBytes() + aBytes, MonotonicNow());
+  EvictAll(decision);
+  return decision.m_isAdmitted ? Admission::Admitted : Admission::Closed;
+}
+
 void
 ConnectionTable::FinishRequest(Connection& aConnection)
 {
--- a/net/connection_table.h
+++ b/net/connection_table.h
@@ -81,7 +81,8 @@
   RequestBudgetLimits m_limits;
   /** Buffer of the HTTP library for each connection. */
   std::size_t m_bufferBytes = 0;
-  /** Time from a request's first byte within which it has to be complete. */
+  /** Time from a request's first byte within which it has to be complete, and
+   * from the start of its response within which that has to be read. */
   absl::Duration m_readTimeout = ProcessLimits().m_requestReadTimeout;
   /** Time after which the HTTP library closes an idle connection. */
   absl::Duration m_idleTimeout;
@@ -150,6 +151,10 @@
    * or nothing if it was evicted before. */
   std::optional<std::string> Complete(Connection& aConnection);
 
+  /** The response of a complete request, which takes aBytes, is about to be
+   * sent. */
+  Admission BeginResponse(Connection& aConnection, std::size_t aBytes);
+
   /** The response was sent, or the request ended without one. */
   void FinishRequest(Connection& aConnection);
 
--- a/net/http_listener.cpp
+++ b/net/http_listener.cpp
@@ -129,7 +129,16 @@
         return MHD_YES;
       }
     }
-    return QueueResponse(*exchange);
+    return SendResponse(*exchange);
+  }
+
+  /** Sends the response to a complete request. */
+  static MHD_Result SendResponse(Exchange& aExchange)
+  {
+    const Admission admission =
+      aExchange.m_listener->m_connections.BeginResponse(
+        *aExchange.m_entry, aExchange.m_response.m_body.size());
+    return admission == Admission::Admitted ? QueueResponse(aExchange) : MHD_NO;
   }
 
   /** Decides on a request whose headers were read. */
@@ -181,10 +190,11 @@
   static MHD_Result QueueResponse(Exchange& aExchange)
   {
     const ListenerResponse& response = aExchange.m_response;
+    // The exchange outlives the response.
     MHD_Response* mhdResponse =
       MHD_create_response_from_buffer(response.m_body.size(),
                                       const_cast<char*>(response.m_body.data()),
-                                      MHD_RESPMEM_MUST_COPY);
+                                      MHD_RESPMEM_PERSISTENT);
     if (mhdResponse == nullptr) {
       return MHD_NO;
     }
--- a/server/admin_server.cpp
+++ b/server/admin_server.cpp
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <string_view>
@@ -33,6 +34,9 @@
 constexpr std::size_t kMaxConnectionBytes =
   kMaxOperatorConnections * (kConnectionMemoryBytes + 4096) +
   16 * kMaxAdminBodyBytes;
+/** A larger response counts as one of this size, so that it is sent if it is
+ * alone. */
+constexpr std::size_t kMaxCountedResponseBytes = kMaxConnectionBytes / 2;
 constexpr std::string_view kExplainPrefix = "/v1/explain/";
 
 /** Request whose body is being received. */
@@ -119,7 +123,7 @@
   MHD_Result SendResponse(MHD_Connection* aConnection,
                           const char* aMethod,
                           const char* aUrl,
-                          const PendingRequest& aRequest) const;
+                          const PendingRequest& aRequest);
   static void* HandleUri(void* aSelf,
                          const char* aUri,
                          MHD_Connection* aConnection);
@@ -290,9 +294,15 @@
 AdminServer::Impl::SendResponse(MHD_Connection* aConnection,
                                 const char* aMethod,
                                 const char* aUrl,
-                                const PendingRequest& aRequest) const
+                                const PendingRequest& aRequest)
 {
   const AdminResponse response = Respond(aMethod, aUrl, aRequest);
+  const Admission admission = m_connections.BeginResponse(
+    *aRequest.m_connection,
+    std::min(response.m_body.size(), kMaxCountedResponseBytes));
+  if (admission != Admission::Admitted) {
+    return MHD_NO;
+  }
   MHD_Response* const mhdResponse =
     MHD_create_response_from_buffer(response.m_body.size(),
                                     const_cast<char*>(response.m_body.data()),
--- a/server/caller_server.cpp
+++ b/server/caller_server.cpp
@@ -41,6 +41,8 @@
   HttpRequest m_request;
   ConnectionTable::Connection* m_connection = nullptr;
   bool m_hasReadHeaders = false;
+  bool m_isDispatched = false;
+  /** Until the response is being sent. */
   std::shared_ptr<CallerExchange> m_exchange;
   /** Owns the bytes that libmicrohttpd is sending. */
   HttpResponse m_response;
@@ -92,6 +94,14 @@
   return bytes;
 }
 
+/** Memory of a response in bytes while it is sent; libmicrohttpd has a copy of
+ * the headers. */
+std::size_t
+ResponseMemory(const HttpResponse& aResponse)
+{
+  return 2 * HeaderMemory(aResponse.m_headers) + aResponse.m_body.capacity();
+}
+
 MHD_Result
 QueueResponse(MHD_Connection* aConnection,
               RequestContext& aContext,
@@ -198,7 +208,7 @@
   }
   auto& self = *static_cast<Impl*>(aSelf);
   self.m_connections.FinishRequest(*context->m_connection);
-  if (context->m_exchange) {
+  if (context->m_isDispatched) {
     --self.m_openExchanges;
   }
 }
@@ -225,7 +235,7 @@
     *aSize = 0;
     return admission == Admission::Admitted ? MHD_YES : MHD_NO;
   }
-  if (!context.m_exchange) {
+  if (!context.m_isDispatched) {
     if (self.m_connections.IsTooLarge(*context.m_connection)) {
       return self.Reject(aConnection, context, 413, kTooLargeDetail);
     }
@@ -240,6 +250,13 @@
   if (!response) {
     return MHD_YES;
   }
+  // Frees the request's body unless the dispatcher still needs it.
+  context.m_exchange.reset();
+  if (self.m_connections.BeginResponse(*context.m_connection,
+                                       ResponseMemory(*response)) !=
+      Admission::Admitted) {
+    return MHD_NO;
+  }
   return QueueResponse(aConnection, context, std::move(*response));
 }
 
@@ -300,6 +317,7 @@
 {
   const std::uint64_t id = m_nextId++;
   ++m_openExchanges;
+  aContext.m_isDispatched = true;
   aContext.m_exchange = std::make_shared<CallerExchange>(
     id, std::move(aContext.m_request), [this, aConnection, id] {
       m_watch.Remove(id);
--- a/tests/admission/test_request_budget.cpp
+++ b/tests/admission/test_request_budget.cpp
@@ -140,7 +140,7 @@
     const absl::Time now = At(step * 0.01);
     const auto id = static_cast<RequestBudget::Id>(pick(40));
     const auto bytes = static_cast<std::size_t>(pick(900));
-    switch (pick(5)) {
+    switch (pick(6)) {
       case 0:
         budget.Close(id);
         budget.Open(id, bytes, now);
@@ -157,6 +157,9 @@
       case 4:
         budget.BeginRequest(id, now);
         break;
+      case 5:
+        budget.BeginResponse(id, bytes, now);
+        break;
       default:
         budget.EvictOverdue(absl::Seconds(30), absl::Seconds(30), now);
     }
@@ -169,3 +172,30 @@
   CHECK(budget.Bytes() == 0);
   CHECK(budget.Connections() == 0);
 }
+
+// Guards against responses that their clients do not read, and that no limit
+// counts.
+TEST_CASE("A response that is not read is evicted or overdue",
+          "[request_budget]")
+{
+  RequestBudget budget({ .m_bytes = 1000, .m_connections = 10 });
+  budget.Open(1, 100, At(0));
+  budget.Complete(1);
+  CHECK(budget.BeginResponse(1, 600, At(1)).m_isAdmitted);
+  budget.Open(2, 100, At(1));
+  budget.Complete(2);
+  CHECK(budget.BeginResponse(2, 300, At(2)).m_isAdmitted);
+  budget.Open(3, 100, At(3));
+  CHECK(budget.Bytes() == 1000);
+  const auto decision = budget.Resize(3, 200, At(4));
+  CHECK(decision.m_isAdmitted);
+  CHECK(decision.m_evicted == Ids{ 1 });
+  CHECK(
+    budget.EvictOverdue(absl::Seconds(30), absl::Seconds(30), At(32)).size() ==
+    1);
+  CHECK(budget.Bytes() == 200);
+  // A response that alone is too large is not sent.
+  budget.Complete(3);
+  CHECK_FALSE(budget.BeginResponse(3, 1001, At(33)).m_isAdmitted);
+  CHECK(budget.Bytes() == 0);
+}
--- a/tests/daemon/test_untrusted_callers.cpp
+++ b/tests/daemon/test_untrusted_callers.cpp
@@ -181,3 +181,11 @@
   DeploymentFixture(kMemoryBounds)
     .CheckReturning(CallerCrowds().ReturningSmallChunks());
 }
+
+// Guards against the memory of responses that their clients do not read.
+TEST_CASE("Responses that are not read leave a daemon usable",
+          "[daemon][process][untrusted]")
+{
+  DeploymentFixture(kMemoryBounds)
+    .Check(CallerCrowds().UnreadResponses(), kCallerPort);
+}
--- a/tests/fakes/client_crowd.cpp
+++ b/tests/fakes/client_crowd.cpp
@@ -105,8 +105,11 @@
 }
 
 bool
-ClientCrowd::DiscardResponse(Connection& aConnection)
+ClientCrowd::DiscardResponse(Connection& aConnection) const
 {
+  if (!m_request.m_readsResponses) {
+    return false;
+  }
   std::array<char, 4096> buffer{};
   const ssize_t received =
     recv(aConnection.m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
--- a/tests/fakes/client_crowd.h
+++ b/tests/fakes/client_crowd.h
@@ -25,11 +25,14 @@
   /** Makes the head of the crowd's request with a number, from 0; if set, it is
    * used instead of m_head. */
   std::function<std::string(std::size_t aNumber)> m_makeHead = nullptr;
+  /** Whether responses are read. */
+  bool m_readsResponses = true;
 };
 
 /**
  * Connections to one loopback port that all send the same request, complete or
- * not, and stay open until the object is destroyed. Responses are discarded.
+ * not, and stay open until the object is destroyed. Responses are discarded, or
+ * not read at all.
  */
 class ClientCrowd
 {
@@ -76,7 +79,7 @@
   void ConnectAll(std::size_t aConnections);
   /** Both return whether the connection made progress. */
   bool SendPiece(Connection& aConnection) const;
-  static bool DiscardResponse(Connection& aConnection);
+  bool DiscardResponse(Connection& aConnection) const;
 
   std::uint16_t m_port;
   CrowdRequest m_request;
--- a/tests/fakes/crowd_scenarios.h
+++ b/tests/fakes/crowd_scenarios.h
@@ -71,6 +71,20 @@
     return scenario;
   }
 
+  /** Complete requests whose responses are not read. Their bodies are all
+   * characters that take six bytes in JSON. */
+  CrowdScenario UnreadResponses() const
+  {
+    return { "unread responses",
+             kUnreadConnections,
+             { .m_head = absl::StrCat(
+                 m_start, "Content-Length: ", kLargestBodyBytes, "\r\n\r\n"),
+               .m_bodyBlock = std::string(kLargeChunkBytes, '\x01'),
+               .m_bodyBytes = kLargestBodyBytes,
+               .m_pieceBytes = kWholePiece,
+               .m_readsResponses = false } };
+  }
+
   CrowdScenario AnnouncedOversize() const
   {
     return { "announced oversize",
@@ -106,6 +120,9 @@
 private:
   /** Their bodies together are 79 MB. */
   static constexpr std::size_t kBodyConnections = 300;
+  static constexpr std::size_t kUnreadConnections = 40;
+  /** Below the limit of 1 MiB without --jobs. */
+  static constexpr std::size_t kLargestBodyBytes = 1'000'000;
   static constexpr std::size_t kReturningConnections = 100;
   static constexpr std::size_t kOversizeConnections = 100;
   /** More than the descriptors of the settings with few of them. */
--- a/tests/net/test_http_listener.cpp
+++ b/tests/net/test_http_listener.cpp
@@ -108,8 +108,10 @@
 {
 public:
   explicit ListenerFixture(RequestBudgetLimits aLimits = { 1U << 20U, 20 },
-                           bool aDelaysResponses = false)
-    : m_delaysResponses(aDelaysResponses)
+                           bool aDelaysResponses = false,
+                           std::string aResponseBody = "{}")
+    : m_responseBody(std::move(aResponseBody))
+    , m_delaysResponses(aDelaysResponses)
     , m_listener(
         m_loop,
         { .m_address = absl::StrCat("127.0.0.1:", kPort),
@@ -181,13 +183,14 @@
     if (!m_delaysResponses) {
       const std::lock_guard lock(m_mutex);
       for (const auto& respond : m_responders) {
-        respond({ .m_body = "{}" });
+        respond({ .m_body = m_responseBody });
       }
       m_responders.clear();
     }
     m_loop.After(kPollInterval, [this] { Poll(); });
   }
 
+  const std::string m_responseBody;
   Metrics m_metrics;
   EventLoop m_loop;
   std::mutex m_mutex;
@@ -304,6 +307,28 @@
   CHECK(next.ReceiveUntil("HTTP/1.1").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against clients that do not read their responses and so keep others
+// out.
+TEST_CASE("A listener evicts responses that are not read", "[listener]")
+{
+  /** More than the kernel buffers. */
+  constexpr std::size_t kResponseBytes = std::size_t{ 16 } << 20U;
+  ListenerFixture fixture({ .m_bytes = 4 * kResponseBytes, .m_connections = 2 },
+                          false,
+                          std::string(kResponseBytes, 'x'));
+  RawClient first;
+  RawClient second;
+  for (RawClient* client : { &first, &second }) {
+    client->Send(Post(3) + "abc");
+    CHECK(client->ReceiveUntil("HTTP/1.1").starts_with("HTTP/1.1 200"));
+  }
+  RawClient next;
+  next.Send(Post(3) + "def");
+  CHECK(next.ReceiveUntil("HTTP/1.1").starts_with("HTTP/1.1 200"));
+  CHECK(fixture.Drops("evicted") == 1);
+  CHECK(fixture.Drops("no_room") == 0);
+}
+
 // Guards against a refusal that the caller can't tell from a lost connection:
 // one for lack of memory has a status, and is given before the body is read.
 TEST_CASE("A listener without memory responds with 503", "[listener]")
