--- a/tests/daemon/test_untrusted_job_clients.cpp
+++ b/tests/daemon/test_untrusted_job_clients.cpp
@@ -71,12 +71,15 @@
     });
   }
 
-  /** Lets a crowd meet the caller port that comes again at once. */
+  /** Lets a crowd meet the caller port that comes again at once. The daemon has
+   * to keep its shard, too. */
   void CheckReturning(const CrowdScenario& aScenario)
   {
     CheckReturningCrowd(*m_process, m_bounds, aScenario, kCallerPort, [this] {
       return Submit() == 200;
     });
+    CHECK(m_process->Output().find("became owner") != std::string::npos);
+    CHECK(m_process->Output().find("lost ownership") == std::string::npos);
   }
 
 private:
