Schedule one read turn at a time and simplify its parts

The turns of a listener that waits again within its own turn were scheduled twice, and the first timer was not cancelled when the listener was destroyed. Found by reading; no test shows it, since the daemon's listeners live as long as its loop. A turn is now scheduled only if none is.

The pacer of a listener on an event loop needs no lock. The crowd checks share their sampling.

--- a/daemon/shard_runner.cpp
+++ b/daemon/shard_runner.cpp
@@ -111,12 +111,12 @@
       .m_mayOrder = [this] { return m_ownership.MayOrder(); },
       .m_ordersEndAt = [this] { return m_ownership.OrdersEndAt(); },
       .m_holdsLease = [this] { return m_ownership.HoldsLease(); },
-      .m_onSuperseded = [this] { m_ownership.StepDown(); },
-      .m_memoryLimit = m_env.m_memoryLimit },
+      .m_onSuperseded = [this] { m_ownership.StepDown(); } },
     SchedulerSettings{ .m_maxWorkerLease = settings.m_maxWorkerLease,
                        .m_jobRetention = settings.m_jobRetention,
                        .m_stopTime = settings.m_stopTime,
-                       .m_shardCount = m_env.m_layout.Count() },
+                       .m_shardCount = m_env.m_layout.Count(),
+                       .m_memoryLimit = m_env.m_memoryLimit },
     m_keys,
     aGrant);
   m_fleet = std::make_unique<FleetController>(
--- a/daemon/shard_runner.h
+++ b/daemon/shard_runner.h
@@ -41,7 +41,7 @@
     std::function<const JobConfiguration&()> m_configuration;
     /** See Ownership::PriorityDelayHook. */
     Ownership::PriorityDelayHook m_priorityDelay;
-    /** See Scheduler::Environment. */
+    /** See SchedulerSettings. */
     std::function<std::int64_t()> m_memoryLimit;
   };
 
--- a/net/connection_table.h
+++ b/net/connection_table.h
@@ -50,7 +50,8 @@
   Evicted,
   /** The connection was opened while nothing could be evicted. */
   NoRoom,
-  /** The request was incomplete for too long, or the connection idle. */
+  /** The request was incomplete for too long, its response not read, or the
+   * connection idle. */
   Overdue,
   /** A body without a declared length is far over the limit. */
   BodyOverLimit,
--- a/net/http_listener.cpp
+++ b/net/http_listener.cpp
@@ -372,12 +372,15 @@
 void
 HttpListener::ScheduleReadTurn()
 {
-  m_readTimer = m_loop.After(kReadTurnInterval, [this] { RunReadTurn(); });
+  if (m_readTimer == 0) {
+    m_readTimer = m_loop.After(kReadTurnInterval, [this] { RunReadTurn(); });
+  }
 }
 
 void
 HttpListener::RunReadTurn()
 {
+  m_readTimer = 0;
   BeginReadTurn();
   while (m_pacer.ResumeNext()) {
     RunDaemon();
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -116,6 +116,7 @@
   ConnectionTable m_connections;
   ReadPacer m_pacer;
   std::uint64_t m_tickTimer = 0;
+  /** 0 while no turn is scheduled. */
   std::uint64_t m_readTimer = 0;
   /** Start of the iteration in which the last turn began. */
   absl::Time m_readTurnAt = absl::InfinitePast();
--- a/net/read_pacer.cpp
+++ b/net/read_pacer.cpp
@@ -22,7 +22,6 @@
 bool
 ReadPacer::MayRead(MHD_Connection& aConnection, ReadTurns::Reader& aReader)
 {
-  const std::lock_guard lock(m_mutex);
   // The access handler closes a dropped connection, which takes no time.
   if (m_isStopped || m_turns.TakePart(aReader) ||
       m_table.IsDropped(EntryOf(&aConnection))) {
@@ -36,17 +35,9 @@
   return false;
 }
 
-void
-ReadPacer::BeginTurn()
-{
-  const std::lock_guard lock(m_mutex);
-  m_turns.BeginTurn();
-}
-
 bool
 ReadPacer::ResumeNext()
 {
-  const std::lock_guard lock(m_mutex);
   bool hasResumed = ResumeDropped();
   if (m_waiting.empty()) {
     return hasResumed;
@@ -73,17 +64,9 @@
   return hasDropped;
 }
 
-bool
-ReadPacer::HasWaiting() const
-{
-  const std::lock_guard lock(m_mutex);
-  return !m_waiting.empty();
-}
-
 void
 ReadPacer::Stop()
 {
-  const std::lock_guard lock(m_mutex);
   m_isStopped = true;
   std::ranges::for_each(m_waiting, MHD_resume_connection);
   m_waiting.clear();
--- a/net/read_pacer.h
+++ b/net/read_pacer.h
@@ -4,7 +4,6 @@
 
 #include <deque>
 #include <functional>
-#include <mutex>
 
 struct MHD_Connection;
 
@@ -15,7 +14,8 @@
 /**
  * Carries out the decisions of ReadTurns for a daemon of libmicrohttpd:
  * suspends a connection whose next part has to wait, and resumes waiting
- * connections in the order in which they began to wait. Thread-safe.
+ * connections in the order in which they began to wait. For a daemon
+ * that is run by one thread.
  */
 class ReadPacer
 {
@@ -33,13 +33,13 @@
   bool MayRead(MHD_Connection& aConnection, ReadTurns::Reader& aReader);
 
   /** Other work had a turn. */
-  void BeginTurn();
+  void BeginTurn() { m_turns.BeginTurn(); }
 
   /** Resumes the connections of the turn's next round. Returns false if none
    * waits or the turn is over. */
   bool ResumeNext();
 
-  bool HasWaiting() const;
+  bool HasWaiting() const { return !m_waiting.empty(); }
 
   /** Resumes all connections and suspends none from now on, so that the daemon
    * can be stopped. */
@@ -51,7 +51,6 @@
 
   const ConnectionTable& m_table;
   const std::function<void()> m_onWaiting;
-  mutable std::mutex m_mutex;
   ReadTurns m_turns;
   std::deque<MHD_Connection*> m_waiting;
   bool m_isStopped = false;
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -413,7 +413,7 @@
   for (const auto& [id, job] : m_jobs) {
     status.m_memory += static_cast<std::int64_t>(LargestMemory(job->Record()));
   }
-  status.m_memoryLimit = m_env.m_memoryLimit();
+  status.m_memoryLimit = m_settings.m_memoryLimit();
   status.m_sequence = ++m_statusSequence;
   m_writer.Put(m_keys.Status(), EncodeShardStatus(status));
   PublishShares();
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -69,10 +69,6 @@
     std::function<bool()> m_holdsLease;
     /** Called when a worker has seen the fencing token of a later owner. */
     std::function<void()> m_onSuperseded;
-    /** See ShardStatus::m_memoryLimit. */
-    std::function<std::int64_t()> m_memoryLimit = [] {
-      return kMaxShardMemory;
-    };
   };
 
   Scheduler(Environment aEnvironment,
--- a/scheduler/scheduler_settings.h
+++ b/scheduler/scheduler_settings.h
@@ -1,7 +1,12 @@
 #pragma once
 
+#include "scheduler/shard_status.h"
+
 #include <absl/time/time.h>
 
+#include <cstdint>
+#include <functional>
+
 namespace bramleystall {
 
 /** Deployment settings of the scheduler. */
@@ -15,6 +20,8 @@
   absl::Duration m_stopTime = absl::Milliseconds(400);
   /** Number of shards among which the caps of tenants are divided. */
   int m_shardCount = 1;
+  /** See ShardStatus::m_memoryLimit. */
+  std::function<std::int64_t()> m_memoryLimit = [] { return kMaxShardMemory; };
 };
 
 }
--- a/tests/fakes/crowd_check.h
+++ b/tests/fakes/crowd_check.h
@@ -70,6 +70,18 @@
   bool m_isServed = false;
 };
 
+/** Notes what a daemon uses now. */
+inline void
+Sample(const ChildProcess& aProcess,
+       std::uint16_t aPort,
+       CrowdOutcome& aOutcome)
+{
+  aOutcome.m_peakMemory = PeakMemoryBytes(aProcess.Pid());
+  aOutcome.m_unreadBytes = std::max(aOutcome.m_unreadBytes, UnreadBytes(aPort));
+  aOutcome.m_descriptors =
+    std::max(aOutcome.m_descriptors, OpenDescriptors(aProcess.Pid()));
+}
+
 /** Checks that the process lives, that it stayed within its bounds, and that
  * the ordinary request succeeded. */
 inline void
@@ -107,16 +119,11 @@
            const std::function<bool()>& aOrdinaryRequest)
 {
   CrowdOutcome outcome{ .m_idleMemory = PeakMemoryBytes(aProcess.Pid()) };
-  const auto sample = [&] {
-    outcome.m_descriptors =
-      std::max(outcome.m_descriptors, OpenDescriptors(aProcess.Pid()));
-    outcome.m_unreadBytes = std::max(outcome.m_unreadBytes, UnreadBytes(aPort));
-  };
+  const auto sample = [&] { Sample(aProcess, aPort, outcome); };
   ClientCrowd crowd(aPort, aScenario.m_request);
   crowd.Run(aScenario.m_connections, sample);
   outcome.m_isServed = aOrdinaryRequest();
   sample();
-  outcome.m_peakMemory = PeakMemoryBytes(aProcess.Pid());
   outcome.m_open = crowd.OpenCount();
   CheckOutcome(aProcess, aBounds, aScenario, aPort, outcome);
   return outcome;
@@ -135,11 +142,7 @@
   constexpr std::size_t kBytesBeforeRequest = std::size_t{ 64 } << 20U;
   constexpr absl::Duration kMaxWait = absl::Seconds(10);
   CrowdOutcome outcome{ .m_idleMemory = PeakMemoryBytes(aProcess.Pid()) };
-  const auto sample = [&] {
-    outcome.m_descriptors =
-      std::max(outcome.m_descriptors, OpenDescriptors(aProcess.Pid()));
-    outcome.m_unreadBytes = std::max(outcome.m_unreadBytes, UnreadBytes(aPort));
-  };
+  const auto sample = [&] { Sample(aProcess, aPort, outcome); };
   ClientCrowd crowd(aPort, aScenario.m_request);
   std::atomic<bool> isStopped = false;
   std::atomic<std::size_t> sentBytes = 0;
@@ -154,7 +157,6 @@
   isStopped = true;
   sender.join();
   sample();
-  outcome.m_peakMemory = PeakMemoryBytes(aProcess.Pid());
   outcome.m_open = crowd.OpenCount();
   CheckOutcome(aProcess, aBounds, aScenario, aPort, outcome);
 }
