Stop the returning crowd if its daemon has ended

Reading the memory of a process that has ended throws, and the crowd's thread was then destroyed while it ran, which aborted the whole test program.

--- a/tests/fakes/crowd_check.h
+++ b/tests/fakes/crowd_check.h
@@ -6,6 +6,7 @@
 #include "tests/fakes/crowd_scenarios.h"
 #include "tests/fakes/process_usage.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
@@ -15,6 +16,7 @@
 #include <functional>
 #include <iostream>
 #include <thread>
+#include <utility>
 
 namespace bramleystall {
 
@@ -148,14 +150,18 @@
   std::atomic<std::size_t> sentBytes = 0;
   std::thread sender(
     [&] { crowd.RunReturning(aScenario.m_connections, isStopped, sentBytes); });
+  // Sample throws if the process has ended.
+  absl::Cleanup stop = [&] {
+    isStopped = true;
+    sender.join();
+  };
   const absl::Time end = absl::Now() + kMaxWait;
   while (sentBytes < kBytesBeforeRequest && absl::Now() < end) {
     sample();
     absl::SleepFor(absl::Milliseconds(20));
   }
   outcome.m_isServed = aOrdinaryRequest();
-  isStopped = true;
-  sender.join();
+  std::move(stop).Invoke();
   sample();
   outcome.m_open = crowd.OpenCount();
   CheckOutcome(aProcess, aBounds, aScenario, aPort, outcome);
