Run timers that descriptors add in the same iteration

Due timers that the descriptors' callbacks have added now run at the end of the iteration, so that a chain of two takes one wait as before. Timers that timers add still wait, so no chain can keep descriptors from their turn; the tests of the event loop and of the listener hold unchanged.

--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -14,6 +14,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace bramleystall {
 
@@ -143,6 +144,7 @@
                                  MsUntilNextTimer());
     m_now = MonotonicNow();
     RunTimers();
+    const TimerId firstOfDescriptors = m_nextTimer;
     for (int i = 0; i < std::max(count, 0); ++i) {
       const auto found = m_descriptors.find(events[i].data.fd);
       if (found == m_descriptors.end()) {
@@ -151,6 +153,7 @@
       const auto callback = found->second.m_callback;
       (*callback)(events[i].events);
     }
+    RunTimersSince(firstOfDescriptors);
   }
 }
 
@@ -201,6 +204,27 @@
   }
 }
 
+void
+EventLoop::RunTimersSince(TimerId aFirst)
+{
+  std::vector<std::pair<absl::Time, TimerId>> due;
+  for (auto timer = m_timers.begin();
+       timer != m_timers.end() && timer->first.first <= m_now;
+       ++timer) {
+    if (timer->first.second >= aFirst) {
+      due.push_back(timer->first);
+    }
+  }
+  for (const auto& key : due) {
+    // An earlier callback may have cancelled the timer.
+    auto node = m_timers.extract(key);
+    if (node) {
+      m_timerTimes.erase(key.second);
+      node.mapped()();
+    }
+  }
+}
+
 void
 EventLoop::ReadSignals()
 {
--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -52,8 +52,9 @@
              DescriptorCallback aCallback);
   void Unwatch(int aDescriptor);
 
-  /** Calls back once, the given delay after Now(), but not before the next
-   * iteration if a timer's callback adds it. Cancel accepts the returned id. */
+  /** Calls back once, the given delay after Now(): without a delay, after the
+   * callbacks of the descriptors if one of them adds it, and in the next
+   * iteration if a timer's callback does. Cancel accepts the returned id. */
   TimerId After(absl::Duration aDelay, Callback aCallback);
   void Cancel(TimerId aTimer);
 
@@ -79,6 +80,8 @@
 
   int MsUntilNextTimer() const;
   void RunTimers();
+  /** Runs the due timers with ids from aFirst on. */
+  void RunTimersSince(TimerId aFirst);
   void ReadSignals();
 
   int m_epollDescriptor = -1;
