Keep a late submission out after its cancel was acknowledged

Cause: a cancel of an id without an entry wrote nothing. A submission is stored on the condition that the id has no entry, so a write without response, one of another daemon, or one that the cancel overtook could still be applied.

Change: such a cancel stores a tombstone in place of the entry before it is answered, so the condition of each submission under way fails. It names the tenants that have cancelled the id: their later submissions get 409, those of others replace it. The handler's read of an absent entry is otherwise as before.

The check in "A cancel is stored before its response" that an id is accepted after its cancel was answered with 410 contradicted rule UNASKED; it now expects 409 and that nothing is stored.

--- a/jobs/job_entry.cpp
+++ b/jobs/job_entry.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace bramleystall {
 
 namespace {
@@ -13,7 +15,26 @@
 constexpr const char* kShardField = "shard";
 constexpr const char* kStateField = "state";
 constexpr const char* kTenantField = "tenant";
+/** Only in a tombstone. It has no shard, so that earlier versions reject it as
+ * malformed instead of taking it for the entry of a job. */
+constexpr const char* kCancelledByField = "cancelled_by";
+
+std::optional<JobEntry>
+DecodeTombstone(const json& aTenants)
+{
+  const auto isString = [](const json& aTenant) { return aTenant.is_string(); };
+  if (!aTenants.is_array() || !std::ranges::all_of(aTenants, isString)) {
+    return std::nullopt;
+  }
+  return JobEntry{ .m_cancelledBy = aTenants.get<std::vector<std::string>>() };
+}
+
+}
 
+bool
+JobEntry::IsCancelledBy(const std::string& aTenant) const
+{
+  return m_cancelledBy && std::ranges::count(*m_cancelledBy, aTenant) > 0;
 }
 
 std::string
@@ -25,6 +46,9 @@
 std::string
 EncodeJobEntry(const JobEntry& aEntry)
 {
+  if (aEntry.m_cancelledBy) {
+    return json{ { kCancelledByField, *aEntry.m_cancelledBy } }.dump();
+  }
   json body = { { kShardField, aEntry.m_shard } };
   if (aEntry.m_finalState) {
     body[kStateField] = NameOf(kJobStateNames, *aEntry.m_finalState);
@@ -42,6 +66,10 @@
   if (!body.is_object()) {
     return std::nullopt;
   }
+  const auto cancelledBy = body.find(kCancelledByField);
+  if (cancelledBy != body.end()) {
+    return DecodeTombstone(*cancelledBy);
+  }
   const auto shard = body.find(kShardField);
   if (shard == body.end() || !shard->is_number_integer()) {
     return std::nullopt;
--- a/jobs/job_entry.h
+++ b/jobs/job_entry.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace bramleystall {
 
@@ -21,6 +22,18 @@
   std::optional<JobState> m_finalState;
   /** Tenant that alone may read and cancel the job; empty if there is none. */
   std::string m_tenant;
+  /**
+   * Set in a tombstone: the tenants, as in m_tenant, that have cancelled the id
+   * while it had no job. A tombstone has no other fields. It refuses later
+   * submissions of these tenants, and each stored one makes a write fail that
+   * requires the previous entry, or that there is none. Submissions of other
+   * tenants replace it.
+   */
+  std::optional<std::vector<std::string>> m_cancelledBy;
+
+  bool IsTombstone() const { return m_cancelledBy.has_value(); }
+  /** Whether this is a tombstone that names the tenant. */
+  bool IsCancelledBy(const std::string& aTenant) const;
 };
 
 /** Tenant that the entry of a job names; none for a job of a public queue,
--- a/scheduler/entry_sweeper.cpp
+++ b/scheduler/entry_sweeper.cpp
@@ -43,7 +43,7 @@
 {
   m_loop.After(kSweepInterval, [this, alive = m_alive] {
     if (*alive) {
-      m_found.clear();
+      ++m_sweep;
       ReadPage("");
     }
   });
@@ -69,17 +69,23 @@
   }
   for (const StoreItem& item : aResult.m_items) {
     const auto entry = DecodeJobEntry(item.m_value);
-    if (entry && entry->m_finalState) {
-      const auto known = m_finalSince.find(item.m_key);
-      m_found[item.m_key] =
-        known == m_finalSince.end() ? m_loop.Now() : known->second;
+    if (!entry || !(entry->m_finalState || entry->IsTombstone())) {
+      continue;
+    }
+    ExpiringEntry& expiring = m_expiring[item.m_key];
+    if (expiring.m_revision != item.m_revision) {
+      expiring.m_revision = item.m_revision;
+      expiring.m_since = m_loop.Now();
     }
+    expiring.m_lastSweep = m_sweep;
   }
   if (aResult.m_hasMore && !aResult.m_items.empty()) {
     ReadPage(aResult.m_items.back().m_key);
     return;
   }
-  m_finalSince = std::move(m_found);
+  std::erase_if(m_expiring, [this](const auto& aEntry) {
+    return aEntry.second.m_lastSweep != m_sweep;
+  });
   RemoveExpired();
   ScheduleSweep();
 }
@@ -87,25 +93,28 @@
 void
 EntrySweeper::RemoveExpired()
 {
-  StoreTransaction removal;
-  const auto commit = [this, &removal] {
-    removal.m_conditions = { { m_ownerKey, m_fencingToken } };
+  const StoreCondition ownership{ m_ownerKey, m_fencingToken };
+  StoreTransaction removal{ .m_conditions = { ownership } };
+  const auto commit = [&] {
     m_store.Commit(removal, [](const CommitResult& aResult) {
       if (aResult.m_status != CommitStatus::Applied) {
         LogInfo(LogPart::Jobs,
-                absl::StrCat("entries of ended jobs not removed, will retry at "
+                absl::StrCat("entries without a job not removed, will retry at "
                              "the next sweep; error=",
                              aResult.m_error));
       }
     });
-    removal = {};
+    removal = { .m_conditions = { ownership } };
   };
-  for (const auto& [key, since] : m_finalSince) {
-    if (m_loop.Now() < since + m_retention) {
+  for (const auto& [key, entry] : m_expiring) {
+    if (m_loop.Now() < entry.m_since + m_retention) {
       continue;
     }
+    // A submission may replace a tombstone after the sweep has read it.
+    removal.m_conditions.push_back({ key, entry.m_revision });
     removal.m_removals.push_back(key);
-    if (removal.m_removals.size() + 1 == StoreTransaction::kMaxEntries) {
+    if (removal.m_conditions.size() + removal.m_removals.size() + 2 >
+        StoreTransaction::kMaxEntries) {
       commit();
     }
   }
--- a/scheduler/entry_sweeper.h
+++ b/scheduler/entry_sweeper.h
@@ -15,9 +15,10 @@
 class EventLoop;
 
 /**
- * Removes the directory entries of a shard whose jobs ended longer ago than the
- * retention time. The time runs from the sweep that first sees a final entry,
- * so that it depends on no wall clock and restarts with each owner.
+ * Removes the directory entries of a shard that have been final, or tombstones,
+ * for longer than the retention time. The time runs from the sweep that first
+ * sees an entry with its revision, so that it depends on no wall clock and
+ * restarts with each owner.
  */
 class EntrySweeper
 {
@@ -35,6 +36,15 @@
   EntrySweeper& operator=(const EntrySweeper&) = delete;
 
 private:
+  struct ExpiringEntry
+  {
+    std::int64_t m_revision = 0;
+    /** Time of the sweep that first saw this revision. */
+    absl::Time m_since;
+    /** Number of the last sweep that saw the entry. */
+    std::int64_t m_lastSweep = 0;
+  };
+
   void ScheduleSweep();
   void ReadPage(const std::string& aAfter);
   void OnPage(const ReadResult& aResult);
@@ -46,10 +56,9 @@
   std::string m_ownerKey;
   std::int64_t m_fencingToken;
   absl::Duration m_retention;
-  /** Time at which a sweep first saw the final entry of a key. */
-  std::map<std::string, absl::Time> m_finalSince;
-  /** The same, of the keys that the sweep in progress has found. */
-  std::map<std::string, absl::Time> m_found;
+  /** By key. */
+  std::map<std::string, ExpiringEntry> m_expiring;
+  std::int64_t m_sweep = 0;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/server/job_call.h
+++ b/server/job_call.h
@@ -14,6 +14,9 @@
   std::string m_id;
   CallerIdentity m_caller;
   HttpListener::Responder m_respond;
+  /** Tenant that the job's entry names if this call submits it; see
+   * TenantOfEntry. */
+  std::string m_entryTenant;
 };
 
 }
--- a/server/job_request_handler.cpp
+++ b/server/job_request_handler.cpp
@@ -51,6 +51,7 @@
   , m_codec(std::move(aCodec))
   , m_configuration(std::move(aConfiguration))
   , m_layout(std::move(aLayout))
+  , m_tombstones(aLoop, aStore, aMetrics)
   , m_shardStatus(aLoop, aStore)
 {
 }
@@ -90,14 +91,17 @@
   }
   const JobCall call{ aRequest.m_path.substr(queue->m_prefix.size()),
                       *caller,
-                      aRespond };
+                      aRespond,
+                      queue->m_isPublic ? "" : caller->Tenant() };
   if (call.m_id.empty() && aRequest.m_method == "GET") {
     RespondWithPendingCount(queue->m_name, call);
     return;
   }
   if (!IsJobId(call.m_id)) {
     // The path may have any text, so it is not logged as an id.
-    Refuse({ "", call.m_caller, aRespond }, "bad_job_id", kBadRequest);
+    Refuse({ .m_caller = call.m_caller, .m_respond = aRespond },
+           "bad_job_id",
+           kBadRequest);
     return;
   }
   if (aRequest.m_method == "POST") {
--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -9,6 +9,7 @@
 #include "scheduler/shard_memory.h"
 #include "scheduler/shard_status_reader.h"
 #include "server/job_call.h"
+#include "server/tombstone_writer.h"
 #include "store/key_value_store.h"
 
 #include <absl/time/time.h>
@@ -78,6 +79,8 @@
     std::string m_entry;
     /** See LargestMemory. */
     std::int64_t m_memory = 0;
+    /** Revision of the tombstone that the entry replaces; 0 for none. */
+    std::int64_t m_replacedRevision = 0;
   };
 
   void Submit(const JobConfiguration& aConfiguration,
@@ -95,8 +98,11 @@
                           const char* aReason,
                           int aStatus,
                           const std::string& aDetail = "");
+  /** Queues a submission for the next commit. */
+  void Enqueue(Submission aSubmission);
   void FlushSubmissions();
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
+  void OnConflict(Submission aSubmission, const CommitResult& aResult);
   /** Removes a submission whose outcome is determined from the open ones. */
   void Close(const Submission& aSubmission);
   /**
@@ -109,7 +115,8 @@
                 std::function<void(const StoreItem& aItem)> aOnStored,
                 std::function<void()> aOnRead = {});
   /** Accepts a job whose entry is stored, unless its id belongs to another
-   * tenant's job. */
+   * tenant's job. If the entry is a tombstone, refuses the job or replaces the
+   * tombstone. */
   void AcceptStored(const Submission& aSubmission,
                     const StoreItem& aEntry,
                     const char* aHow);
@@ -118,6 +125,11 @@
   void AcceptConflicting(const Submission& aSubmission,
                          const StoreItem& aEntry);
   void Accept(const Submission& aSubmission, const char* aHow);
+  /** Refuses a submission if its tenant has cancelled the id. Otherwise stores
+   * it in place of the tombstone with the revision. */
+  void ReplaceTombstone(Submission aSubmission,
+                        const JobEntry& aTombstone,
+                        std::int64_t aRevision);
   /** Reads a key of a job; calls back with null when there is none. Refuses the
    * request itself when the store is unavailable. */
   void ReadKey(const std::string& aKey,
@@ -134,6 +146,12 @@
   std::optional<JobEntry> DecodeStoredEntry(const JobCall& aCall,
                                             const StoreItem& aItem,
                                             int aStatus);
+  /** Reads the entry of a job; calls back with null and revision 0 when there
+   * is none. Refuses the request itself when it is malformed or the store is
+   * unavailable. */
+  void ReadEntry(const JobCall& aCall,
+                 std::function<void(const JobEntry* aEntry,
+                                    std::int64_t aRevision)> aOnRead);
   /**
    * Reads the entry of a job. Refuses the request itself when there is none,
    * the job belongs to another tenant, or the store is unavailable.
@@ -142,6 +160,15 @@
                  std::function<void(const JobEntry& aEntry,
                                     std::int64_t aRevision)> aOnFound);
   void Cancel(const JobCall& aCall);
+  /**
+   * Cancels an id that has no job. A submission without response may still be
+   * stored, so this stores a tombstone for the caller's tenant before the
+   * response. It replaces the tombstone with the revision, if there is one.
+   */
+  void CancelWithoutJob(const JobCall& aCall,
+                        const JobEntry* aTombstone,
+                        std::int64_t aRevision);
+  void OnTombstoneWritten(const JobCall& aCall, CommitStatus aStatus);
   void WriteCancel(const JobCall& aCall,
                    int aShard,
                    std::int64_t aEntryRevision);
@@ -181,6 +208,7 @@
    * back; one for each submission. */
   std::multiset<std::string> m_openIds;
   int m_openCommits = 0;
+  TombstoneWriter m_tombstones;
   ShardStatusReader m_shardStatus;
   ShardMemory m_shardMemory;
   /** By reason. */
--- a/server/job_request_handler_cancel.cpp
+++ b/server/job_request_handler_cancel.cpp
@@ -11,23 +11,95 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace bramleystall {
 
 void
 JobRequestHandler::Cancel(const JobCall& aCall)
 {
-  FindEntry(aCall,
-            [this, aCall](const JobEntry& aEntry, std::int64_t aRevision) {
-              if (aEntry.m_finalState) {
+  ReadEntry(aCall,
+            [this, aCall](const JobEntry* aEntry, std::int64_t aRevision) {
+              if (aEntry == nullptr || aEntry->IsTombstone()) {
+                CancelWithoutJob(aCall, aEntry, aRevision);
+              } else if (!aCall.m_caller.MayAccess(*aEntry)) {
+                Refuse(aCall, "job_of_other_tenant", kGone);
+              } else if (aEntry->m_finalState) {
                 // Nothing is left to cancel; the job keeps its state.
                 aCall.m_respond({ .m_status = kOk, .m_body = "{}" });
-                return;
+              } else {
+                WriteCancel(aCall, aEntry->m_shard, aRevision);
               }
-              WriteCancel(aCall, aEntry.m_shard, aRevision);
             });
 }
 
+void
+JobRequestHandler::CancelWithoutJob(const JobCall& aCall,
+                                    const JobEntry* aTombstone,
+                                    std::int64_t aRevision)
+{
+  std::vector<std::string> tenants;
+  if (aTombstone != nullptr) {
+    if (aTombstone->IsCancelledBy(aCall.m_entryTenant)) {
+      Refuse(aCall, "unknown_job", kGone);
+      return;
+    }
+    tenants = *aTombstone->m_cancelledBy;
+  }
+  tenants.push_back(aCall.m_entryTenant);
+  const bool isWritten = m_tombstones.Write(
+    aCall.m_caller.Tenant(),
+    { .m_key = EntryKey(aCall.m_id),
+      .m_value = EncodeJobEntry({ .m_cancelledBy = std::move(tenants) }),
+      .m_replacedRevision = aRevision },
+    [this, aCall, alive = m_alive](CommitStatus aStatus) {
+      if (*alive) {
+        OnTombstoneWritten(aCall, aStatus);
+      }
+    });
+  if (!isWritten) {
+    Refuse(aCall, "too_many_unknown_ids", kUnavailable);
+  }
+}
+
+void
+JobRequestHandler::OnTombstoneWritten(const JobCall& aCall,
+                                      CommitStatus aStatus)
+{
+  switch (aStatus) {
+    case CommitStatus::Applied:
+      LogInfo(LogPart::Server,
+              absl::StrCat("id cancelled before a job with it was stored; job=",
+                           aCall.m_id,
+                           TenantField(aCall.m_caller.Tenant())));
+      Refuse(aCall, "unknown_job", kGone);
+      break;
+    case CommitStatus::Conflict:
+      // A submission or the tombstone of another request was stored meanwhile.
+      Cancel(aCall);
+      break;
+    case CommitStatus::LeaseGone:
+    case CommitStatus::NotApplied:
+      Refuse(aCall, "store_unavailable", kUnavailable);
+      break;
+    case CommitStatus::Unknown:
+      ReadBack(
+        EntryKey(aCall.m_id), aCall, [this, aCall](const StoreItem& aItem) {
+          const auto entry = DecodeStoredEntry(aCall, aItem, kOutcomeUnknown);
+          if (!entry) {
+            return;
+          }
+          if (entry->IsTombstone() &&
+              !entry->IsCancelledBy(aCall.m_entryTenant)) {
+            Refuse(aCall, "outcome_unknown", kOutcomeUnknown);
+            return;
+          }
+          Cancel(aCall);
+        });
+      break;
+  }
+}
+
 void
 JobRequestHandler::WriteCancel(const JobCall& aCall,
                                int aShard,
--- a/server/job_request_handler_queries.cpp
+++ b/server/job_request_handler_queries.cpp
@@ -144,29 +144,42 @@
 }
 
 void
-JobRequestHandler::FindEntry(
+JobRequestHandler::ReadEntry(
   const JobCall& aCall,
-  std::function<void(const JobEntry& aEntry, std::int64_t aRevision)> aOnFound)
+  std::function<void(const JobEntry* aEntry, std::int64_t aRevision)> aOnRead)
 {
   ReadKey(EntryKey(aCall.m_id),
           aCall,
-          [this, aCall, onFound = std::move(aOnFound)](const StoreItem* aItem) {
+          [this, aCall, onRead = std::move(aOnRead)](const StoreItem* aItem) {
             if (aItem == nullptr) {
-              Refuse(aCall, "unknown_job", kGone);
-              return;
-            }
-            const auto entry = DecodeStoredEntry(aCall, *aItem, kUnavailable);
-            if (!entry) {
+              onRead(nullptr, 0);
               return;
             }
-            if (!aCall.m_caller.MayAccess(*entry)) {
-              Refuse(aCall, "job_of_other_tenant", kGone);
-              return;
+            if (const auto entry =
+                  DecodeStoredEntry(aCall, *aItem, kUnavailable)) {
+              onRead(&*entry, aItem->m_revision);
             }
-            onFound(*entry, aItem->m_revision);
           });
 }
 
+void
+JobRequestHandler::FindEntry(
+  const JobCall& aCall,
+  std::function<void(const JobEntry& aEntry, std::int64_t aRevision)> aOnFound)
+{
+  ReadEntry(aCall,
+            [this, aCall, onFound = std::move(aOnFound)](
+              const JobEntry* aEntry, std::int64_t aRevision) {
+              if (aEntry == nullptr || aEntry->IsTombstone()) {
+                Refuse(aCall, "unknown_job", kGone);
+              } else if (!aCall.m_caller.MayAccess(*aEntry)) {
+                Refuse(aCall, "job_of_other_tenant", kGone);
+              } else {
+                onFound(*aEntry, aRevision);
+              }
+            });
+}
+
 void
 JobRequestHandler::RespondWithPendingCount(const std::string& aQueue,
                                            const JobCall& aCall)
--- a/server/job_request_handler_submissions.cpp
+++ b/server/job_request_handler_submissions.cpp
@@ -53,6 +53,15 @@
                            : DescribeStepAboveCap(aRecord.m_steps, *tenant);
 }
 
+/** Whether the entry is a tombstone that a submission of the tenant replaces.
+ */
+bool
+IsReplaceable(const StoreItem& aEntry, const std::string& aTenant)
+{
+  const auto entry = DecodeJobEntry(aEntry.m_value);
+  return entry && entry->IsTombstone() && !entry->IsCancelledBy(aTenant);
+}
+
 }
 
 void
@@ -97,8 +106,7 @@
         std::move(submission), "shard_memory_full", kUnavailable);
       return;
     }
-    m_openIds.insert(aCall.m_id);
-    m_submissions.push_back(std::move(submission));
+    Enqueue(std::move(submission));
   } catch (const Error& error) {
     if (!aCall.m_caller.IsAnonymous() ||
         CountRefusal("undecodable_job").has_value()) {
@@ -109,9 +117,7 @@
                            error.what()));
     }
     Refuse(aCall, "bad_submission", kBadRequest);
-    return;
   }
-  FlushSubmissions();
 }
 
 bool
@@ -150,7 +156,8 @@
         return;
       }
       const JobCall& call = aSubmission.m_call;
-      if (aResult.m_status == ReadStatus::Ok && !aResult.m_items.empty()) {
+      if (aResult.m_status == ReadStatus::Ok && !aResult.m_items.empty() &&
+          !IsReplaceable(aResult.m_items.front(), call.m_entryTenant)) {
         AcceptStored(aSubmission, aResult.m_items.front(), "known");
       } else if (aResult.m_status != ReadStatus::Ok || wasOpen ||
                  m_openIds.contains(call.m_id)) {
@@ -172,6 +179,14 @@
   return ChooseShard(m_shardStatus.Views(), aId, aFallback);
 }
 
+void
+JobRequestHandler::Enqueue(Submission aSubmission)
+{
+  m_openIds.insert(aSubmission.m_call.m_id);
+  m_submissions.push_back(std::move(aSubmission));
+  FlushSubmissions();
+}
+
 void
 JobRequestHandler::FlushSubmissions()
 {
@@ -194,7 +209,8 @@
         break;
       }
       bytes += next.m_record.size();
-      transaction.m_conditions.push_back({ next.m_entryKey, 0 });
+      transaction.m_conditions.push_back(
+        { next.m_entryKey, next.m_replacedRevision });
       transaction.m_puts.push_back({ next.m_entryKey, next.m_entry, 0 });
       transaction.m_puts.push_back(
         { keys::ShardKeys(next.m_shard).Job(next.m_call.m_id),
@@ -225,19 +241,9 @@
         Close(submission);
         Accept(submission, "stored");
         break;
-      case CommitStatus::Conflict: {
-        const auto stored = std::ranges::find_if(
-          aResult.m_current, [&submission](const StoreItem& aItem) {
-            return aItem.m_key == submission.m_entryKey && aItem.m_revision > 0;
-          });
-        if (stored != aResult.m_current.end()) {
-          Close(submission);
-          AcceptConflicting(submission, *stored);
-        } else {
-          m_submissions.push_back(std::move(submission));
-        }
+      case CommitStatus::Conflict:
+        OnConflict(std::move(submission), aResult);
         break;
-      }
       case CommitStatus::LeaseGone:
       case CommitStatus::NotApplied:
         Close(submission);
@@ -260,6 +266,25 @@
   FlushSubmissions();
 }
 
+void
+JobRequestHandler::OnConflict(Submission aSubmission,
+                              const CommitResult& aResult)
+{
+  const std::int64_t revision = aResult.CurrentRevision(aSubmission.m_entryKey);
+  if (revision == aSubmission.m_replacedRevision || revision == 0) {
+    // Another job of the commit had the conflict, or the tombstone that this
+    // one replaces has been removed.
+    aSubmission.m_replacedRevision = revision;
+    m_submissions.push_back(std::move(aSubmission));
+    return;
+  }
+  Close(aSubmission);
+  AcceptConflicting(aSubmission,
+                    *std::ranges::find(aResult.m_current,
+                                       aSubmission.m_entryKey,
+                                       &StoreItem::m_key));
+}
+
 void
 JobRequestHandler::Close(const Submission& aSubmission)
 {
@@ -279,6 +304,10 @@
   if (!entry) {
     return;
   }
+  if (entry->IsTombstone()) {
+    ReplaceTombstone(aSubmission, *entry, aEntry.m_revision);
+    return;
+  }
   if (!aSubmission.m_call.m_caller.MayAccess(*entry)) {
     Refuse(aSubmission.m_call, "id_of_other_tenant", kIdConflict);
     return;
@@ -317,4 +346,26 @@
   aSubmission.m_call.m_respond({ .m_status = kOk, .m_body = "{}" });
 }
 
+void
+JobRequestHandler::ReplaceTombstone(Submission aSubmission,
+                                    const JobEntry& aTombstone,
+                                    std::int64_t aRevision)
+{
+  if (aTombstone.IsCancelledBy(aSubmission.m_call.m_entryTenant)) {
+    Refuse(aSubmission.m_call,
+           "id_cancelled",
+           kIdConflict,
+           "the id was cancelled before a job with it was stored; submit the "
+           "job with another id");
+    return;
+  }
+  if (aSubmission.m_record.empty()) {
+    // The record is dropped once its write has got no response.
+    Refuse(aSubmission.m_call, "outcome_unknown", kOutcomeUnknown);
+    return;
+  }
+  aSubmission.m_replacedRevision = aRevision;
+  Enqueue(std::move(aSubmission));
+}
+
 }
--- a/store/key_value_store.h
+++ b/store/key_value_store.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -105,6 +106,14 @@
   /** With Conflict, the current items of those condition keys that exist. */
   std::vector<StoreItem> m_current;
   std::string m_error;
+
+  /** With Conflict, the current revision of a condition key; 0 if there is no
+   * such key. */
+  std::int64_t CurrentRevision(const std::string& aKey) const
+  {
+    const auto found = std::ranges::find(m_current, aKey, &StoreItem::m_key);
+    return found == m_current.end() ? 0 : found->m_revision;
+  }
 };
 
 enum class LeaseStatus
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -300,6 +300,16 @@
   if (m_isCommitStalled && m_isCommitStalled(aTransaction)) {
     return;
   }
+  if (const auto lateness =
+        m_commitLateness ? m_commitLateness(aTransaction) : std::nullopt) {
+    m_loop.After(*lateness, [&store = m_store, aTransaction] {
+      store.Apply(aTransaction);
+    });
+    CallAfter(kTimeout, [callback = std::move(aCallback)] {
+      callback({ .m_status = CommitStatus::Unknown });
+    });
+    return;
+  }
   CallAfter(kLatency, [this, aTransaction, callback = std::move(aCallback)] {
     if (!IsReachable()) {
       const CommitStatus status =
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,10 @@
   /** If set, commits for which it returns true have no effect and no response.
    */
   std::function<bool(const StoreTransaction&)> m_isCommitStalled;
+  /** If set and it returns a time, a commit gets no response and is applied
+   * after that time, even if this client is gone by then. */
+  std::function<std::optional<absl::Duration>(const StoreTransaction&)>
+    m_commitLateness;
   /** Conflicts carry the keys and revisions of the items, but no values. */
   bool m_areConflictValuesCut = false;
   int m_commitCount = 0;
--- a/tests/fakes/job_request_fixture.h
+++ b/tests/fakes/job_request_fixture.h
@@ -49,22 +49,27 @@
     return *response;
   }
 
+  /** Makes the handler of a daemon that uses the connection to the store. */
+  JobRequestHandler MakeHandler(KeyValueStore& aStore)
+  {
+    return JobRequestHandler(
+      m_loop,
+      aStore,
+      m_metrics,
+      { .m_decodeJob = wire::DecodeSubmission,
+        .m_encodeState = wire::EncodeJobState,
+        .m_encodePending = wire::EncodePendingCount },
+      [this] { return m_configuration ? &*m_configuration : nullptr; },
+      [this] { return m_layout ? &*m_layout : nullptr; });
+  }
+
   EventLoop m_loop{ EventLoop::ClockMode::Simulated };
   FakeStore m_store{ m_loop };
   FakeStoreClient m_client{ m_loop, m_store };
   Metrics m_metrics;
   std::optional<JobConfiguration> m_configuration;
   std::optional<ShardLayout> m_layout{ ShardLayout() };
-  JobRequestHandler m_handler{
-    m_loop,
-    m_client,
-    m_metrics,
-    { .m_decodeJob = wire::DecodeSubmission,
-      .m_encodeState = wire::EncodeJobState,
-      .m_encodePending = wire::EncodePendingCount },
-    [this] { return m_configuration ? &*m_configuration : nullptr; },
-    [this] { return m_layout ? &*m_layout : nullptr; }
-  };
+  JobRequestHandler m_handler = MakeHandler(m_client);
 };
 
 }
--- a/tests/scheduler/test_takeover.cpp
+++ b/tests/scheduler/test_takeover.cpp
@@ -193,6 +193,38 @@
   REQUIRE(store.Has(keys.Entry("unreadable")));
 }
 
+// Guards against a sweep that removes the entry of a job, which has replaced a
+// tombstone, or removes a final entry too early (rule LOST).
+TEST_CASE("A sweep removes no entry that has changed", "[takeover]")
+{
+  EventLoop loop{ EventLoop::ClockMode::Simulated };
+  FakeStore store(loop);
+  FakeStoreClient client(loop, store);
+  const keys::ShardKeys keys(0);
+  const std::string entry = keys.Entry("job1");
+  store.Set(keys.Owner(), "owner");
+  const std::int64_t fence =
+    store.List(keys.Owner(), "").m_items.front().m_revision;
+  store.Set(entry, EncodeJobEntry({ .m_cancelledBy = { { "a" } } }));
+  store.Set(keys.Entry("left"),
+            EncodeJobEntry({ .m_cancelledBy = { { "a" } } }));
+  const EntrySweeper sweeper(
+    loop, client, keys.EntryPrefix(), keys.Owner(), fence, absl::Seconds(120));
+  // Each sweep reads for 4 ms. The third one has read the tombstone, and its
+  // removal is under way.
+  loop.AdvanceBy(3 * absl::Seconds(60) + absl::Milliseconds(3 * 4 + 1));
+  REQUIRE(store.Has(entry));
+  store.Set(entry, EncodeJobEntry({}));
+  loop.AdvanceBy(absl::Seconds(10));
+  CHECK(store.Has(entry));
+  store.Set(entry, EncodeJobEntry({ .m_finalState = JobState::Completed }));
+  loop.AdvanceBy(absl::Seconds(170));
+  CHECK(store.Has(entry));
+  CHECK_FALSE(store.Has(keys.Entry("left")));
+  loop.AdvanceBy(absl::Seconds(70));
+  CHECK_FALSE(store.Has(entry));
+}
+
 // Guards against a task that a new owner starts again, because the stored list
 // of leased workers has missed its worker, which was listed again just before
 // the start (rule TWICE, issue 31).
--- a/tests/server/test_job_request_handler.cpp
+++ b/tests/server/test_job_request_handler.cpp
@@ -62,7 +62,10 @@
                  "A cancel is stored before its response",
                  "[front]")
 {
-  REQUIRE(Send("DELETE", "/q/" + kId).m_status == 410);
+  const std::string unknown = "/q/0000000000000001";
+  REQUIRE(Send("DELETE", unknown).m_status == 410);
+  REQUIRE(Send("POST", unknown, kBody).m_status == 409);
+  REQUIRE_FALSE(m_store.Has(kKeys.Job("0000000000000001")));
   REQUIRE(Send("POST", "/q/" + kId, kBody).m_status == 200);
   REQUIRE(Send("DELETE", "/q/" + kId).m_status == 200);
   REQUIRE(m_store.Has(kKeys.Cancel(kId)));
