Bound the starts that await a response

Cause: one placement sends the starts of all tasks that fit. Each is an open transfer of some 15 KB, and nothing bounds their number.

Change: StartBudget bounds the memory of a shard's open starts, 16 MiB, from the placement of a task until the response to its start has been read. The placement stops there and goes on when a response comes. Jobs with many open starts leave a quarter to the others.

--- a/jobs/task.h
+++ b/jobs/task.h
@@ -6,6 +6,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -75,6 +76,9 @@
    * that first showed the run was read then.
    */
   Moment m_begunBy;
+  /** Holds the task's part of the memory for open starts until the start is
+   * sent. */
+  std::shared_ptr<const void> m_openStart;
   /** Fencing token of the start order. */
   std::int64_t m_startFence = 0;
   /** The worker has responded to the start or listed the task. Before that the
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -19,6 +19,7 @@
 #include "scheduler/release_proof.h"
 #include "scheduler/scheduler_settings.h"
 #include "scheduler/shard_status.h"
+#include "scheduler/start_budget.h"
 #include "store/store_mirror.h"
 #include "tenants/pool_usage.h"
 #include "tenants/tenant_usage.h"
@@ -298,8 +299,7 @@
                const std::vector<Task>& aTasks);
   /** Whether no task of a previous owner may run unknown to this one. */
   bool KnowsAllRuns() const;
-  /** The unresolved workers still count for the job, which is no longer active.
-   */
+  /** The unresolved workers still count for the job, which has ended. */
   void KeepEarlierRuns(const Job& aJob);
 
   // Tasks.
@@ -482,6 +482,7 @@
   bool m_isRunning = false;
   bool m_isPlacementDue = false;
   std::vector<PlacedStart> m_placedStarts;
+  StartBudget m_startBudget;
   /** Workers that have to respond before a task can start there. */
   std::set<std::string> m_workersToAsk;
   /** ProgressWriter::IsBehind at the last placement. */
--- a/scheduler/scheduler_placement.cpp
+++ b/scheduler/scheduler_placement.cpp
@@ -223,7 +223,7 @@
     return;
   }
   if ((spec.m_isGang && !std::ranges::all_of(tasks, mayStart)) ||
-      !FitsCap(job, spec, tasks)) {
+      !FitsCap(job, spec, tasks) || !m_startBudget.Allows(job.Id())) {
     return;
   }
   const std::string step =
@@ -283,7 +283,8 @@
     if (!mayStart(task)) {
       continue;
     }
-    if (hasStarted && !FitsCap(job, spec, tasks)) {
+    if (hasStarted &&
+        (!FitsCap(job, spec, tasks) || !m_startBudget.Allows(job.Id()))) {
       break;
     }
     Worker* worker = aPlacement.Choose(task, filter);
--- a/scheduler/scheduler_tasks.cpp
+++ b/scheduler/scheduler_tasks.cpp
@@ -92,6 +92,7 @@
   }
   aTask.m_worker.clear();
   aTask.m_isStartUnsent = false;
+  aTask.m_openStart.reset();
   aTask.m_isLost = false;
   if (aTask.m_phase != TaskPhase::Done) {
     aTask.m_phase = TaskPhase::Waiting;
@@ -145,6 +146,8 @@
   aTask.m_isListed = false;
   aTask.m_stopAckedAt.reset();
   aTask.m_orderedAt = m_env.m_loop.Now();
+  aTask.m_openStart = m_startBudget.Open(
+    job.Id(), job.Record().m_payload.size() + aTask.m_checkpoint.size());
   if (job.IsWorkerRecorded(workerId)) {
     SendStart(aTask, aWorker, aTicket);
     return;
@@ -170,15 +173,17 @@
   aTask.m_startFence = order.m_fencingToken;
   order.m_checkpoint = aTask.m_checkpoint;
   order.m_ticket = aTicket;
-  m_env.m_workers.Start(
-    AddressOf(aWorker),
-    order,
-    [this, order, id = aWorker.m_report.m_id, alive = m_alive](
-      const OrderResult& aResult) {
-      if (*alive) {
-        OnStarted(id, order, aResult);
-      }
-    });
+  m_env.m_workers.Start(AddressOf(aWorker),
+                        order,
+                        [this,
+                         order,
+                         id = aWorker.m_report.m_id,
+                         openStart = std::exchange(aTask.m_openStart, nullptr),
+                         alive = m_alive](const OrderResult& aResult) {
+                          if (*alive) {
+                            OnStarted(id, order, aResult);
+                          }
+                        });
 }
 
 void
@@ -186,6 +191,9 @@
                      const StartOrder& aOrder,
                      const OrderResult& aResult)
 {
+  if (m_startBudget.TakeRefusal()) {
+    RequestPlacement();
+  }
   const std::string& name = aOrder.m_task;
   const std::int64_t attempt = aOrder.m_attempt;
   Worker* worker = FindWorker(aWorkerId);
--- a/tests/server/test_cancelled_ids.cpp
+++ b/tests/server/test_cancelled_ids.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_codec.h"
 #include "jobs/job_entry.h"
 #include "scheduler/job_keys.h"
+#include "scheduler/shard_status.h"
 #include "tests/fakes/captured_log.h"
 #include "tests/fakes/job_request_fixture.h"
 #include "tests/fakes/quiet_log.h"
@@ -258,6 +259,26 @@
   CHECK(m_store.Has(kKeys.Job("00000000000f0000")));
 }
 
+// Guards against a caller that is told by a 503 that its job never runs, while
+// an earlier write of it at another daemon may still be applied.
+TEST_CASE_METHOD(TwoDaemons,
+                 "A job that another daemon refuses is not stored late",
+                 "[front]")
+{
+  DelayNextCommit(*m_secondClient, absl::Milliseconds(5800));
+  REQUIRE(Second("POST") == 504);
+  m_store.Set(
+    kKeys.Status(),
+    EncodeShardStatus(
+      { .m_capacity = 1, .m_memory = kMaxShardMemory, .m_sequence = 1 }));
+  m_handler.Handle({ "GET", "/q/", "h", "", kAcmeKey },
+                   [](const ListenerResponse&) {});
+  m_loop.AdvanceBy(absl::Milliseconds(100));
+  const int status = First("POST");
+  m_loop.AdvanceBy(kSettleTime);
+  CHECK((status == 503 && HasJob()) == false);
+}
+
 namespace {
 
 /** What the callers of one id were told, checked against what is stored. */
