--- a/jobs/job_entry.h
+++ b/jobs/job_entry.h
@@ -23,11 +23,11 @@
   /** Tenant that alone may read and cancel the job; empty if there is none. */
   std::string m_tenant;
   /**
-   * Set in a tombstone: the tenants, as in m_tenant, that have cancelled the id
-   * while it had no job. A tombstone has no other fields. It refuses later
-   * submissions of these tenants, and each stored one makes a write fail that
-   * requires the previous entry, or that there is none. Submissions of other
-   * tenants replace it.
+   * Set in a tombstone, which stands in place of an entry while the id has no
+   * job and has no other fields: the tenants, as in m_tenant, that have
+   * cancelled the id. Their later submissions are refused, those of other
+   * tenants replace the tombstone. A submission that is under way fails, since
+   * its transaction requires that the entry has not changed.
    */
   std::optional<std::vector<std::string>> m_cancelledBy;
 
--- a/jobs/task.h
+++ b/jobs/task.h
@@ -76,8 +76,8 @@
    * that first showed the run was read then.
    */
   Moment m_begunBy;
-  /** Holds the task's part of the memory for open starts until the start is
-   * sent. */
+  /** StartBudget::OpenStart of a start that is placed but not sent; the order
+   * holds it from then on. */
   std::shared_ptr<const void> m_openStart;
   /** Fencing token of the start order. */
   std::int64_t m_startFence = 0;
--- a/scheduler/entry_sweeper.cpp
+++ b/scheduler/entry_sweeper.cpp
@@ -14,6 +14,8 @@
 
 /** Time between two sweeps, and before the first one of an owner. */
 constexpr absl::Duration kSweepInterval = absl::Seconds(60);
+/** Transaction entries of a removal: its condition and itself. */
+constexpr std::size_t kEntriesPerRemoval = 2;
 
 }
 
@@ -110,10 +112,11 @@
     if (m_loop.Now() < entry.m_since + m_retention) {
       continue;
     }
-    // A submission may replace a tombstone after the sweep has read it.
+    // The condition keeps a job that has replaced the tombstone meanwhile.
     removal.m_conditions.push_back({ key, entry.m_revision });
     removal.m_removals.push_back(key);
-    if (removal.m_conditions.size() + removal.m_removals.size() + 2 >
+    if (removal.m_conditions.size() + removal.m_removals.size() +
+          kEntriesPerRemoval >
         StoreTransaction::kMaxEntries) {
       commit();
     }
