--- a/server/job_request_handler.h
+++ b/server/job_request_handler.h
@@ -98,7 +98,7 @@
                           const char* aReason,
                           int aStatus,
                           const std::string& aDetail = "");
-  /** Queues a submission for the next commit. */
+  /** Queues a submission for the next commit; see FlushSubmissions. */
   void Enqueue(Submission aSubmission);
   void FlushSubmissions();
   void OnCommitted(std::vector<Submission> aBatch, const CommitResult& aResult);
--- a/server/job_request_handler_submissions.cpp
+++ b/server/job_request_handler_submissions.cpp
@@ -24,8 +24,8 @@
 
 namespace {
 
-/** Transaction entries of a job: the condition that it has no entry yet, the
- * entry and the record. */
+/** Transaction entries of a job: the condition that its entry has not changed,
+ * the entry and the record. */
 constexpr std::size_t kMaxEntriesPerJob = 3;
 /** Records in a commit together; a larger one has a commit of its own. Two
  * commits of this size, in base64, take 0.6 s on a link of 10 Mbit/s; the store
@@ -117,7 +117,9 @@
                            error.what()));
     }
     Refuse(aCall, "bad_submission", kBadRequest);
+    return;
   }
+  FlushSubmissions();
 }
 
 bool
@@ -184,7 +186,6 @@
 {
   m_openIds.insert(aSubmission.m_call.m_id);
   m_submissions.push_back(std::move(aSubmission));
-  FlushSubmissions();
 }
 
 void
@@ -366,6 +367,7 @@
   }
   aSubmission.m_replacedRevision = aRevision;
   Enqueue(std::move(aSubmission));
+  FlushSubmissions();
 }
 
 }
